--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,560 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+
+	"heatherreel/internal/keyspace"
+)
+
+// Bounds of what a State keeps besides the current members, assignments and configuration.
+const (
+	// maxHistory is the number of past configuration revisions that are kept without their documents.
+	maxHistory = 64
+	// maxRecentJoins is the number of join record ids kept to recognise a join that was appended twice.
+	maxRecentJoins = 1024
+)
+
+// WitnessSet is the witness set of an incarnation.
+type WitnessSet struct {
+	// Version is the offset of the record that named or renewed the set.
+	Version Offset        `json:"version"`
+	Members []Incarnation `json:"members"`
+}
+
+// Member is a living incarnation.
+type Member struct {
+	Incarnation Incarnation `json:"incarnation"`
+	Join
+	// WitnessSet is in force; the witnesses named in Join are history.
+	WitnessSet WitnessSet `json:"witness_set"`
+}
+
+// Slice is the assignment of one slice.
+type Slice struct {
+	// Owner is zero if the slice is unowned.
+	Owner Incarnation `json:"owner"`
+	// Fence is the offset of the record that gave the slice to Owner; it is kept when the slice becomes unowned.
+	Fence Offset `json:"fence"`
+	// AfterLoss tells that Fence came from the end of an owner that did not release, so that requests issued before
+	// may have run.
+	AfterLoss bool `json:"after_loss,omitempty"`
+	// Sources are living incarnations that may still run requests for the slice.
+	Sources []Incarnation `json:"sources,omitempty"`
+}
+
+// Group is the assignment of one group.
+type Group struct {
+	ID keyspace.Group `json:"id"`
+	// Version is the offset of the last record that changed the assignment.
+	Version Offset  `json:"version"`
+	Slices  []Slice `json:"slices"`
+}
+
+// Revision is one accepted configuration.
+type Revision struct {
+	Revision Offset `json:"revision"`
+	ID       string `json:"id"`
+	Base     Offset `json:"base"`
+	Author   string `json:"author"`
+	Note     string `json:"note"`
+	// Document is kept for the current revision only.
+	Document string `json:"document,omitempty"`
+}
+
+// Rejection says why a record did not take effect; empty if it did.
+type Rejection string
+
+// Reasons for which a record does not take effect.
+const (
+	Accepted         Rejection = ""
+	UnknownKind      Rejection = "unknown_kind"
+	MalformedRecord  Rejection = "malformed"
+	Duplicate        Rejection = "duplicate"
+	StaleBase        Rejection = "stale_base"
+	NotAMember       Rejection = "not_a_member"
+	NotTheOwner      Rejection = "not_the_owner"
+	AlreadyOwned     Rejection = "already_owned"
+	NotSettled       Rejection = "not_settled"
+	StillOwning      Rejection = "still_owning"
+	WitnessSetInUse  Rejection = "witness_set_in_use"
+	OutsideOfGroup   Rejection = "outside_of_group"
+	OutdatedSnapshot Rejection = "outdated_snapshot"
+)
+
+// State is the replayed log. It is not safe for concurrent use; its owner guards it.
+type State struct {
+	// Offset is the offset of the last replayed record.
+	Offset  Offset
+	Members map[Incarnation]*Member
+	Groups  map[keyspace.Group]*Group
+	// Configuration is the current revision; nil before the first.
+	Configuration *Revision
+	// History holds past revisions, oldest first, at most maxHistory.
+	History []Revision
+
+	recentJoins []string
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		Members: map[Incarnation]*Member{},
+		Groups:  map[keyspace.Group]*Group{},
+	}
+}
+
+// Apply replays the record at offset and returns why it did not take effect, or Accepted.
+// Offsets must grow; a record at or before s.Offset is a Duplicate.
+func (s *State) Apply(offset Offset, r *Record) Rejection {
+	if offset <= s.Offset {
+		return Duplicate
+	}
+	rejection := s.apply(offset, r)
+	s.Offset = offset
+	return rejection
+}
+
+// Skip advances the offset past a record that could not be decoded.
+func (s *State) Skip(offset Offset) {
+	s.Offset = max(s.Offset, offset)
+}
+
+// apply dispatches on the kind of the record.
+func (s *State) apply(offset Offset, r *Record) Rejection {
+	switch {
+	case r.Kind == KindJoin && r.Join != nil:
+		return s.applyJoin(offset, r.ID, r.Join)
+	case r.Kind == KindWitnesses && r.Witnesses != nil:
+		return s.applyWitnesses(offset, r.Witnesses)
+	case r.Kind == KindRenewed && r.Renewed != nil:
+		return s.applyRenewed(offset, r.Renewed)
+	case r.Kind == KindAssign && r.Assign != nil:
+		return s.applyAssign(offset, r.Assign)
+	case r.Kind == KindMove && r.Move != nil:
+		return s.applyMove(offset, r.Move)
+	case r.Kind == KindSettled && r.Settled != nil:
+		return s.applySettled(r.Settled)
+	case r.Kind == KindReleased && r.Released != nil:
+		return s.applyReleased(r.Released)
+	case r.Kind == KindEnd && r.End != nil:
+		return s.applyEnd(offset, r.End)
+	case r.Kind == KindLeave && r.Leave != nil:
+		return s.applyLeave(r.Leave)
+	case r.Kind == KindConfiguration && r.Configuration != nil:
+		return s.applyConfiguration(offset, r.ID, r.Configuration)
+	case r.Kind == KindCheckpoint && r.Checkpoint != nil:
+		return s.applyCheckpoint(r.Checkpoint)
+	}
+	return rejectUnreadable(r.Kind)
+}
+
+// rejectUnreadable tells a record of a later version from one that lacks its body.
+func rejectUnreadable(kind Kind) Rejection {
+	switch kind {
+	case KindJoin, KindWitnesses, KindRenewed, KindAssign, KindMove, KindSettled, KindReleased, KindEnd, KindLeave,
+		KindConfiguration, KindCheckpoint:
+		return MalformedRecord
+	}
+	return UnknownKind
+}
+
+// alive reports whether all incarnations are members.
+func (s *State) alive(incarnations ...Incarnation) bool {
+	for _, i := range incarnations {
+		if s.Members[i] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) applyJoin(offset Offset, id string, j *Join) Rejection {
+	if slices.Contains(s.recentJoins, id) {
+		return Duplicate
+	}
+	if !s.alive(j.Witnesses...) {
+		return NotAMember
+	}
+	s.recentJoins = append(s.recentJoins, id)
+	if len(s.recentJoins) > maxRecentJoins {
+		s.recentJoins = slices.Delete(s.recentJoins, 0, len(s.recentJoins)-maxRecentJoins)
+	}
+	incarnation := Incarnation(offset)
+	s.Members[incarnation] = &Member{
+		Incarnation: incarnation,
+		Join:        *j,
+		WitnessSet:  WitnessSet{Version: offset, Members: slices.Clone(j.Witnesses)},
+	}
+	return Accepted
+}
+
+func (s *State) applyWitnesses(offset Offset, w *Witnesses) Rejection {
+	m := s.Members[w.Incarnation]
+	if m == nil || !s.alive(w.Witnesses...) {
+		return NotAMember
+	}
+	if m.WitnessSet.Version != w.Base {
+		return StaleBase
+	}
+	if slices.Contains(w.Witnesses, w.Incarnation) {
+		return MalformedRecord
+	}
+	s.replaceMember(m, WitnessSet{Version: offset, Members: slices.Clone(w.Witnesses)})
+	return Accepted
+}
+
+func (s *State) applyRenewed(offset Offset, r *Renewed) Rejection {
+	m := s.Members[r.Incarnation]
+	if m == nil {
+		return NotAMember
+	}
+	if m.WitnessSet.Version != r.Base {
+		return StaleBase
+	}
+	if len(m.WitnessSet.Members) != 0 {
+		return WitnessSetInUse
+	}
+	s.replaceMember(m, WitnessSet{Version: offset})
+	return Accepted
+}
+
+// replaceMember stores a copy of m with another witness set, so that readers may keep a *Member without a lock.
+func (s *State) replaceMember(m *Member, set WitnessSet) {
+	changed := *m
+	changed.WitnessSet = set
+	s.Members[m.Incarnation] = &changed
+}
+
+// groupFor returns the group if its version equals base and all indexes lie inside it.
+func (s *State) groupFor(id keyspace.Group, base Offset, indexes ...uint32) (*Group, Rejection) {
+	g := s.Groups[id]
+	if g == nil || g.Version != base {
+		return nil, StaleBase
+	}
+	for _, i := range indexes {
+		if int(i) >= len(g.Slices) {
+			return nil, OutsideOfGroup
+		}
+	}
+	return g, Accepted
+}
+
+func (s *State) applyAssign(offset Offset, a *Assign) Rejection {
+	indexes := make([]uint32, 0, len(a.Placements))
+	for _, p := range a.Placements {
+		if !s.alive(p.Owner) {
+			return NotAMember
+		}
+		indexes = append(indexes, p.Index)
+	}
+	if s.Groups[a.Group] == nil && a.Base == 0 && a.Count > 0 {
+		return s.createGroup(offset, a, indexes)
+	}
+	g, rejection := s.groupFor(a.Group, a.Base, indexes...)
+	if g == nil {
+		return rejection
+	}
+	for _, i := range indexes {
+		if g.Slices[i].Owner != 0 {
+			return AlreadyOwned
+		}
+	}
+	g.place(offset, a.Placements)
+	return Accepted
+}
+
+// createGroup adds a group with all its slices.
+func (s *State) createGroup(offset Offset, a *Assign, indexes []uint32) Rejection {
+	for _, i := range indexes {
+		if i >= a.Count {
+			return OutsideOfGroup
+		}
+	}
+	g := &Group{ID: a.Group, Slices: make([]Slice, a.Count)}
+	s.Groups[a.Group] = g
+	g.place(offset, a.Placements)
+	return Accepted
+}
+
+// place gives unowned slices to owners. AfterLoss stays as the loss of the last owner left it.
+func (g *Group) place(offset Offset, placements []Placement) {
+	for _, p := range placements {
+		g.Slices[p.Index].Owner = p.Owner
+		g.Slices[p.Index].Fence = offset
+	}
+	g.Version = offset
+}
+
+func (s *State) applyMove(offset Offset, m *Move) Rejection {
+	if !s.alive(m.From, m.To) || m.From == m.To {
+		return NotAMember
+	}
+	g, rejection := s.groupFor(m.Group, m.Base, m.Indexes...)
+	if g == nil {
+		return rejection
+	}
+	for _, i := range m.Indexes {
+		if g.Slices[i].Owner != m.From {
+			return NotTheOwner
+		}
+		if len(g.Slices[i].Sources) != 0 {
+			return NotSettled
+		}
+	}
+	for _, i := range m.Indexes {
+		// AfterLoss is kept: the new owner must still treat older request ids as possibly run.
+		g.Slices[i].Owner = m.To
+		g.Slices[i].Fence = offset
+		g.Slices[i].Sources = []Incarnation{m.From}
+	}
+	g.Version = offset
+	return Accepted
+}
+
+// slice returns the slice if it exists under the fence.
+func (s *State) slice(f SliceFence) *Slice {
+	g := s.Groups[f.Slice.Group]
+	if g == nil || int(f.Slice.Index) >= len(g.Slices) {
+		return nil
+	}
+	if g.Slices[f.Slice.Index].Fence != f.Fence {
+		return nil
+	}
+	return &g.Slices[f.Slice.Index]
+}
+
+// applySettled clears the sources of the slices that still match; the others changed owner meanwhile.
+func (s *State) applySettled(r *Settled) Rejection {
+	rejection := NotTheOwner
+	for _, f := range r.Slices {
+		slice := s.slice(f)
+		if slice == nil || slice.Owner != r.Incarnation {
+			continue
+		}
+		slice.Sources = nil
+		rejection = Accepted
+	}
+	return rejection
+}
+
+func (s *State) applyReleased(r *Released) Rejection {
+	rejection := StaleBase
+	for _, f := range r.Slices {
+		slice := s.slice(f)
+		if slice == nil {
+			continue
+		}
+		if !slices.Contains(slice.Sources, r.Incarnation) {
+			continue
+		}
+		slice.Sources = without(slice.Sources, r.Incarnation)
+		slice.AfterLoss = true
+		rejection = Accepted
+	}
+	return rejection
+}
+
+// without returns a copy of list that lacks i; nil if nothing is left.
+func without(list []Incarnation, i Incarnation) []Incarnation {
+	var kept []Incarnation
+	for _, other := range list {
+		if other != i {
+			kept = append(kept, other)
+		}
+	}
+	return kept
+}
+
+func (s *State) applyEnd(offset Offset, e *End) Rejection {
+	m := s.Members[e.Incarnation]
+	if m == nil {
+		return NotAMember
+	}
+	if m.WitnessSet.Version != e.SetVersion {
+		return StaleBase
+	}
+	successors := make(map[keyspace.SliceID]Incarnation, len(e.Successors))
+	for _, n := range e.Successors {
+		if n.Owner == e.Incarnation || !s.alive(n.Owner) {
+			return NotAMember
+		}
+		successors[n.Slice] = n.Owner
+	}
+	delete(s.Members, e.Incarnation)
+	for _, g := range s.Groups {
+		g.end(offset, e.Incarnation, successors)
+	}
+	return Accepted
+}
+
+// end removes an incarnation from a group and places its slices with their successors.
+// A slice that has none, such as one that moved to the incarnation after the claimant looked, becomes unowned.
+func (g *Group) end(offset Offset, ended Incarnation, successors map[keyspace.SliceID]Incarnation) {
+	for i := range g.Slices {
+		slice := &g.Slices[i]
+		if slices.Contains(slice.Sources, ended) {
+			slice.Sources = without(slice.Sources, ended)
+			slice.AfterLoss = true
+		}
+		if slice.Owner != ended {
+			continue
+		}
+		slice.Owner = successors[keyspace.SliceID{Group: g.ID, Index: uint32(i)}]
+		slice.Fence = offset
+		slice.AfterLoss = true
+		g.Version = offset
+	}
+}
+
+func (s *State) applyLeave(l *Leave) Rejection {
+	if !s.alive(l.Incarnation) {
+		return NotAMember
+	}
+	for _, g := range s.Groups {
+		for i := range g.Slices {
+			if g.Slices[i].Owner == l.Incarnation {
+				return StillOwning
+			}
+		}
+	}
+	for _, g := range s.Groups {
+		for i := range g.Slices {
+			slice := &g.Slices[i]
+			if slices.Contains(slice.Sources, l.Incarnation) {
+				slice.Sources = without(slice.Sources, l.Incarnation)
+			}
+		}
+	}
+	delete(s.Members, l.Incarnation)
+	return Accepted
+}
+
+func (s *State) applyConfiguration(offset Offset, id string, c *Configuration) Rejection {
+	if c.Base != s.Revision() {
+		return StaleBase
+	}
+	if s.Configuration != nil {
+		past := *s.Configuration
+		past.Document = ""
+		s.History = append(s.History, past)
+		if len(s.History) > maxHistory {
+			s.History = slices.Delete(s.History, 0, len(s.History)-maxHistory)
+		}
+	}
+	s.Configuration = &Revision{
+		Revision: offset, ID: id, Base: c.Base, Author: c.Author, Note: c.Note, Document: c.Document,
+	}
+	return Accepted
+}
+
+// Revision returns the current configuration revision; zero before the first.
+func (s *State) Revision() Offset {
+	if s.Configuration == nil {
+		return 0
+	}
+	return s.Configuration.Revision
+}
+
+// applyCheckpoint adopts a checkpoint only into a state that has replayed nothing that the checkpoint lacks.
+// A reader that replayed the log up to here already has what the checkpoint says.
+func (s *State) applyCheckpoint(c *Checkpoint) Rejection {
+	if c.State == nil {
+		return MalformedRecord
+	}
+	if c.Offset <= s.Offset {
+		return OutdatedSnapshot
+	}
+	*s = *c.State.Clone()
+	s.Offset = c.Offset
+	return Accepted
+}
+
+// Owned returns the slices that the incarnation owns, in order.
+func (s *State) Owned(i Incarnation) []SliceFence {
+	var owned []SliceFence
+	for _, g := range s.Groups {
+		for index := range g.Slices {
+			if g.Slices[index].Owner == i {
+				id := keyspace.SliceID{Group: g.ID, Index: uint32(index)}
+				owned = append(owned, SliceFence{Slice: id, Fence: g.Slices[index].Fence})
+			}
+		}
+	}
+	slices.SortFunc(owned, func(a, b SliceFence) int { return a.Slice.Compare(b.Slice) })
+	return owned
+}
+
+// Lookup returns the slice of a key hash in a group.
+func (s *State) Lookup(id keyspace.Group, hash uint64) (uint32, Slice, bool) {
+	g := s.Groups[id]
+	if g == nil {
+		return 0, Slice{}, false
+	}
+	index := keyspace.Index(hash, uint32(len(g.Slices)))
+	return index, g.Slices[index], true
+}
+
+// Clone returns a copy that shares no mutable memory with s.
+func (s *State) Clone() *State {
+	c := NewState()
+	c.Offset = s.Offset
+	for i, m := range s.Members {
+		// A stored Member is never changed in place, so the copies may share it.
+		c.Members[i] = m
+	}
+	for id, g := range s.Groups {
+		copied := &Group{ID: g.ID, Version: g.Version, Slices: slices.Clone(g.Slices)}
+		c.Groups[id] = copied
+	}
+	if s.Configuration != nil {
+		revision := *s.Configuration
+		c.Configuration = &revision
+	}
+	c.History = slices.Clone(s.History)
+	c.recentJoins = slices.Clone(s.recentJoins)
+	return c
+}
+
+// encodedState is the JSON form of a State: ordered lists, so that equal states encode equally.
+type encodedState struct {
+	Offset        Offset     `json:"offset"`
+	Members       []*Member  `json:"members"`
+	Groups        []*Group   `json:"groups"`
+	Configuration *Revision  `json:"configuration,omitempty"`
+	History       []Revision `json:"history,omitempty"`
+	RecentJoins   []string   `json:"recent_joins,omitempty"`
+}
+
+// MarshalJSON encodes the state; equal states give equal bytes.
+func (s *State) MarshalJSON() ([]byte, error) {
+	e := encodedState{
+		Offset: s.Offset, Configuration: s.Configuration, History: s.History, RecentJoins: s.recentJoins,
+	}
+	for _, m := range s.Members {
+		e.Members = append(e.Members, m)
+	}
+	slices.SortFunc(e.Members, func(a, b *Member) int { return int(a.Incarnation) - int(b.Incarnation) })
+	for _, g := range s.Groups {
+		e.Groups = append(e.Groups, g)
+	}
+	slices.SortFunc(e.Groups, func(a, b *Group) int { return a.ID.Compare(b.ID) })
+	return json.Marshal(e)
+}
+
+// UnmarshalJSON decodes what MarshalJSON encoded.
+func (s *State) UnmarshalJSON(data []byte) error {
+	var e encodedState
+	if err := json.Unmarshal(data, &e); err != nil {
+		return err
+	}
+	*s = *NewState()
+	s.Offset, s.Configuration, s.History, s.recentJoins = e.Offset, e.Configuration, e.History, e.RecentJoins
+	for _, m := range e.Members {
+		s.Members[m.Incarnation] = m
+	}
+	for _, g := range e.Groups {
+		s.Groups[g.ID] = g
+	}
+	return nil
+}
