--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -28,6 +28,7 @@
 	KindSettled       Kind = "settled"
 	KindReleased      Kind = "released"
 	KindEnd           Kind = "end"
+	KindDrain         Kind = "drain"
 	KindLeave         Kind = "leave"
 	KindConfiguration Kind = "configuration"
 	KindCheckpoint    Kind = "checkpoint"
@@ -46,6 +47,7 @@
 	Settled       *Settled       `json:"settled,omitempty"`
 	Released      *Released      `json:"released,omitempty"`
 	End           *End           `json:"end,omitempty"`
+	Drain         *Drain         `json:"drain,omitempty"`
 	Leave         *Leave         `json:"leave,omitempty"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Checkpoint    *Checkpoint    `json:"checkpoint,omitempty"`
@@ -149,6 +151,12 @@
 	Successors []Successor `json:"successors"`
 }
 
+// Drain states whether an incarnation takes new slices, so that no planner moves slices to a node that is stopping.
+type Drain struct {
+	Incarnation Incarnation `json:"incarnation"`
+	Draining    bool        `json:"draining"`
+}
+
 // Leave ends an incarnation that owns no slice and runs no request.
 type Leave struct {
 	Incarnation Incarnation `json:"incarnation"`
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -28,6 +28,8 @@
 	Join
 	// WitnessSet is in force; the witnesses named in Join are history.
 	WitnessSet WitnessSet `json:"witness_set"`
+	// Draining tells that the node takes no new slices.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // Slice is the assignment of one slice.
@@ -139,6 +141,8 @@
 		return s.applyReleased(r.Released)
 	case r.Kind == KindEnd && r.End != nil:
 		return s.applyEnd(offset, r.End)
+	case r.Kind == KindDrain && r.Drain != nil:
+		return s.applyDrain(r.Drain)
 	case r.Kind == KindLeave && r.Leave != nil:
 		return s.applyLeave(r.Leave)
 	case r.Kind == KindConfiguration && r.Configuration != nil:
@@ -152,8 +156,8 @@
 // rejectUnreadable tells a record of a later version from one that lacks its body.
 func rejectUnreadable(kind Kind) Rejection {
 	switch kind {
-	case KindJoin, KindWitnesses, KindRenewed, KindAssign, KindMove, KindSettled, KindReleased, KindEnd, KindLeave,
-		KindConfiguration, KindCheckpoint:
+	case KindJoin, KindWitnesses, KindRenewed, KindAssign, KindMove, KindSettled, KindReleased, KindEnd, KindDrain,
+		KindLeave, KindConfiguration, KindCheckpoint:
 		return MalformedRecord
 	}
 	return UnknownKind
@@ -200,7 +204,7 @@
 	if slices.Contains(w.Witnesses, w.Incarnation) {
 		return MalformedRecord
 	}
-	s.replaceMember(m, WitnessSet{Version: offset, Members: slices.Clone(w.Witnesses)})
+	s.replaceWitnessSet(m, WitnessSet{Version: offset, Members: slices.Clone(w.Witnesses)})
 	return Accepted
 }
 
@@ -215,17 +219,28 @@
 	if len(m.WitnessSet.Members) != 0 {
 		return WitnessSetInUse
 	}
-	s.replaceMember(m, WitnessSet{Version: offset})
+	s.replaceWitnessSet(m, WitnessSet{Version: offset})
 	return Accepted
 }
 
-// replaceMember stores a copy of m with another witness set, so that readers may keep a *Member without a lock.
-func (s *State) replaceMember(m *Member, set WitnessSet) {
+// replaceWitnessSet stores a copy of m with another witness set, so that readers may keep a *Member without a lock.
+func (s *State) replaceWitnessSet(m *Member, set WitnessSet) {
 	changed := *m
 	changed.WitnessSet = set
 	s.Members[m.Incarnation] = &changed
 }
 
+func (s *State) applyDrain(d *Drain) Rejection {
+	m := s.Members[d.Incarnation]
+	if m == nil {
+		return NotAMember
+	}
+	changed := *m
+	changed.Draining = d.Draining
+	s.Members[m.Incarnation] = &changed
+	return Accepted
+}
+
 // groupFor returns the group if its version equals base and all indexes lie inside it.
 func (s *State) groupFor(id keyspace.Group, base Offset, indexes ...uint32) (*Group, Rejection) {
 	g := s.Groups[id]
--- /dev/null
+++ b/internal/node/codec.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"time"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+)
+
+// encodeForward returns the message for a request that is sent at now.
+func encodeForward(f Forwarded, correlation uint64, now time.Time) *nodepb.ForwardRequest {
+	r := &f.Request
+	return &nodepb.ForwardRequest{
+		Correlation:           correlation,
+		Service:               r.Service,
+		Tenant:                r.Tenant,
+		Key:                   r.Key,
+		RequestId:             r.ID,
+		Idempotent:            r.Idempotent,
+		Class:                 uint32(r.Class),
+		DeadlineUs:            uint64(max(r.Deadline.Sub(now), 0).Microseconds()),
+		Method:                r.Method,
+		ContentType:           r.ContentType,
+		Body:                  r.Body,
+		BodyLength:            uint64(len(r.Body)),
+		Traceparent:           r.Traceparent,
+		LedgerOffset:          uint64(f.LedgerOffset),
+		ConfigurationRevision: uint64(f.Revision),
+	}
+}
+
+// decodeForward returns the request in a message that arrived at now. The deadline is counted from the arrival, so
+// that clocks need not agree; the sender's own deadline is earlier by the time of the transfer.
+func decodeForward(m *nodepb.ForwardRequest, now time.Time) (Forwarded, error) {
+	if m.BodyLength != uint64(len(m.Body)) {
+		return Forwarded{}, problem.New(problem.Malformed, "send the request again",
+			"forwarded body has %d bytes, %d were announced", len(m.Body), m.BodyLength)
+	}
+	return Forwarded{
+		Request: request.Request{
+			Service:     m.Service,
+			Tenant:      m.Tenant,
+			Key:         m.Key,
+			ID:          m.RequestId,
+			Idempotent:  m.Idempotent,
+			Class:       request.Class(m.Class),
+			Deadline:    now.Add(time.Duration(m.DeadlineUs) * time.Microsecond),
+			Method:      m.Method,
+			ContentType: m.ContentType,
+			Body:        m.Body,
+			Traceparent: m.Traceparent,
+		},
+		LedgerOffset: ledger.Offset(m.LedgerOffset),
+		Revision:     ledger.Offset(m.ConfigurationRevision),
+	}, nil
+}
+
+func encodeOutcome(o request.Outcome) nodepb.Outcome {
+	switch o {
+	case request.Done:
+		return nodepb.Outcome_OUTCOME_DONE
+	case request.NotRun:
+		return nodepb.Outcome_OUTCOME_NOT_RUN
+	default:
+		return nodepb.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+func decodeOutcome(o nodepb.Outcome) request.Outcome {
+	switch o {
+	case nodepb.Outcome_OUTCOME_DONE:
+		return request.Done
+	case nodepb.Outcome_OUTCOME_NOT_RUN:
+		return request.NotRun
+	default:
+		return request.Unknown
+	}
+}
+
+func encodeAnswer(a request.Answer, correlation uint64) *nodepb.ForwardResponse {
+	return &nodepb.ForwardResponse{
+		Correlation:  correlation,
+		Outcome:      encodeOutcome(a.Outcome),
+		Reason:       string(a.Reason),
+		Remedy:       a.Remedy,
+		Status:       uint32(a.Status),
+		ContentType:  a.ContentType,
+		Body:         a.Body,
+		BodyLength:   uint64(len(a.Body)),
+		LedgerOffset: a.LedgerOffset,
+	}
+}
+
+// decodeAnswer returns the answer in a response, or problem.Unavailable if it belongs to another request or is cut
+// short; nothing is known about the effect of the request then.
+func decodeAnswer(m *nodepb.ForwardResponse, correlation uint64) (request.Answer, error) {
+	if m.Correlation != correlation {
+		return request.Answer{}, problem.New(problem.Unavailable, "repeat the request with the same request id",
+			"response %d arrived for request %d", m.Correlation, correlation)
+	}
+	if m.BodyLength != uint64(len(m.Body)) {
+		return request.Answer{}, problem.New(problem.Unavailable, "repeat the request with the same request id",
+			"response body has %d bytes, %d were announced", len(m.Body), m.BodyLength)
+	}
+	return request.Answer{
+		Outcome:      decodeOutcome(m.Outcome),
+		Reason:       request.Reason(m.Reason),
+		Remedy:       m.Remedy,
+		Status:       int(m.Status),
+		ContentType:  m.ContentType,
+		Body:         m.Body,
+		LedgerOffset: m.LedgerOffset,
+	}, nil
+}
+
+func encodeSlices(slices []ledger.SliceFence) []*nodepb.SliceFence {
+	encoded := make([]*nodepb.SliceFence, 0, len(slices))
+	for _, s := range slices {
+		encoded = append(encoded, encodeSlice(s))
+	}
+	return encoded
+}
+
+func encodeSlice(s ledger.SliceFence) *nodepb.SliceFence {
+	return &nodepb.SliceFence{
+		Service: s.Slice.Service,
+		Home:    string(s.Slice.Home),
+		Index:   s.Slice.Index,
+		Fence:   uint64(s.Fence),
+	}
+}
+
+func decodeSlices(encoded []*nodepb.SliceFence) []ledger.SliceFence {
+	slices := make([]ledger.SliceFence, 0, len(encoded))
+	for _, e := range encoded {
+		slices = append(slices, decodeSlice(e))
+	}
+	return slices
+}
+
+func decodeSlice(e *nodepb.SliceFence) ledger.SliceFence {
+	group := keyspace.Group{Service: e.GetService(), Home: keyspace.Home(e.GetHome())}
+	return ledger.SliceFence{
+		Slice: keyspace.SliceID{Group: group, Index: e.GetIndex()},
+		Fence: ledger.Offset(e.GetFence()),
+	}
+}
