Fix checkpoint adoption and other replay faults, and test the replay

Cause: after adopting a checkpoint, Apply set the offset to that of the checkpoint record, so the records between what the checkpoint covers and its own offset were lost on that replica only. The property test found the replicas differing. Review and table tests found more: an incarnation listed twice as witness counted twice in a majority; an Assign could name a slice twice or a count that exhausts every reader's memory; a slice that returned to its source after the new owner ended kept the owner as its own source; a source that left before it released cost its outcomes without marking the slice; a checkpoint with an empty member crashed every reader; a checkpoint could claim an offset at or after its own.

Change: Apply leaves the offset at what the checkpoint covers, and the caller reads on from there; the other cases are rejected or marked AfterLoss. A state machine with rival writers, duplicates and a replica restarted from JSON guards the invariants, and a table covers each rejection.

--- /dev/null
+++ b/internal/ledger/rejection_test.go
@@ -0,0 +1,156 @@
+package ledger
+
+import (
+	"encoding/json"
+	"testing"
+
+	"heatherreel/internal/keyspace"
+)
+
+var (
+	orders = keyspace.Group{Service: "orders"}
+	first  = keyspace.SliceID{Group: orders}
+)
+
+// prepared returns a state with members 1, 2, 3 (2 is the witness of 3), slice 0 owned by 1, slice 1 moved from 1 to 2
+// and not settled, slice 2 unowned, and configuration revision 6.
+func prepared(t *testing.T) *State {
+	t.Helper()
+	s := NewState()
+	records := []*Record{
+		{Kind: KindJoin, ID: "a", Join: &Join{}},
+		{Kind: KindJoin, ID: "b", Join: &Join{}},
+		{Kind: KindJoin, ID: "c", Join: &Join{Witnesses: []Incarnation{2}}},
+		{Kind: KindAssign, Assign: &Assign{Group: orders, Count: 3, Placements: []Placement{{0, 1}, {1, 1}}}},
+		{Kind: KindMove, Move: &Move{Group: orders, Base: 4, Indexes: []uint32{1}, From: 1, To: 2}},
+		{Kind: KindConfiguration, Configuration: &Configuration{Document: "one"}},
+	}
+	for i, r := range records {
+		if got := s.Apply(Offset(i+1), r); got != Accepted {
+			t.Fatalf("record %d: %s", i+1, got)
+		}
+	}
+	return s
+}
+
+// TestRejections guards against a record that takes effect although its condition does not hold.
+func TestRejections(t *testing.T) {
+	move := func(base Offset, index uint32, from, to Incarnation) *Record {
+		return &Record{Kind: KindMove, Move: &Move{Group: orders, Base: base, Indexes: []uint32{index}, From: from, To: to}}
+	}
+	assign := func(base Offset, count uint32, p ...Placement) *Record {
+		return &Record{Kind: KindAssign, Assign: &Assign{Group: orders, Base: base, Count: count, Placements: p}}
+	}
+	witnesses := func(of Incarnation, base Offset, set ...Incarnation) *Record {
+		return &Record{Kind: KindWitnesses, Witnesses: &Witnesses{Incarnation: of, Base: base, Witnesses: set}}
+	}
+	join := func(id string, set ...Incarnation) *Record {
+		return &Record{Kind: KindJoin, ID: id, Join: &Join{Witnesses: set}}
+	}
+	end := func(of Incarnation, set Offset, owner Incarnation) *Record {
+		next := []Successor{{Slice: first, Owner: owner}}
+		return &Record{Kind: KindEnd, End: &End{Incarnation: of, SetVersion: set, Successors: next}}
+	}
+	checkpoint := func(offset Offset, s *State) *Record {
+		return &Record{Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: offset, State: s}}
+	}
+	fences := func(f Offset) []SliceFence { return []SliceFence{{Slice: first, Fence: f}} }
+	other := keyspace.Group{Service: "pricing"}
+	cases := []struct {
+		name   string
+		record *Record
+		want   Rejection
+	}{
+		{"kind of a later version", &Record{Kind: "split"}, UnknownKind},
+		{"no body", &Record{Kind: KindMove}, MalformedRecord},
+		{"join twice", join("a"), Duplicate},
+		{"join with an unknown witness", join("d", 9), NotAMember},
+		{"join with a repeated witness", join("d", 1, 1), MalformedRecord},
+		{"witnesses of an unknown node", witnesses(9, 3, 1), NotAMember},
+		{"unknown witness", witnesses(3, 3, 9), NotAMember},
+		{"witnesses on a stale base", witnesses(3, 2, 1), StaleBase},
+		{"its own witness", witnesses(3, 3, 3), MalformedRecord},
+		{"repeated witness", witnesses(3, 3, 1, 1), MalformedRecord},
+		{"renewed by an unknown node", &Record{Kind: KindRenewed, Renewed: &Renewed{Incarnation: 9}}, NotAMember},
+		{"renewed twice", &Record{Kind: KindRenewed, Renewed: &Renewed{Incarnation: 1}}, StaleBase},
+		{"renewed with witnesses", &Record{Kind: KindRenewed, Renewed: &Renewed{Incarnation: 3, Base: 3}}, WitnessSetInUse},
+		{"assign to an unknown node", assign(5, 3, Placement{2, 9}), NotAMember},
+		{"assign on a stale base", assign(4, 3, Placement{2, 1}), StaleBase},
+		{"assign to a group that exists", assign(0, 3, Placement{2, 1}), StaleBase},
+		{"assign of an owned slice", assign(5, 3, Placement{0, 2}), AlreadyOwned},
+		{"assign outside", assign(5, 3, Placement{3, 2}), OutsideOfGroup},
+		{"assign of one slice to two owners", assign(5, 3, Placement{2, 1}, Placement{2, 2}), MalformedRecord},
+		{"assign with too many slices", assign(0, MaxSlices+1), MalformedRecord},
+		{"create outside", &Record{Kind: KindAssign, Assign: &Assign{Group: other, Count: 1, Placements: []Placement{{1, 1}}}}, OutsideOfGroup},
+		{"create without slices", &Record{Kind: KindAssign, Assign: &Assign{Group: other}}, StaleBase},
+		{"move to an unknown node", move(5, 0, 1, 9), NotAMember},
+		{"move to itself", move(5, 0, 1, 1), NotAMember},
+		{"move on a stale base", move(4, 0, 1, 2), StaleBase},
+		{"move by another owner", move(5, 0, 2, 3), NotTheOwner},
+		{"move of an unsettled slice", move(5, 1, 2, 3), NotSettled},
+		{"move outside", move(5, 3, 1, 2), OutsideOfGroup},
+		{"settled under an old fence", &Record{Kind: KindSettled, Settled: &Settled{Incarnation: 1, Slices: fences(3)}}, NotTheOwner},
+		{"settled by another node", &Record{Kind: KindSettled, Settled: &Settled{Incarnation: 2, Slices: fences(4)}}, NotTheOwner},
+		{"released under an old fence", &Record{Kind: KindReleased, Released: &Released{Incarnation: 1, Slices: fences(3)}}, StaleBase},
+		{"released without being a source", &Record{Kind: KindReleased, Released: &Released{Incarnation: 1, Slices: fences(4)}}, StaleBase},
+		{"end of an unknown node", end(9, 9, 2), NotAMember},
+		{"end after the witnesses changed", end(1, 0, 2), StaleBase},
+		{"end with an unknown successor", end(1, 1, 9), NotAMember},
+		{"end with itself as successor", end(1, 1, 1), NotAMember},
+		{"leave of an unknown node", &Record{Kind: KindLeave, Leave: &Leave{Incarnation: 9}}, NotAMember},
+		{"leave of an owner", &Record{Kind: KindLeave, Leave: &Leave{Incarnation: 1}}, StillOwning},
+		{"configuration on a stale base", &Record{Kind: KindConfiguration, Configuration: &Configuration{Base: 5}}, StaleBase},
+		{"checkpoint without a state", checkpoint(3, nil), MalformedRecord},
+		{"checkpoint that covers nothing new", checkpoint(3, &State{Offset: 3}), OutdatedSnapshot},
+		{"checkpoint that names another offset than its state", checkpoint(3, &State{Offset: 2}), MalformedRecord},
+		{"checkpoint of the future", checkpoint(50, &State{Offset: 50}), MalformedRecord},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := prepared(t)
+			before := encode(t, s)
+			if got := s.Apply(7, c.record); got != c.want {
+				t.Fatalf("got %q, want %q", got, c.want)
+			}
+			s.Offset = 6
+			if after := encode(t, s); after != before {
+				t.Fatalf("a rejected record changed the state:\n%s\n%s", before, after)
+			}
+		})
+	}
+}
+
+// TestOwnerIsNotItsOwnSource guards against an owner that waits for its own release when a slice returns to its source
+// because the new owner ended before it settled.
+func TestOwnerIsNotItsOwnSource(t *testing.T) {
+	s := prepared(t)
+	back := []Successor{{Slice: keyspace.SliceID{Group: orders, Index: 1}, Owner: 1}}
+	if got := s.Apply(7, &Record{Kind: KindEnd, End: &End{Incarnation: 2, SetVersion: 2, Successors: back}}); got != Accepted {
+		t.Fatal(got)
+	}
+	if slice := s.Groups[orders].Slices[1]; slice.Owner != 1 || len(slice.Sources) != 0 || !slice.AfterLoss {
+		t.Fatalf("%+v", slice)
+	}
+}
+
+// TestLeaveBeforeRelease guards against a request that runs twice: its outcome is lost when a source leaves before the
+// new owner fetched the retained outcomes.
+func TestLeaveBeforeRelease(t *testing.T) {
+	s := prepared(t)
+	s.Apply(7, &Record{Kind: KindMove, Move: &Move{Group: orders, Base: 5, Indexes: []uint32{0}, From: 1, To: 3}})
+	if got := s.Apply(8, &Record{Kind: KindLeave, Leave: &Leave{Incarnation: 1}}); got != Accepted {
+		t.Fatal(got)
+	}
+	if slice := s.Groups[orders].Slices[0]; len(slice.Sources) != 0 || !slice.AfterLoss {
+		t.Fatalf("%+v", slice)
+	}
+}
+
+// TestDecodeRejectsIncompleteState guards against a crash of every reader on a checkpoint with empty entries.
+func TestDecodeRejectsIncompleteState(t *testing.T) {
+	for _, text := range []string{`{"members":[null]}`, `{"groups":[null]}`, `{"groups":[{"id":{"service":"a"}}]}`} {
+		if err := json.Unmarshal([]byte(text), new(State)); err == nil {
+			t.Errorf("%s was decoded", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/replay_test.go
@@ -0,0 +1,293 @@
+package ledger
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/keyspace"
+)
+
+// TestMain fixes the seed of the property tests unless one is given, so that the ordinary run is repeatable.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var testGroups = []keyspace.Group{{Service: "orders"}, {Service: "orders", Home: "west"}}
+
+func encode(t rapid.TB, s *State) string {
+	t.Helper()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// decode returns a copy of the state that went through its JSON form.
+func decode(t rapid.TB, s *State) *State {
+	t.Helper()
+	var copied State
+	if err := json.Unmarshal([]byte(encode(t, s)), &copied); err != nil {
+		t.Fatal(err)
+	}
+	return &copied
+}
+
+// writer draws records from a view of the log that may be outdated.
+type writer struct {
+	t    *rapid.T
+	view *State
+	next *int
+}
+
+func (w *writer) member(label string) Incarnation {
+	known := []Incarnation{999_999}
+	for i := range w.view.Members {
+		known = append(known, i)
+	}
+	slices.Sort(known)
+	return rapid.SampledFrom(known).Draw(w.t, label)
+}
+
+func (w *writer) members() []Incarnation {
+	drawn := make([]Incarnation, rapid.IntRange(0, 2).Draw(w.t, "count"))
+	for i := range drawn {
+		drawn[i] = w.member("listed")
+	}
+	return drawn
+}
+
+// fences returns some of the slices for which keep holds in the writer's view.
+func (w *writer) fences(keep func(Slice) bool) []SliceFence {
+	var found []SliceFence
+	for _, id := range testGroups {
+		g := w.view.Groups[id]
+		for i := 0; g != nil && i < len(g.Slices); i++ {
+			if keep(g.Slices[i]) && rapid.Bool().Draw(w.t, "take") {
+				found = append(found, SliceFence{Slice: keyspace.SliceID{Group: id, Index: uint32(i)}, Fence: g.Slices[i].Fence})
+			}
+		}
+	}
+	return found
+}
+
+func (w *writer) setVersion(i Incarnation) Offset {
+	if m := w.view.Members[i]; m != nil {
+		return m.WitnessSet.Version
+	}
+	return 0
+}
+
+func (w *writer) record() *Record {
+	kinds := []Kind{KindJoin, KindJoin, KindWitnesses, KindRenewed, KindAssign, KindMove, KindMove, KindSettled,
+		KindReleased, KindEnd, KindLeave, KindConfiguration, KindCheckpoint, "later_version"}
+	kind := rapid.SampledFrom(kinds).Draw(w.t, "kind")
+	*w.next++
+	r := &Record{Kind: kind, ID: fmt.Sprint(*w.next)}
+	i := w.member("incarnation")
+	switch kind {
+	case KindJoin:
+		r.Join = &Join{Instance: r.ID, Service: "orders", Region: "west", Witnesses: w.members()}
+	case KindWitnesses:
+		r.Witnesses = &Witnesses{Incarnation: i, Base: w.setVersion(i), Witnesses: w.members()}
+	case KindRenewed:
+		r.Renewed = &Renewed{Incarnation: i, Base: w.setVersion(i)}
+	case KindAssign:
+		r.Assign = w.assign()
+	case KindMove:
+		r.Move = w.move()
+	case KindSettled:
+		r.Settled = &Settled{Incarnation: i, Slices: w.fences(func(s Slice) bool { return s.Owner == i })}
+	case KindReleased:
+		r.Released = &Released{Incarnation: i, Slices: w.fences(func(s Slice) bool { return len(s.Sources) > 0 })}
+	case KindEnd:
+		r.End = w.end(i)
+	case KindLeave:
+		r.Leave = &Leave{Incarnation: i}
+	case KindConfiguration:
+		r.Configuration = &Configuration{Base: w.view.Revision(), Document: r.ID, Author: "operator"}
+	case KindCheckpoint:
+		r.Checkpoint = &Checkpoint{Offset: w.view.Offset, State: w.view}
+	}
+	return r
+}
+
+func (w *writer) assign() *Assign {
+	a := &Assign{Group: rapid.SampledFrom(testGroups).Draw(w.t, "group"), Count: 4}
+	g := w.view.Groups[a.Group]
+	if g != nil {
+		a.Base = g.Version
+	}
+	for i := range a.Count {
+		if g == nil || g.Slices[i].Owner == 0 {
+			a.Placements = append(a.Placements, Placement{Index: i, Owner: w.member("owner")})
+		}
+	}
+	return a
+}
+
+func (w *writer) move() *Move {
+	m := &Move{Group: rapid.SampledFrom(testGroups).Draw(w.t, "group"), To: w.member("to"), Indexes: []uint32{0}}
+	if g := w.view.Groups[m.Group]; g != nil {
+		index := uint32(rapid.IntRange(0, len(g.Slices)).Draw(w.t, "index"))
+		m.Base, m.Indexes = g.Version, []uint32{index}
+		m.From = g.Slices[index%uint32(len(g.Slices))].Owner
+	}
+	return m
+}
+
+func (w *writer) end(i Incarnation) *End {
+	e := &End{Incarnation: i, SetVersion: w.setVersion(i)}
+	for _, f := range w.fences(func(s Slice) bool { return s.Owner == i }) {
+		e.Successors = append(e.Successors, Successor{Slice: f.Slice, Owner: w.member("successor")})
+	}
+	return e
+}
+
+// baseIsStale reports whether the base that r names differs from the state. It repeats the rule of the design page
+// without the code under test.
+func baseIsStale(s *State, r *Record) bool {
+	version := func(id keyspace.Group) Offset {
+		if g := s.Groups[id]; g != nil {
+			return g.Version
+		}
+		return 0
+	}
+	set := func(i Incarnation) Offset {
+		if m := s.Members[i]; m != nil {
+			return m.WitnessSet.Version
+		}
+		return 0
+	}
+	switch r.Kind {
+	case KindWitnesses:
+		return r.Witnesses.Base != set(r.Witnesses.Incarnation)
+	case KindRenewed:
+		return r.Renewed.Base != set(r.Renewed.Incarnation)
+	case KindAssign:
+		return r.Assign.Base != version(r.Assign.Group)
+	case KindMove:
+		return r.Move.Base != version(r.Move.Group)
+	case KindEnd:
+		return r.End.SetVersion != set(r.End.Incarnation)
+	case KindConfiguration:
+		return r.Configuration.Base != s.Revision()
+	}
+	return false
+}
+
+// term is one slice under one fence.
+type term struct {
+	slice keyspace.SliceID
+	fence Offset
+}
+
+// observer checks the invariants that relate successive states.
+type observer struct {
+	owners   map[term]Incarnation
+	fences   map[keyspace.SliceID]Offset
+	revision Offset
+}
+
+func (o *observer) check(t *rapid.T, s *State) {
+	if s.Revision() < o.revision {
+		t.Fatalf("the revision reverted from %d to %d", o.revision, s.Revision())
+	}
+	o.revision = s.Revision()
+	for id, g := range s.Groups {
+		for i, slice := range g.Slices {
+			o.checkSlice(t, s, keyspace.SliceID{Group: id, Index: uint32(i)}, slice)
+		}
+	}
+}
+
+func (o *observer) checkSlice(t *rapid.T, s *State, id keyspace.SliceID, slice Slice) {
+	if slice.Fence < o.fences[id] {
+		t.Fatalf("%v: fence fell from %d to %d", id, o.fences[id], slice.Fence)
+	}
+	o.fences[id] = slice.Fence
+	held := term{id, slice.Fence}
+	if owner, seen := o.owners[held]; seen && owner != slice.Owner {
+		t.Fatalf("%v: two owners under the fence %d: %d and %d", id, slice.Fence, owner, slice.Owner)
+	}
+	o.owners[held] = slice.Owner
+	if slice.Owner != 0 && s.Members[slice.Owner] == nil {
+		t.Fatalf("%v: the owner %d is not a member", id, slice.Owner)
+	}
+	if slices.Contains(slice.Sources, slice.Owner) || !s.alive(slice.Sources...) {
+		t.Fatalf("%v: the owner or an ended incarnation is a source: %+v", id, slice)
+	}
+}
+
+// TestReplayIsTheSameOnEveryReplica guards against two owners under one fence, a record that takes effect on a base
+// that no longer holds, effects of rejected records, and replicas that differ, also after a restart from a checkpoint.
+func TestReplayIsTheSameOnEveryReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := NewState(), NewState()
+		seen := &observer{owners: map[term]Incarnation{}, fences: map[keyspace.SliceID]Offset{}}
+		views := []*State{NewState()}
+		var pending, appended []*Record
+		var next int
+		for offset := Offset(1); offset <= 60; offset++ {
+			oldest := max(0, len(views)-4)
+			view := rapid.SampledFrom(views[oldest:]).Draw(t, "view")
+			pending = append(pending, (&writer{t: t, view: view, next: &next}).record())
+			// Rival records reach the log in any order, and a writer that lost a reply appends again.
+			chosen := rapid.IntRange(max(0, len(pending)-3), len(pending)-1).Draw(t, "chosen")
+			record := pending[chosen]
+			if rapid.IntRange(0, 4).Draw(t, "again") > 0 {
+				pending = slices.Delete(pending, chosen, chosen+1)
+			}
+			appended = append(appended, record)
+			before, stale := encode(t, first), baseIsStale(first, record)
+			rejection := first.Apply(offset, record)
+			if stale && rejection == Accepted {
+				t.Fatalf("a record with a stale base took effect: %+v", record)
+			}
+			if rejection != Accepted {
+				checkUnchanged(t, first, offset, before)
+			}
+			seen.check(t, first)
+			second = advance(t, second, views, appended, offset)
+			if a, b := encode(t, first), encode(t, second); a != b {
+				t.Fatalf("replicas differ after %+v:\n%s\n%s", record, a, b)
+			}
+			views = append(views, first.Clone())
+		}
+	})
+}
+
+func checkUnchanged(t *rapid.T, s *State, offset Offset, before string) {
+	restored := s.Clone()
+	restored.Offset = offset - 1
+	if after := encode(t, restored); after != before {
+		t.Fatalf("a rejected record changed the state:\n%s\n%s", before, after)
+	}
+}
+
+// advance brings the second replica to offset. Now and then it starts anew from a checkpoint record at the end of the
+// log that covers an earlier offset, and reads on from there.
+func advance(t *rapid.T, s *State, views []*State, appended []*Record, offset Offset) *State {
+	if offset > 3 && rapid.IntRange(0, 4).Draw(t, "restart") == 0 {
+		covered := views[rapid.IntRange(1, len(views)-1).Draw(t, "covered")]
+		s = NewState()
+		taken := &Checkpoint{Offset: covered.Offset, State: decode(t, covered)}
+		if got := s.Apply(offset+1, &Record{Kind: KindCheckpoint, Checkpoint: taken}); got != Accepted {
+			t.Fatalf("a checkpoint was not adopted: %s", got)
+		}
+	}
+	for s.Offset < offset {
+		s.Apply(s.Offset+1, appended[s.Offset])
+	}
+	return s
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"heatherreel/internal/keyspace"
+	"heatherreel/internal/problem"
 )
 
 // Bounds of what a State keeps besides the current members, assignments and configuration.
@@ -13,6 +14,9 @@
 	maxHistory = 64
 	// maxRecentJoins is the number of join record ids kept to recognise a join that was appended twice.
 	maxRecentJoins = 1024
+	// MaxSlices is the highest slice count of a group. Every reader allocates what a record states, so that one wrong
+	// count would otherwise exhaust the memory of every node.
+	MaxSlices = 1 << 16
 )
 
 // WitnessSet is the witness set of an incarnation.
@@ -34,12 +38,12 @@
 type Slice struct {
 	// Owner is zero if the slice is unowned.
 	Owner Incarnation `json:"owner"`
-	// Fence is the offset of the record that gave the slice to Owner; it is kept when the slice becomes unowned.
+	// Fence is the offset of the record that gave the slice to Owner or, without an owner, ended the last one.
 	Fence Offset `json:"fence"`
-	// AfterLoss tells that Fence came from the end of an owner that did not release, so that requests issued before
-	// may have run.
+	// AfterLoss tells that an owner or source disappeared without releasing the slice, so that requests issued before
+	// may have run and their outcomes are lost.
 	AfterLoss bool `json:"after_loss,omitempty"`
-	// Sources are living incarnations that may still run requests for the slice.
+	// Sources are living incarnations other than Owner that may still run requests for the slice.
 	Sources []Incarnation `json:"sources,omitempty"`
 }
 
@@ -105,11 +109,16 @@
 }
 
 // Apply replays the record at offset and returns why it did not take effect, or Accepted.
-// Offsets must grow; a record at or before s.Offset is a Duplicate.
+// Offsets must grow; a record at or before s.Offset is a Duplicate. The caller must not leave out records, except by
+// applying a checkpoint. After an accepted checkpoint s.Offset is the offset that the checkpoint covers, which lies
+// before the checkpoint's own offset: the caller reads on from s.Offset+1.
 func (s *State) Apply(offset Offset, r *Record) Rejection {
 	if offset <= s.Offset {
 		return Duplicate
 	}
+	if r.Kind == KindCheckpoint && r.Checkpoint != nil {
+		return s.applyCheckpoint(offset, r.Checkpoint)
+	}
 	rejection := s.apply(offset, r)
 	s.Offset = offset
 	return rejection
@@ -143,8 +152,6 @@
 		return s.applyLeave(r.Leave)
 	case r.Kind == KindConfiguration && r.Configuration != nil:
 		return s.applyConfiguration(offset, r.ID, r.Configuration)
-	case r.Kind == KindCheckpoint && r.Checkpoint != nil:
-		return s.applyCheckpoint(r.Checkpoint)
 	}
 	return rejectUnreadable(r.Kind)
 }
@@ -169,10 +176,23 @@
 	return true
 }
 
+// repeats reports whether an incarnation is listed twice. A repeated witness would count twice in a majority.
+func repeats(list []Incarnation) bool {
+	for i, incarnation := range list {
+		if slices.Contains(list[:i], incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) applyJoin(offset Offset, id string, j *Join) Rejection {
 	if slices.Contains(s.recentJoins, id) {
 		return Duplicate
 	}
+	if repeats(j.Witnesses) {
+		return MalformedRecord
+	}
 	if !s.alive(j.Witnesses...) {
 		return NotAMember
 	}
@@ -197,7 +217,7 @@
 	if m.WitnessSet.Version != w.Base {
 		return StaleBase
 	}
-	if slices.Contains(w.Witnesses, w.Incarnation) {
+	if slices.Contains(w.Witnesses, w.Incarnation) || repeats(w.Witnesses) {
 		return MalformedRecord
 	}
 	s.replaceMember(m, WitnessSet{Version: offset, Members: slices.Clone(w.Witnesses)})
@@ -241,11 +261,19 @@
 }
 
 func (s *State) applyAssign(offset Offset, a *Assign) Rejection {
+	if a.Count > MaxSlices {
+		return MalformedRecord
+	}
 	indexes := make([]uint32, 0, len(a.Placements))
+	placed := make(map[uint32]bool, len(a.Placements))
 	for _, p := range a.Placements {
 		if !s.alive(p.Owner) {
 			return NotAMember
 		}
+		if placed[p.Index] {
+			return MalformedRecord
+		}
+		placed[p.Index] = true
 		indexes = append(indexes, p.Index)
 	}
 	if s.Groups[a.Group] == nil && a.Base == 0 && a.Count > 0 {
@@ -280,12 +308,21 @@
 // place gives unowned slices to owners. AfterLoss stays as the loss of the last owner left it.
 func (g *Group) place(offset Offset, placements []Placement) {
 	for _, p := range placements {
-		g.Slices[p.Index].Owner = p.Owner
-		g.Slices[p.Index].Fence = offset
+		g.Slices[p.Index].giveTo(p.Owner, offset)
 	}
 	g.Version = offset
 }
 
+// giveTo makes an incarnation the owner, or none if it is zero. An owner is not its own source: it knows which
+// requests it still runs and has their outcomes.
+func (s *Slice) giveTo(owner Incarnation, fence Offset) {
+	s.Owner = owner
+	s.Fence = fence
+	if slices.Contains(s.Sources, owner) {
+		s.Sources = without(s.Sources, owner)
+	}
+}
+
 func (s *State) applyMove(offset Offset, m *Move) Rejection {
 	if !s.alive(m.From, m.To) || m.From == m.To {
 		return NotAMember
@@ -304,8 +341,7 @@
 	}
 	for _, i := range m.Indexes {
 		// AfterLoss is kept: the new owner must still treat older request ids as possibly run.
-		g.Slices[i].Owner = m.To
-		g.Slices[i].Fence = offset
+		g.Slices[i].giveTo(m.To, offset)
 		g.Slices[i].Sources = []Incarnation{m.From}
 	}
 	g.Version = offset
@@ -400,8 +436,7 @@
 		if slice.Owner != ended {
 			continue
 		}
-		slice.Owner = successors[keyspace.SliceID{Group: g.ID, Index: uint32(i)}]
-		slice.Fence = offset
+		slice.giveTo(successors[keyspace.SliceID{Group: g.ID, Index: uint32(i)}], offset)
 		slice.AfterLoss = true
 		g.Version = offset
 	}
@@ -423,6 +458,8 @@
 			slice := &g.Slices[i]
 			if slices.Contains(slice.Sources, l.Incarnation) {
 				slice.Sources = without(slice.Sources, l.Incarnation)
+				// The new owner has not settled, so it may lack the outcomes that the leaving node retained.
+				slice.AfterLoss = true
 			}
 		}
 	}
@@ -456,17 +493,19 @@
 	return s.Configuration.Revision
 }
 
-// applyCheckpoint adopts a checkpoint only into a state that has replayed nothing that the checkpoint lacks.
-// A reader that replayed the log up to here already has what the checkpoint says.
-func (s *State) applyCheckpoint(c *Checkpoint) Rejection {
-	if c.State == nil {
+// applyCheckpoint adopts a checkpoint only into a state that has not replayed up to where the checkpoint reaches.
+// A reader that replayed the log up to here already has what the checkpoint says. It sets s.Offset itself: the records
+// between what the checkpoint covers and its own offset are not part of it.
+func (s *State) applyCheckpoint(offset Offset, c *Checkpoint) Rejection {
+	if c.State == nil || c.State.Offset != c.Offset || c.Offset >= offset {
+		s.Offset = offset
 		return MalformedRecord
 	}
 	if c.Offset <= s.Offset {
+		s.Offset = offset
 		return OutdatedSnapshot
 	}
 	*s = *c.State.Clone()
-	s.Offset = c.Offset
 	return Accepted
 }
 
@@ -516,6 +555,11 @@
 	return c
 }
 
+// errIncomplete rejects an encoded state that replay cannot have produced.
+var errIncomplete = problem.New(problem.Malformed,
+	"take another checkpoint, or ask a peer for a snapshot",
+	"an encoded state has an empty member or a group without slices or with more than %d", MaxSlices)
+
 // encodedState is the JSON form of a State: ordered lists, so that equal states encode equally.
 type encodedState struct {
 	Offset        Offset     `json:"offset"`
@@ -551,9 +595,15 @@
 	*s = *NewState()
 	s.Offset, s.Configuration, s.History, s.recentJoins = e.Offset, e.Configuration, e.History, e.RecentJoins
 	for _, m := range e.Members {
+		if m == nil {
+			return errIncomplete
+		}
 		s.Members[m.Incarnation] = m
 	}
 	for _, g := range e.Groups {
+		if g == nil || len(g.Slices) == 0 || len(g.Slices) > MaxSlices {
+			return errIncomplete
+		}
 		s.Groups[g.ID] = g
 	}
 	return nil
