Add the callers' HTTP protocol and an exchange that sends at most once

Cause: callers need a codec that refuses malformed input with typed problems and states the outcome of each request. net/http sends a GET, HEAD, OPTIONS or TRACE without a body a second time when a kept connection closes before the answer, and a request with an empty body when no byte was written. Both pass by the owner's lease check.

Change: internal/caller decodes requests, encodes answers and holds the client. internal/httpwire holds what this protocol shares with that of backend servers: header names, keys as path segments, problem bodies, and an exchange that aborts any second connection and records on the connection whether a write started, so that "not sent" is proved. Ruled out: making the body impossible to rewind, because an empty body must then be probed or sent in chunks.

--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,245 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/httpwire"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testID = "0190a1b2-c3d4-7e5f-8a9b-0c1d2e3f4a5b"
+
+// stubService records the requests that reach it.
+type stubService struct {
+	got    []request.Request
+	answer request.Answer
+	// block, if not nil, makes Serve wait for the end of its context and then closes the channel.
+	block chan struct{}
+}
+
+func (s *stubService) Limits(service, tenant string) (Limits, error) {
+	switch {
+	case service == "absent":
+		return Limits{}, problem.New(problem.UnknownService, "configure it", "no such service")
+	case tenant == "absent":
+		return Limits{}, problem.New(problem.UnknownTenant, "configure it", "no such tenant")
+	case service == "early":
+		return Limits{}, problem.New(problem.Unavailable, "wait", "no configuration")
+	}
+	return Limits{
+		DefaultDeadline: time.Second, MaxDeadline: 10 * time.Second, MaxBody: 16,
+		IdempotentMethods: []string{"GET"}, Class: request.Lookup,
+	}, nil
+}
+
+func (s *stubService) Serve(ctx context.Context, r request.Request) request.Answer {
+	s.got = append(s.got, r)
+	if s.block != nil {
+		<-ctx.Done()
+		close(s.block)
+	}
+	return s.answer
+}
+
+func startServer(t *testing.T, s Service) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(NewHandler(s))
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against malformed input that reaches the service, and against refusals without a type, remedy or outcome.
+func TestMalformedRequests(t *testing.T) {
+	cases := []struct {
+		name, method, path string
+		headers            map[string]string
+		body               string
+		status             int
+		reason             request.Reason
+	}{
+		{name: "no tenant", path: "s/keys/k", headers: map[string]string{"Tenant": ""}, status: 400, reason: request.Malformed},
+		{name: "unknown service", path: "absent/keys/k", status: 404, reason: request.UnknownService},
+		{name: "unknown tenant", path: "s/keys/k", headers: map[string]string{"Tenant": "absent"}, status: 404, reason: request.UnknownTenant},
+		{name: "not configured", path: "early/keys/k", status: 503, reason: request.NotConfigured},
+		{name: "no key", path: "s/keys/", status: 400, reason: request.Malformed},
+		{name: "two segments", path: "s/keys/a/b", status: 400, reason: request.Malformed},
+		{name: "query", path: "s/keys/k?a=b", status: 400, reason: request.Malformed},
+		{name: "not UTF-8", path: "s/keys/%ff", status: 400, reason: request.Malformed},
+		{name: "long key", path: "s/keys/" + strings.Repeat("k", 1025), status: 413, reason: request.TooLarge},
+		{name: "no id", method: "POST", path: "s/keys/k", status: 400, reason: request.Malformed},
+		{name: "UUIDv4", method: "POST", path: "s/keys/k", headers: map[string]string{"Request-Id": uuid.NewString()}, status: 400, reason: request.Malformed},
+		{name: "braced id", path: "s/keys/k", headers: map[string]string{"Request-Id": "{" + testID + "}"}, status: 400, reason: request.Malformed},
+		{name: "bad idempotent", path: "s/keys/k", headers: map[string]string{"Idempotent": "yes"}, status: 400, reason: request.Malformed},
+		{name: "negative deadline", path: "s/keys/k", headers: map[string]string{"Deadline-Ms": "-1"}, status: 400, reason: request.Malformed},
+		{name: "zero deadline", path: "s/keys/k", headers: map[string]string{"Deadline-Ms": "0"}, status: 400, reason: request.Malformed},
+		{name: "bad class", path: "s/keys/k", headers: map[string]string{"Class": "urgent"}, status: 400, reason: request.Malformed},
+		{name: "large body", path: "s/keys/k", body: strings.Repeat("b", 17), status: 413, reason: request.TooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &stubService{}
+			r := httptest.NewRequest(c.method, "/v1/services/"+c.path, strings.NewReader(c.body))
+			r.Header.Set(httpwire.HeaderTenant, "t")
+			for name, value := range c.headers {
+				r.Header.Set("Heatherreel-"+name, value)
+			}
+			w := httptest.NewRecorder()
+			NewHandler(s).ServeHTTP(w, r)
+			var body httpwire.Problem
+			if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != c.status || body.Status != c.status || body.Reason != string(c.reason) || body.Outcome != "not-run" {
+				t.Errorf("status %d, body %+v", w.Code, body)
+			}
+			if body.Remedy == "" || body.Title == "" || body.Type == "" || w.Header().Get("Content-Type") != httpwire.ContentTypeProblem {
+				t.Errorf("incomplete problem %+v", body)
+			}
+			if w.Header().Get(httpwire.HeaderOutcome) != "not-run" || len(s.got) != 0 {
+				t.Errorf("outcome %q, %d requests reached the service", w.Header().Get(httpwire.HeaderOutcome), len(s.got))
+			}
+		})
+	}
+}
+
+// Guards against a repeated header whose second value another hop would read.
+func TestRepeatedHeader(t *testing.T) {
+	r := httptest.NewRequest("GET", "/v1/services/s/keys/k", nil)
+	r.Header.Add(httpwire.HeaderTenant, "t")
+	r.Header.Add(httpwire.HeaderTenant, "u")
+	w := httptest.NewRecorder()
+	NewHandler(&stubService{}).ServeHTTP(w, r)
+	if w.Code != http.StatusBadRequest {
+		t.Errorf("status %d, want 400", w.Code)
+	}
+}
+
+// Guards against a body of undeclared length that passes its limit.
+func TestChunkedBodyOverLimit(t *testing.T) {
+	s := &stubService{}
+	r := httptest.NewRequest("GET", "/v1/services/s/keys/k", io.LimitReader(strings.NewReader(strings.Repeat("b", 40)), 40))
+	r.ContentLength = -1
+	r.Header.Set(httpwire.HeaderTenant, "t")
+	w := httptest.NewRecorder()
+	NewHandler(s).ServeHTTP(w, r)
+	if w.Code != http.StatusRequestEntityTooLarge || len(s.got) != 0 {
+		t.Errorf("status %d, %d requests reached the service", w.Code, len(s.got))
+	}
+}
+
+// Guards against a request that changes between the client and the service, for any key.
+func TestRequestRoundTrip(t *testing.T) {
+	s := &stubService{answer: request.Answer{Outcome: request.Done, Status: 201, ContentType: "text/x", Body: []byte("ok")}}
+	address := startServer(t, s)
+	client := NewClient(2)
+	t.Cleanup(client.Close)
+	rapid.Check(t, func(t *rapid.T) {
+		s.got = nil
+		key := rapid.OneOf(rapid.StringN(1, 50, 500), rapid.StringMatching(`[./%+ ?#;]{1,8}`)).Draw(t, "key")
+		sent := request.Request{
+			Service: "s", Tenant: "t", Key: key, ID: testID,
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Class: request.Class(rapid.IntRange(0, 2).Draw(t, "class")),
+			Method: rapid.SampledFrom([]string{"GET", "PUT", "POST", "DELETE", "PATCH"}).Draw(t, "method"),
+			Body:   rapid.SliceOfN(rapid.Byte(), 0, 16).Draw(t, "body"), ContentType: "a/b",
+			Traceparent: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", Deadline: time.Now().Add(5 * time.Second),
+		}
+		answer, err := client.Do(context.Background(), address, sent)
+		if err != nil || answer.Outcome != request.Done || answer.Status != 201 || string(answer.Body) != "ok" || answer.ContentType != "text/x" {
+			t.Fatalf("answer %+v, error %v", answer, err)
+		}
+		got := s.got[0]
+		if drift := sent.Deadline.Sub(got.Deadline).Abs(); drift > 500*time.Millisecond {
+			t.Fatalf("deadline moved by %v", drift)
+		}
+		if got.Key != sent.Key || got.ID != sent.ID || got.Idempotent != sent.Idempotent || got.Class != sent.Class ||
+			got.Method != sent.Method || string(got.Body) != string(sent.Body) || got.Traceparent != sent.Traceparent ||
+			got.Service != "s" || got.Tenant != "t" || got.ContentType != "a/b" {
+			t.Fatalf("sent %+v, got %+v", sent, got)
+		}
+	})
+}
+
+// Guards against a status that does not match the outcome, and against outcomes lost on the way to the caller.
+func TestAnswerRoundTrip(t *testing.T) {
+	cases := []struct {
+		answer request.Answer
+		status int
+	}{
+		{request.Refuse(request.NoOwner, "r"), 503},
+		{request.Refuse(request.QueueFull, "r"), 429},
+		{request.Refuse(request.DeadlineTooClose, "r"), 504},
+		{request.Refuse(request.IDReused, "r"), 422},
+		{request.Answer{Outcome: request.NotRun, Reason: request.WrongRegion, Remedy: "r", Location: "127.0.0.9:80"}, 307},
+		{request.Refuse(request.WrongRegion, "r"), 503},
+		{request.Uncertain(request.ConnectionLost, "r"), 502},
+		{request.Uncertain(request.MayHaveRun, "r"), 502},
+		{request.Uncertain(request.DeadlineExceeded, "r"), 504},
+		{request.Answer{Outcome: request.Done, Status: 500, Body: []byte("failed")}, 500},
+		{request.Answer{Outcome: request.Done, Status: 204}, 204},
+		{request.Answer{Outcome: request.Done, Status: 409, Body: []byte("{}"), ContentType: "application/json"}, 409},
+	}
+	s := &stubService{}
+	address := startServer(t, s)
+	client := NewClient(2)
+	defer client.Close()
+	for _, c := range cases {
+		s.answer = c.answer
+		got, err := client.Do(t.Context(), address, request.Request{
+			Service: "s", Tenant: "t", Key: "a/b", Method: "POST", ID: testID, Deadline: time.Now().Add(time.Second),
+		})
+		if err != nil || got.Status != c.status || got.Outcome != c.answer.Outcome || got.Reason != c.answer.Reason ||
+			got.Remedy != c.answer.Remedy || got.Location != c.answer.Location {
+			t.Errorf("answer %+v gave %+v, error %v", c.answer, got, err)
+		}
+	}
+}
+
+// Guards against a backend server's status that would break the connection of the caller.
+func TestInvalidBackendStatusIsUnknown(t *testing.T) {
+	for _, status := range []int{0, 101, 999} {
+		w := httptest.NewRecorder()
+		encode(w, "/p", request.Answer{Outcome: request.Done, Status: status}, "")
+		if w.Code != http.StatusBadGateway || w.Header().Get(httpwire.HeaderOutcome) != "unknown" {
+			t.Errorf("status %d gave %d %q", status, w.Code, w.Header().Get(httpwire.HeaderOutcome))
+		}
+	}
+}
+
+// Guards against work for a caller that has gone, and against a client that calls such a request not run.
+func TestCancellationReachesService(t *testing.T) {
+	s := &stubService{block: make(chan struct{})}
+	address := startServer(t, s)
+	client := NewClient(1)
+	defer client.Close()
+	answer, err := client.Do(t.Context(), address, request.Request{
+		Service: "s", Tenant: "t", Key: "k", Method: "POST", ID: testID, Deadline: time.Now().Add(50 * time.Millisecond),
+	})
+	if err == nil || answer.Outcome != request.Unknown || answer.Reason != request.DeadlineExceeded {
+		t.Errorf("answer %+v, error %v", answer, err)
+	}
+	<-s.block
+}
+
+// Guards against trusting an answer that no node gave.
+func TestAnswerWithoutOutcomeIsUnknown(t *testing.T) {
+	answer, err := decodeAnswer(httpwire.Response{Status: 200, Header: http.Header{}})
+	if err == nil || answer.Outcome != request.Unknown {
+		t.Errorf("answer %+v, error %v", answer, err)
+	}
+}
