Add the backend server's HTTP protocol

Cause: the node needs to take announcements from the backend server beside it and to send it requests whose outcome is stated only as far as it is proved.

A request is "done" only with a whole answer of stated length, "not run" if nothing was sent or if the backend server states a refusal (409 with fence, 503 with overload), and "unknown" otherwise. An answer that echoes another request id is unknown.

--- /dev/null
+++ b/internal/backendserver/announcement.go
@@ -0,0 +1,119 @@
+// Package backendserver is the HTTP protocol between a node and the backend server beside it: the server that takes
+// announcements, and the client that sends requests, grants and drain, and reads health and load. It makes no
+// decisions.
+package backendserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/gorilla/mux"
+
+	"heatherreel/internal/httpwire"
+	"heatherreel/internal/problem"
+)
+
+// AnnouncementPath is where a backend server announces itself to the node beside it.
+const AnnouncementPath = "/v1/announcement"
+
+// Bounds of an announcement.
+const (
+	maxAnnouncementBytes = 4 << 10
+	maxNameBytes         = 128
+	maxCount             = 100_000
+)
+
+// Announcement is what a backend server states about itself every second.
+type Announcement struct {
+	// Address is the IP address and port at which it takes requests.
+	Address string `json:"address"`
+	Service string `json:"service"`
+	// Incarnation differs between two runs of the backend server.
+	Incarnation string `json:"incarnation"`
+	// Slots is the number of requests that it runs at once.
+	Slots uint32 `json:"slots"`
+	// Connections is the number of connections that it accepts.
+	Connections uint32 `json:"connections"`
+	// Weight is its relative share of slices; 100 is ordinary.
+	Weight uint32 `json:"weight"`
+	// Draining states that it will stop and takes no new work.
+	Draining bool `json:"draining"`
+}
+
+// Listener takes announcements.
+type Listener interface {
+	// Announce takes a valid announcement. An error, of package problem, refuses it.
+	Announce(ctx context.Context, a Announcement) error
+}
+
+// NewHandler returns the HTTP handler for announcements.
+func NewHandler(l Listener) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(AnnouncementPath, func(w http.ResponseWriter, r *http.Request) {
+		if err := takeAnnouncement(w, r, l); err != nil {
+			httpwire.WriteProblem(w, httpwire.ErrorProblem(err))
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}).Methods(http.MethodPut)
+	return router
+}
+
+// takeAnnouncement decodes one announcement and passes it on.
+func takeAnnouncement(w http.ResponseWriter, r *http.Request, l Listener) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return problem.New(problem.TooLarge, "send a smaller announcement", "the body is over %d bytes", maxAnnouncementBytes)
+	}
+	if err != nil {
+		return problem.New(problem.Malformed, "send the whole body", "the body is incomplete")
+	}
+	a, err := decodeAnnouncement(body)
+	if err != nil {
+		return err
+	}
+	return l.Announce(r.Context(), a)
+}
+
+// decodeAnnouncement decodes strictly: an unknown field is more often a misspelt one than a new one.
+func decodeAnnouncement(body []byte) (Announcement, error) {
+	var a Announcement
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		return a, problem.New(problem.Malformed, "send the fields that the design page names", "bad announcement: %w", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return a, problem.New(problem.Malformed, "send one JSON object", "data after the announcement")
+	}
+	return a, a.validate()
+}
+
+// validate returns a problem.Invalid error for a value out of its range.
+func (a Announcement) validate() error {
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		return problem.New(problem.Invalid, "announce an IP address and port", "field address is not valid")
+	}
+	if a.Service == "" || len(a.Service) > maxNameBytes {
+		return problem.New(problem.Invalid, "announce the service", "field service is empty or over %d bytes", maxNameBytes)
+	}
+	if a.Incarnation == "" || len(a.Incarnation) > maxNameBytes {
+		return problem.New(problem.Invalid, "announce a text that differs for each run", "field incarnation is empty or over %d bytes", maxNameBytes)
+	}
+	for _, field := range []struct {
+		name  string
+		value uint32
+	}{{"slots", a.Slots}, {"connections", a.Connections}, {"weight", a.Weight}} {
+		if field.value == 0 || field.value > maxCount {
+			return problem.New(problem.Invalid, "announce a positive number", "field %s is not within 1 to %d", field.name, maxCount)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/backendserver/execute.go
@@ -0,0 +1,95 @@
+package backendserver
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherreel/internal/httpwire"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+)
+
+// Execute sends r to the backend server at address under the fence of its slice, once, and waits until the earlier
+// of r.Deadline and the deadline of ctx. When that passes or ctx is cancelled, it closes the connection, which tells
+// the backend server to stop.
+func (c *Client) Execute(ctx context.Context, address string, slice keyspace.SliceID, fence ledger.Offset, r request.Request) request.Answer {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline).Milliseconds()
+	if remaining <= 0 {
+		return request.Refuse(request.DeadlineTooClose, "allow more time")
+	}
+	response, err := c.requests.Do(ctx, httpwire.Call{
+		Method:    r.Method,
+		Address:   address,
+		Path:      KeysPath + httpwire.EscapeKey(r.Key),
+		Header:    executeHeader(slice, fence, remaining, r),
+		Body:      r.Body,
+		MaxAnswer: c.maxAnswer,
+	})
+	if err != nil {
+		return failed(err)
+	}
+	return decodeAnswer(r, response)
+}
+
+// executeHeader returns the headers of a request. remaining is in milliseconds.
+func executeHeader(slice keyspace.SliceID, fence ledger.Offset, remaining int64, r request.Request) http.Header {
+	h := http.Header{}
+	h.Set(httpwire.HeaderFence, strconv.FormatUint(uint64(fence), 10))
+	h.Set(httpwire.HeaderSlice, slice.String())
+	h.Set(httpwire.HeaderDeadline, strconv.FormatInt(remaining, 10))
+	h.Set(httpwire.HeaderTenant, r.Tenant)
+	h.Set(httpwire.HeaderClass, r.Class.String())
+	setUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
+	setUnlessEmpty(h, httpwire.HeaderContentType, r.ContentType)
+	setUnlessEmpty(h, httpwire.HeaderTraceparent, r.Traceparent)
+	return h
+}
+
+// setUnlessEmpty sets a header that has a value.
+func setUnlessEmpty(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// failed returns the answer for an exchange without a whole answer.
+func failed(err error) request.Answer {
+	const askAgain = "repeat the request with the same request id, or read the key to see whether it ran"
+	switch {
+	case errors.Is(err, problem.NotSent):
+		return request.Refuse(request.BackendUnreachable, "retry; the node looks for its backend server")
+	case errors.Is(err, problem.TooLarge):
+		return request.Uncertain(request.AnswerTooLarge, "ask for less data at once; the request has run")
+	case errors.Is(err, context.DeadlineExceeded):
+		return request.Uncertain(request.DeadlineExceeded, askAgain)
+	default:
+		return request.Uncertain(request.ConnectionLost, askAgain)
+	}
+}
+
+// decodeAnswer returns the answer that a whole response stands for.
+func decodeAnswer(r request.Request, response httpwire.Response) request.Answer {
+	if echoed := response.Header.Get(httpwire.HeaderRequestID); echoed != "" && echoed != r.ID {
+		return request.Uncertain(request.ConnectionLost, "report the backend server: it answered another request")
+	}
+	switch refused := response.Header.Get(httpwire.HeaderRefused); {
+	case refused == httpwire.RefusedFence && response.Status == http.StatusConflict:
+		return request.Refuse(request.BackendRefused, "retry; the key may have a new owner")
+	case refused == httpwire.RefusedOverload && response.Status == http.StatusServiceUnavailable:
+		return request.Refuse(request.QueueFull, "retry after a pause")
+	}
+	return request.Answer{
+		Outcome:     request.Done,
+		Status:      response.Status,
+		ContentType: response.Header.Get(httpwire.HeaderContentType),
+		Body:        response.Body,
+	}
+}
