--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -131,8 +131,10 @@
 
 // Released states that the incarnation, a source of the slices, runs no request for them.
 type Released struct {
-	Incarnation Incarnation  `json:"incarnation"`
-	Slices      []SliceFence `json:"slices"`
+	Incarnation Incarnation `json:"incarnation"`
+	// AtUnixMS is the writer's wall clock in milliseconds.
+	AtUnixMS int64        `json:"at_unix_ms"`
+	Slices   []SliceFence `json:"slices"`
 }
 
 // Successor gives one slice of an ended incarnation to a new owner.
@@ -148,6 +150,11 @@
 	// SetVersion is the version of the witness set whose members promised.
 	SetVersion Offset      `json:"set_version"`
 	Claimant   Incarnation `json:"claimant"`
+	// Direct tells that a majority of the witnesses themselves promised. An end that counted ended witnesses is not
+	// direct: the ended incarnation may still hold a first-level lease from those witnesses and mark its answers.
+	Direct bool `json:"direct"`
+	// AtUnixMS is the claimant's wall clock in milliseconds, for telling request ids issued before from later ones.
+	AtUnixMS   int64       `json:"at_unix_ms"`
 	Successors []Successor `json:"successors"`
 }
 
@@ -160,6 +167,8 @@
 // Leave ends an incarnation that owns no slice and runs no request.
 type Leave struct {
 	Incarnation Incarnation `json:"incarnation"`
+	// AtUnixMS is the writer's wall clock in milliseconds.
+	AtUnixMS int64 `json:"at_unix_ms"`
 }
 
 // Configuration publishes a new configuration.
--- a/internal/ledger/rejection_test.go
+++ b/internal/ledger/rejection_test.go
@@ -128,7 +128,7 @@
 	if got := s.Apply(7, &Record{Kind: KindEnd, End: &End{Incarnation: 2, SetVersion: 2, Successors: back}}); got != Accepted {
 		t.Fatal(got)
 	}
-	if slice := s.Groups[orders].Slices[1]; slice.Owner != 1 || len(slice.Sources) != 0 || !slice.AfterLoss {
+	if slice := s.Groups[orders].Slices[1]; slice.Owner != 1 || len(slice.Sources) != 0 || slice.Lost == 0 {
 		t.Fatalf("%+v", slice)
 	}
 }
@@ -141,7 +141,7 @@
 	if got := s.Apply(8, &Record{Kind: KindLeave, Leave: &Leave{Incarnation: 1}}); got != Accepted {
 		t.Fatal(got)
 	}
-	if slice := s.Groups[orders].Slices[0]; len(slice.Sources) != 0 || !slice.AfterLoss {
+	if slice := s.Groups[orders].Slices[0]; len(slice.Sources) != 0 || slice.Lost == 0 {
 		t.Fatalf("%+v", slice)
 	}
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -42,9 +42,11 @@
 	Owner Incarnation `json:"owner"`
 	// Fence is the offset of the record that gave the slice to Owner or, without an owner, ended the last one.
 	Fence Offset `json:"fence"`
-	// AfterLoss tells that an owner or source disappeared without releasing the slice, so that requests issued before
-	// may have run and their outcomes are lost.
-	AfterLoss bool `json:"after_loss,omitempty"`
+	// Lost is the offset of the last record by which an owner or source disappeared without releasing the slice; zero
+	// if none did. Requests issued before may have run, and their outcomes are not known.
+	Lost Offset `json:"lost,omitempty"`
+	// LostUnixMS is the time that the record at Lost states, in milliseconds.
+	LostUnixMS int64 `json:"lost_unix_ms,omitempty"`
 	// Sources are living incarnations other than Owner that may still run requests for the slice.
 	Sources []Incarnation `json:"sources,omitempty"`
 }
@@ -147,13 +149,13 @@
 	case r.Kind == KindSettled && r.Settled != nil:
 		return s.applySettled(r.Settled)
 	case r.Kind == KindReleased && r.Released != nil:
-		return s.applyReleased(r.Released)
+		return s.applyReleased(offset, r.Released)
 	case r.Kind == KindEnd && r.End != nil:
 		return s.applyEnd(offset, r.End)
 	case r.Kind == KindDrain && r.Drain != nil:
 		return s.applyDrain(r.Drain)
 	case r.Kind == KindLeave && r.Leave != nil:
-		return s.applyLeave(r.Leave)
+		return s.applyLeave(offset, r.Leave)
 	case r.Kind == KindConfiguration && r.Configuration != nil:
 		return s.applyConfiguration(offset, r.ID, r.Configuration)
 	}
@@ -320,7 +322,7 @@
 	return Accepted
 }
 
-// place gives unowned slices to owners. AfterLoss stays as the loss of the last owner left it.
+// place gives unowned slices to owners. Lost stays as the loss of the last owner left it.
 func (g *Group) place(offset Offset, placements []Placement) {
 	for _, p := range placements {
 		g.Slices[p.Index].giveTo(p.Owner, offset)
@@ -338,6 +340,12 @@
 	}
 }
 
+// lose notes that an owner or source disappeared without releasing the slice.
+func (s *Slice) lose(offset Offset, atUnixMS int64) {
+	s.Lost = offset
+	s.LostUnixMS = atUnixMS
+}
+
 func (s *State) applyMove(offset Offset, m *Move) Rejection {
 	if !s.alive(m.From, m.To) || m.From == m.To {
 		return NotAMember
@@ -355,7 +363,7 @@
 		}
 	}
 	for _, i := range m.Indexes {
-		// AfterLoss is kept: the new owner must still treat older request ids as possibly run.
+		// Lost is kept: the new owner must still treat older request ids as possibly run.
 		g.Slices[i].giveTo(m.To, offset)
 		g.Slices[i].Sources = []Incarnation{m.From}
 	}
@@ -389,7 +397,7 @@
 	return rejection
 }
 
-func (s *State) applyReleased(r *Released) Rejection {
+func (s *State) applyReleased(offset Offset, r *Released) Rejection {
 	rejection := StaleBase
 	for _, f := range r.Slices {
 		slice := s.slice(f)
@@ -400,7 +408,7 @@
 			continue
 		}
 		slice.Sources = without(slice.Sources, r.Incarnation)
-		slice.AfterLoss = true
+		slice.lose(offset, r.AtUnixMS)
 		rejection = Accepted
 	}
 	return rejection
@@ -434,30 +442,30 @@
 	}
 	delete(s.Members, e.Incarnation)
 	for _, g := range s.Groups {
-		g.end(offset, e.Incarnation, successors)
+		g.end(offset, e, successors)
 	}
 	return Accepted
 }
 
 // end removes an incarnation from a group and places its slices with their successors.
 // A slice that has none, such as one that moved to the incarnation after the claimant looked, becomes unowned.
-func (g *Group) end(offset Offset, ended Incarnation, successors map[keyspace.SliceID]Incarnation) {
+func (g *Group) end(offset Offset, e *End, successors map[keyspace.SliceID]Incarnation) {
 	for i := range g.Slices {
 		slice := &g.Slices[i]
-		if slices.Contains(slice.Sources, ended) {
-			slice.Sources = without(slice.Sources, ended)
-			slice.AfterLoss = true
+		if slices.Contains(slice.Sources, e.Incarnation) {
+			slice.Sources = without(slice.Sources, e.Incarnation)
+			slice.lose(offset, e.AtUnixMS)
 		}
-		if slice.Owner != ended {
+		if slice.Owner != e.Incarnation {
 			continue
 		}
 		slice.giveTo(successors[keyspace.SliceID{Group: g.ID, Index: uint32(i)}], offset)
-		slice.AfterLoss = true
+		slice.lose(offset, e.AtUnixMS)
 		g.Version = offset
 	}
 }
 
-func (s *State) applyLeave(l *Leave) Rejection {
+func (s *State) applyLeave(offset Offset, l *Leave) Rejection {
 	if !s.alive(l.Incarnation) {
 		return NotAMember
 	}
@@ -474,7 +482,7 @@
 			if slices.Contains(slice.Sources, l.Incarnation) {
 				slice.Sources = without(slice.Sources, l.Incarnation)
 				// The new owner has not settled, so it may lack the outcomes that the leaving node retained.
-				slice.AfterLoss = true
+				slice.lose(offset, l.AtUnixMS)
 			}
 		}
 	}
