Add the configuration: strict decoding, checks and resolution

Operators change the system only by publishing a document, so a mistake in one has to be found before it is published and every value has to be traceable to a default or an exception. Decoding works on YAML nodes for line numbers and reports all faults of a document at once, each with line and remedy. Decoding into tagged structs was ruled out: it stops at the first unknown field of a struct and accepts durations without a unit.

Resolution applies the matching exceptions from the least to the most specific. Two exceptions that overlap without one being more specific contradict each other, unless a third one matches exactly their overlap. home_regions is required in defaults, because a missing value would let records leave their region.

--- /dev/null
+++ b/internal/config/resolve_test.go
@@ -0,0 +1,317 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+)
+
+// mustDecode decodes a document that the test states to be valid.
+func mustDecode(t testing.TB, document string) *Configuration {
+	t.Helper()
+	c, err := Decode([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Values from which random documents and subjects are drawn. The empty text leaves a field out.
+var (
+	drawnServices = []string{"", "orders", "history"}
+	drawnTenants  = []string{"", "alpha", "beta"}
+	drawnCentres  = []string{"", "west-a", "west-b", "central-a"}
+	drawnRegions  = []string{"", "emea-west", "emea-central"}
+	drawnPrefixes = []string{"", "a", "ab", "abc", "b"}
+)
+
+// drawMatch returns the text of a random match.
+func drawMatch(t *rapid.T) string {
+	var parts []string
+	add := func(name string, values []string) {
+		if v := rapid.SampledFrom(values).Draw(t, name); v != "" {
+			parts = append(parts, name+": "+v)
+		}
+	}
+	add("service", drawnServices)
+	add("tenant", drawnTenants)
+	add("data_centre", drawnCentres)
+	add("region", drawnRegions)
+	add("key_prefix", drawnPrefixes)
+	return strings.Join(parts, ", ")
+}
+
+// drawSubject returns a random subject with a data centre in its region.
+func drawSubject(t *rapid.T) Subject {
+	s := Subject{
+		Service:    rapid.SampledFrom(drawnServices).Draw(t, "subject service"),
+		Tenant:     rapid.SampledFrom(drawnTenants).Draw(t, "subject tenant"),
+		Key:        rapid.SampledFrom([]string{"", "a", "ab", "abcd", "bc", "z"}).Draw(t, "subject key"),
+		DataCentre: rapid.SampledFrom(drawnCentres[1:]).Draw(t, "subject data centre"),
+	}
+	s.Region = map[string]string{"west-a": "emea-west", "west-b": "emea-west", "central-a": "emea-central"}[s.DataCentre]
+	return s
+}
+
+// reference resolves one setting by the rule of the design page: among the matching exceptions, one that no other
+// matching exception is more specific than. It also checks that all of those agree.
+func reference(t *rapid.T, c *Configuration, s Subject, id settingID) string {
+	var matching []*Exception
+	for _, e := range c.exceptions {
+		if e.sets.has(id) && e.Match.matches(&s) {
+			matching = append(matching, e)
+		}
+	}
+	value := settings[id].format(&c.defaults)
+	decided := false
+	for _, e := range matching {
+		beaten := slices.ContainsFunc(matching, func(o *Exception) bool { return o.Match.moreSpecificThan(&e.Match) })
+		if beaten {
+			continue
+		}
+		mine := settings[id].format(&e.values)
+		if decided && mine != value {
+			t.Fatalf("accepted exceptions disagree on %s for %+v", settings[id].name, s)
+		}
+		value, decided = mine, true
+	}
+	return value
+}
+
+// Guards against a fast resolution that lets the wrong exception win, and against accepted contradictions.
+func TestResolveMatchesReference(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		text.WriteString(valid)
+		for i := range rapid.IntRange(0, 6).Draw(t, "exceptions") {
+			set := fmt.Sprintf("deadline: %ds", rapid.IntRange(1, 2).Draw(t, "value"))
+			if rapid.Bool().Draw(t, "second setting") {
+				set += ", class: background"
+			}
+			text.WriteString(exception(fmt.Sprint("e", i), drawMatch(t), set))
+		}
+		c, err := Decode([]byte(text.String()))
+		if err != nil {
+			return
+		}
+		accepted++
+		s := drawSubject(t)
+		got := c.Resolve(s)
+		for id, e := range c.Explain(s) {
+			want := reference(t, c, s, settingID(id))
+			if formatted := settings[id].format(&got); formatted != want || e.Value != want {
+				t.Fatalf("%s of %+v: resolved %s, explained %s, want %s", e.Setting, s, formatted, e.Value, want)
+			}
+		}
+	})
+	if accepted == 0 {
+		t.Fatal("no random document was accepted")
+	}
+}
+
+// Guards against a combination check that misses a subject whose deadline exceeds its longest deadline.
+func TestAcceptedDeadlinesFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := valid
+		for i := range rapid.IntRange(1, 5).Draw(t, "exceptions") {
+			name := rapid.SampledFrom([]string{"deadline", "max_deadline"}).Draw(t, "setting")
+			set := fmt.Sprintf("%s: %ds", name, rapid.IntRange(1, 12).Draw(t, "value"))
+			text += exception(fmt.Sprint("e", i), drawMatch(t), set)
+		}
+		c, err := Decode([]byte(text))
+		if err != nil {
+			return
+		}
+		if s := c.Resolve(drawSubject(t)); s.Deadline > s.MaxDeadline {
+			t.Fatalf("accepted: deadline %s above %s in\n%s", s.Deadline, s.MaxDeadline, text)
+		}
+	})
+}
+
+// Guards against groups that no node plans for, so that their keys never get an owner.
+func TestHomesHoldEveryResolvedHome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := valid
+		for i := range rapid.IntRange(0, 4).Draw(t, "exceptions") {
+			match := "service: " + rapid.SampledFrom(drawnServices[1:]).Draw(t, "service")
+			if p := rapid.SampledFrom(drawnPrefixes).Draw(t, "prefix"); p != "" {
+				match += ", key_prefix: " + p
+			}
+			if rapid.Bool().Draw(t, "tenant") {
+				match += ", tenant: alpha"
+			}
+			home := rapid.SampledFrom([]string{"any", "[emea-west]", "[emea-central]"}).Draw(t, "home")
+			text += exception(fmt.Sprint("e", i), match, "home_regions: "+home)
+		}
+		c, err := Decode([]byte(text))
+		if err != nil {
+			return
+		}
+		s := drawSubject(t)
+		s.Service, s.Tenant = "orders", rapid.SampledFrom(drawnTenants[1:]).Draw(t, "tenant")
+		if home := c.Resolve(s).HomeRegions; !slices.Contains(c.Homes("orders"), home) {
+			t.Fatalf("home %q of %+v is not among %q", home, s, c.Homes("orders"))
+		}
+	})
+}
+
+// Guards against a default or an exception that an operator cannot trace back to its reason.
+func TestExplainNamesOrigin(t *testing.T) {
+	c := mustDecode(t, valid)
+	got := c.Explain(Subject{Service: "orders", Tenant: "alpha"})
+	home := got[homeRegions]
+	if home.Origin != FromException || home.Exception != "alpha-at-home" || home.Line != 11 ||
+		!strings.Contains(home.Reason, "contract 12") || home.Match != "tenant=alpha" {
+		t.Errorf("home_regions: %+v", home)
+	}
+	if got[deadline].Origin != FromDefaults || got[queueLimit].Origin != FromBuiltIn {
+		t.Errorf("origins: %+v %+v", got[deadline], got[queueLimit])
+	}
+}
+
+// Guards against node-level settings that miss the region's exception, and against an empty region being ignored.
+func TestResolveBackend(t *testing.T) {
+	c := mustDecode(t, valid+
+		exception("out", "region: emea-west", "taken_out: true")+
+		exception("grants", "service: orders, data_centre: central-a", "checks_grants: true, in_flight_bound: 0s"))
+	if !c.TakenOut("west-b") || c.TakenOut("central-a") {
+		t.Error("taken_out of the region does not hold for its data centres only")
+	}
+	got := c.ResolveBackend("orders", "central-a")
+	want := BackendSettings{ChecksGrants: true, ConcurrencyLimit: 4, QueueLimit: 32, Slices: 256}
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against an unnoticed loss of service when a set of home regions has no data centre left.
+func TestWarnsWhenHomeIsTakenOut(t *testing.T) {
+	if w := mustDecode(t, valid+exception("one", "data_centre: west-a", "taken_out: true")).Warnings(); len(w) != 0 {
+		t.Errorf("warned while west-b remains: %v", w)
+	}
+	w := mustDecode(t, valid+exception("out", "region: emea-west", "taken_out: true")).Warnings()
+	if len(w) != 2 || w[0].Line != 15 || !strings.Contains(w[0].Detail, "[emea-west]") {
+		t.Errorf("want one warning for each service, got %v", w)
+	}
+}
+
+// Guards against a changed slice count that maps keys to other slices than the assignments say.
+func TestCompatibleWith(t *testing.T) {
+	before := mustDecode(t, valid)
+	after := mustDecode(t, valid+exception("b", "service: orders", "slices: 512"))
+	only := func(name string) func(string) bool { return func(s string) bool { return s == name } }
+	if err := after.CompatibleWith(before, only("orders")); !errors.Is(err, problem.Invalid) || !strings.Contains(err.Error(), "line 15") {
+		t.Errorf("changed slices of an assigned service: %v", err)
+	}
+	if err := after.CompatibleWith(before, only("history")); err != nil {
+		t.Errorf("a service without assignments: %v", err)
+	}
+	if err := after.CompatibleWith(nil, only("orders")); err != nil {
+		t.Errorf("the first configuration: %v", err)
+	}
+}
+
+// Guards against differences that operators do not see before they publish.
+func TestDiff(t *testing.T) {
+	a := mustDecode(t, valid)
+	b := mustDecode(t, strings.Replace(valid, "250ms", "500ms", 1)+exception("b", "service: orders", "class: lookup"))
+	var got []string
+	for _, c := range Diff(a, b) {
+		got = append(got, fmt.Sprintf("%s %s>%s", c.Path, c.Before, c.After))
+	}
+	want := []string{"defaults.deadline 250ms>500ms", "exceptions.b.match >service=orders", "exceptions.b.reason >a test",
+		"exceptions.b.set.class >lookup"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// Guards against tenants that the document does not name, which could have no home regions of their own.
+func TestNames(t *testing.T) {
+	c := mustDecode(t, valid)
+	if c.HasTenant("") || c.HasTenant("gamma") || !c.HasTenant("alpha") || c.HasService("x") || !c.HasService("orders") {
+		t.Error("names do not match the document")
+	}
+	if !mustDecode(t, "regions: {r: {data_centres: [d]}}\nservices: [s]\ndefaults: {home_regions: any}\n").HasTenant("") {
+		t.Error("a document without tenants refuses requests without a tenant")
+	}
+	if region, ok := c.RegionOf("central-b"); !ok || region != "emea-central" {
+		t.Errorf("region of central-b: %q", region)
+	}
+	if got := c.Homes("orders"); !slices.Equal(got, []keyspace.Home{"", "emea-west"}) {
+		t.Errorf("homes: %q", got)
+	}
+}
+
+// Guards against durations in explanations that cannot be pasted into a document.
+func TestFormatDuration(t *testing.T) {
+	for d, want := range map[time.Duration]string{time.Hour: "1h", time.Minute: "1m", 90 * time.Second: "1m30s",
+		250 * time.Millisecond: "250ms", 10 * time.Second: "10s", 0: "0s"} {
+		if got := formatDuration(d); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
+// manyExceptions returns a document with count exceptions of which a quarter match the subject.
+func manyExceptions(count int) string {
+	text := valid
+	for i := range count {
+		match := fmt.Sprintf("service: %s, key_prefix: p%d", drawnServices[1+i%2], i)
+		if i%4 == 0 {
+			match = "service: orders, key_prefix: " + strings.Repeat("k", i+1)
+		}
+		text += exception(fmt.Sprint("e", i), match, fmt.Sprintf("deadline: %dms, retry_ratio: 0.2", i+1))
+	}
+	return text
+}
+
+// Guards against a setting that an exception can state but that resolution does not copy.
+func TestEverySettingIsCopied(t *testing.T) {
+	from := Settings{HomeRegions: "r", Deadline: 1, MaxDeadline: 1, MaxBody: 1, IdempotentMethods: 1,
+		Class: request.Lookup, ConcurrencyLimit: 1, QueueLimit: 1, RetryRatio: 1, Slices: 1, ChecksGrants: true,
+		InFlightBound: 1, OutcomeRetention: 1, TakenOut: true}
+	var to Settings
+	for id := range settingCount {
+		before := settings[id].format(&to)
+		copySetting(id, &to, &from)
+		if settings[id].format(&to) == before {
+			t.Errorf("%s is not copied", settings[id].name)
+		}
+	}
+	if to != from {
+		t.Errorf("got %+v, want %+v", to, from)
+	}
+}
+
+// Guards against a resolution that allocates on the request path.
+func TestResolveDoesNotAllocate(t *testing.T) {
+	c := mustDecode(t, manyExceptions(48))
+	s := Subject{Service: "orders", Tenant: "beta", Key: strings.Repeat("k", 64), DataCentre: "west-a"}
+	if n := testing.AllocsPerRun(100, func() { c.Resolve(s) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func BenchmarkResolve(b *testing.B) {
+	for _, count := range []int{0, 24, 48, 96} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := mustDecode(b, manyExceptions(count))
+			s := Subject{Service: "orders", Tenant: "beta", Key: strings.Repeat("k", 100), DataCentre: "west-a", Region: "emea-west"}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Resolve(s)
+			}
+		})
+	}
+}
