Add the stand-in of a backend server

Cause: tests and the demo need a backend server whose double executions show and whose faults can be switched.

Change: internal/fake.BackendServer keeps values per tenant and key, where POST appends, counts executions per request id, and checks grants if asked. A Store can be shared by the backend servers of a service, so that the highest fence of a slice holds across owners. Recorder keeps every byte that arrives on a listener, up to a stated limit.

--- /dev/null
+++ b/internal/fake/backend_test.go
@@ -0,0 +1,217 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"heatherreel/internal/backendserver"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testSlice = keyspace.SliceID{Group: keyspace.Group{Service: "s"}, Index: 1}
+
+func startBackend(t *testing.T, o BackendOptions) (*BackendServer, *backendserver.Client) {
+	t.Helper()
+	o.Service, o.Incarnation, o.Connections, o.Weight = "s", "i", 10, 100
+	o.Slots = max(o.Slots, 1)
+	b := NewBackendServer(o)
+	if err := b.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	client := backendserver.NewClient(10, 1024)
+	t.Cleanup(func() { client.Close(); b.Close() })
+	return b, client
+}
+
+func post(id string, wait time.Duration) request.Request {
+	return request.Request{Tenant: "t", Key: "k/1", ID: id, Method: "POST", Body: []byte("+"), Deadline: time.Now().Add(wait)}
+}
+
+// Guards against a stand-in whose faults do not do what tests build on: for each, the outcome that the node sees and
+// whether the request ran.
+func TestBackendFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  Faults
+		outcome request.Outcome
+		reason  request.Reason
+		ran     int
+	}{
+		{"sound", Faults{}, request.Done, "", 1},
+		{"reply dropped", Faults{DropReplies: 1}, request.Unknown, request.ConnectionLost, 1},
+		{"answer cut", Faults{CutAnswers: 1}, request.Unknown, request.ConnectionLost, 1},
+		{"silent", Faults{Silent: true}, request.Unknown, request.DeadlineExceeded, 1},
+		{"frozen", Faults{Frozen: true}, request.Unknown, request.DeadlineExceeded, 0},
+		{"too cold", Faults{ColdRequests: 1, ColdMS: 1000}, request.Unknown, request.DeadlineExceeded, 0},
+		{"cold", Faults{ColdRequests: 1, ColdMS: 1}, request.Done, "", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, client := startBackend(t, BackendOptions{})
+			b.SetFaults(c.faults)
+			a := client.Execute(t.Context(), b.Address(), testSlice, 1, post("a", 100*time.Millisecond))
+			if a.Outcome != c.outcome || a.Reason != c.reason || b.Store().Executions("a") != c.ran {
+				t.Errorf("answer %+v, ran %d times", a, b.Store().Executions("a"))
+			}
+			b.SetFaults(Faults{})
+			if a := client.Execute(t.Context(), b.Address(), testSlice, 1, post("b", time.Second)); a.Outcome != request.Done {
+				t.Errorf("after the fault: %+v", a)
+			}
+		})
+	}
+}
+
+// Guards against double executions that tests would not see.
+func TestDuplicatesShow(t *testing.T) {
+	b, client := startBackend(t, BackendOptions{})
+	for range 2 {
+		client.Execute(t.Context(), b.Address(), testSlice, 1, post("a", time.Second))
+	}
+	client.Execute(t.Context(), b.Address(), testSlice, 1, post("b", time.Second))
+	if got := b.Store().Duplicates(); !slices.Equal(got, []string{"a"}) || b.Store().Total() != 3 {
+		t.Errorf("duplicates %v, total %d", got, b.Store().Total())
+	}
+	if value, _ := b.Store().Value("t", "k/1"); string(value) != "+++" {
+		t.Errorf("value %q, want +++", value)
+	}
+}
+
+// Guards against a request under an old fence that runs, at the same server or at another with the same store.
+func TestGrantsAreChecked(t *testing.T) {
+	store := NewStore()
+	old, client := startBackend(t, BackendOptions{ChecksGrants: true, Store: store})
+	next, _ := startBackend(t, BackendOptions{ChecksGrants: true, Store: store})
+	execute := func(b *BackendServer, fence ledger.Offset) request.Answer {
+		return client.Execute(t.Context(), b.Address(), testSlice, fence, post("", time.Second))
+	}
+	grant := func(b *BackendServer, fence ledger.Offset) {
+		if err := client.Grant(t.Context(), b.Address(), []ledger.SliceFence{{Slice: testSlice, Fence: fence}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := execute(old, 5); a.Reason != request.BackendRefused {
+		t.Errorf("without grant: %+v", a)
+	}
+	grant(old, 5)
+	if a := execute(old, 5); a.Outcome != request.Done {
+		t.Errorf("with grant: %+v", a)
+	}
+	grant(next, 6)
+	if a := execute(next, 6); a.Outcome != request.Done {
+		t.Errorf("new owner: %+v", a)
+	}
+	if a := execute(old, 5); a.Reason != request.BackendRefused {
+		t.Errorf("old owner: %+v", a)
+	}
+	grant(next, 4)
+	if a := execute(next, 4); a.Reason != request.BackendRefused {
+		t.Errorf("lowered fence: %+v", a)
+	}
+}
+
+// Guards against a stand-in that runs more than its slots, or loses requests that queue.
+func TestSlots(t *testing.T) {
+	b, client := startBackend(t, BackendOptions{Slots: 1, ServiceTime: 50 * time.Millisecond})
+	run := func() (answers []request.Answer) {
+		results := make(chan request.Answer, 3)
+		for range 3 {
+			go func() {
+				results <- client.Execute(context.Background(), b.Address(), testSlice, 1, post("", 5*time.Second))
+			}()
+		}
+		for range 3 {
+			answers = append(answers, <-results)
+		}
+		return answers
+	}
+	for _, a := range run() {
+		if a.Outcome != request.Done {
+			t.Errorf("queueing: %+v", a)
+		}
+	}
+	b.SetFaults(Faults{Sheds: true})
+	shed := 0
+	for _, a := range run() {
+		if a.Outcome == request.NotRun && a.Reason == request.QueueFull {
+			shed++
+		}
+	}
+	if shed == 0 {
+		t.Error("nothing was shed above the slots")
+	}
+}
+
+// Guards against a lie that is not told, and against health that hides a cold start.
+func TestHealthAndLoad(t *testing.T) {
+	b, client := startBackend(t, BackendOptions{Slots: 7})
+	b.SetFaults(Faults{ColdRequests: 1})
+	if h, err := client.Health(t.Context(), b.Address()); err != nil || h.Warm || !h.Healthy {
+		t.Errorf("health %+v, error %v", h, err)
+	}
+	b.SetFaults(Faults{Health: &backendserver.Health{Warm: true}, Load: &backendserver.Load{Running: 9}})
+	if h, err := client.Health(t.Context(), b.Address()); err != nil || !h.Warm || h.Healthy {
+		t.Errorf("health %+v, error %v", h, err)
+	}
+	if l, err := client.Load(t.Context(), b.Address()); err != nil || l.Running != 9 {
+		t.Errorf("load %+v, error %v", l, err)
+	}
+	if err := client.Drain(t.Context(), b.Address()); err != nil || !b.NodeStops() {
+		t.Errorf("drain error %v, noted %v", err, b.NodeStops())
+	}
+}
+
+// Guards against a search that misses bytes which arrived.
+func TestRecorder(t *testing.T) {
+	recorder := NewRecorder(1 << 16)
+	b, client := startBackend(t, BackendOptions{Received: recorder})
+	r := post("a", time.Second)
+	r.Body = []byte("secret")
+	client.Execute(t.Context(), b.Address(), testSlice, 1, r)
+	if !recorder.Contains([]byte("secret")) || !recorder.Contains([]byte("k%2F1")) || recorder.Contains([]byte("other")) {
+		t.Error("the record does not hold what was sent")
+	}
+}
+
+// channelListener passes announcements on.
+type channelListener chan backendserver.Announcement
+
+func (l channelListener) Announce(_ context.Context, a backendserver.Announcement) error {
+	l <- a
+	return nil
+}
+
+// Guards against announcements that stop or do not state a drain.
+func TestAnnouncer(t *testing.T) {
+	announcements := make(channelListener, 100)
+	node := httptest.NewServer(backendserver.NewHandler(announcements))
+	defer node.Close()
+	b, _ := startBackend(t, BackendOptions{})
+	a := NewAnnouncer(b, node.Listener.Addr().String(), 10*time.Millisecond, func(err error) { t.Error(err) })
+	defer a.Stop()
+	if got := <-announcements; got.Address != b.Address() || got.Draining {
+		t.Errorf("announcement %+v", got)
+	}
+	b.SetDraining(true)
+	for !(<-announcements).Draining {
+	}
+	refusing := httptest.NewServer(http.NotFoundHandler())
+	defer refusing.Close()
+	failures := make(chan error, 100)
+	other := NewAnnouncer(b, refusing.Listener.Addr().String(), time.Hour, func(err error) { failures <- err })
+	defer other.Stop()
+	if err := <-failures; !errors.Is(err, problem.Invalid) {
+		t.Errorf("error %v, want invalid", err)
+	}
+}
