--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -154,6 +154,16 @@
 	return grants
 }
 
+// Granting reports whether a slice waits for the backend server to confirm its grant.
+func (t *Table) Granting() bool {
+	for _, s := range t.slices {
+		if s.state == Granting {
+			return true
+		}
+	}
+	return false
+}
+
 // Granted moves the slices whose grant the backend server confirmed to Serving.
 func (t *Table) Granted(grants []ledger.SliceFence) {
 	for _, g := range grants {
