--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,153 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+)
+
+// TestMain fixes the seed of the property tests unless one is given, so that the ordinary run is repeatable.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const slicesPerMember = 16
+
+var (
+	orders     = keyspace.Group{Service: "orders"}
+	ordersHome = keyspace.Group{Service: "orders", Home: "r1"}
+)
+
+// cluster applies records to a state; each must take effect.
+type cluster struct {
+	rapid.TB
+	*ledger.State
+	joined int
+}
+
+func newCluster(tb rapid.TB) *cluster { return &cluster{TB: tb, State: ledger.NewState()} }
+
+func (c *cluster) apply(r ledger.Record) {
+	c.Helper()
+	if got := c.Apply(c.Offset+1, &r); got != ledger.Accepted {
+		c.Fatalf("%s record: %s", r.Kind, got)
+	}
+}
+
+// join adds a member with the witnesses that it would choose.
+func (c *cluster) join(region, dataCentre string, weight uint32) ledger.Incarnation {
+	c.Helper()
+	c.joined++
+	self := Self{Instance: fmt.Sprintf("i-%d", c.joined), Region: region, DataCentre: dataCentre}
+	j := &ledger.Join{Instance: self.Instance, Region: region, DataCentre: dataCentre, Service: "orders", Weight: weight}
+	j.Witnesses = ChooseWitnesses(c.State, self, nil)
+	c.apply(ledger.Record{Kind: ledger.KindJoin, ID: self.Instance, Join: j})
+	return ledger.Incarnation(c.Offset)
+}
+
+// joinMany adds members in turn over three regions with two data centres each.
+func (c *cluster) joinMany(n int) {
+	c.Helper()
+	for range n {
+		region := c.joined % 3
+		c.join(fmt.Sprintf("r%d", region), fmt.Sprintf("r%d-%c", region, 'a'+c.joined/3%2), 100)
+	}
+}
+
+func (c *cluster) assign(id keyspace.Group, p Policy) {
+	c.Helper()
+	if a := PlanAssign(c.State, id, p); a != nil {
+		c.apply(ledger.Record{Kind: ledger.KindAssign, Assign: a})
+	}
+}
+
+// move appends the first move of a plan and settles it, and returns the number of moved slices.
+func (c *cluster) move(plan []ledger.Move) int {
+	c.Helper()
+	m := plan[0]
+	c.apply(ledger.Record{Kind: ledger.KindMove, Move: &m})
+	settled := &ledger.Settled{Incarnation: m.To}
+	for _, index := range m.Indexes {
+		fence := ledger.SliceFence{Slice: keyspace.SliceID{Group: m.Group, Index: index}, Fence: c.Offset}
+		settled.Slices = append(settled.Slices, fence)
+	}
+	c.apply(ledger.Record{Kind: ledger.KindSettled, Settled: settled})
+	return len(m.Indexes)
+}
+
+// rebalance moves until no plan is left, and returns the number of records and moved slices.
+func (c *cluster) rebalance(id keyspace.Group, p Policy) (records, moved int) {
+	c.Helper()
+	for {
+		plan := PlanRebalance(c.State, id, p, DefaultRebalance)
+		if len(plan) == 0 {
+			return records, moved
+		}
+		records++
+		moved += c.move(plan)
+	}
+}
+
+func (c *cluster) end(i ledger.Incarnation, p Policy) int {
+	c.Helper()
+	plan := PlanFailover(c.State, i, nil, func(keyspace.Group) Policy { return p })
+	e := &ledger.End{Incarnation: i, SetVersion: c.Members[i].WitnessSet.Version, Successors: plan}
+	c.apply(ledger.Record{Kind: ledger.KindEnd, End: e})
+	return len(plan)
+}
+
+func (c *cluster) sorted() []*ledger.Member {
+	var list []*ledger.Member
+	for _, m := range c.Members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *ledger.Member) int { return int(a.Incarnation) - int(b.Incarnation) })
+	return list
+}
+
+// replaceWitnesses lets each member replace its witnesses once, in turn, and returns how many did.
+func (c *cluster) replaceWitnesses() int {
+	c.Helper()
+	changed := 0
+	for _, m := range c.sorted() {
+		set, better := ReplaceWitnesses(c.State, selfOf(m), m.WitnessSet.Members, nil)
+		if better {
+			changed++
+			w := &ledger.Witnesses{Incarnation: m.Incarnation, Base: m.WitnessSet.Version, Witnesses: set}
+			c.apply(ledger.Record{Kind: ledger.KindWitnesses, Witnesses: w})
+		}
+	}
+	return changed
+}
+
+func selfOf(m *ledger.Member) Self {
+	return Self{Incarnation: m.Incarnation, Instance: m.Instance, DataCentre: m.DataCentre, Region: m.Region}
+}
+
+// witnessLoads returns the lowest, highest and mean number of holders per witness.
+func (c *cluster) witnessLoads() (low, high int, mean float64) {
+	load := map[ledger.Incarnation]int{}
+	total := 0
+	for _, m := range c.Members {
+		for _, w := range m.WitnessSet.Members {
+			load[w]++
+			total++
+		}
+	}
+	low = total
+	for i := range c.Members {
+		low, high = min(low, load[i]), max(high, load[i])
+	}
+	return low, high, float64(total) / float64(len(c.Members))
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,264 @@
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+)
+
+// Policy is the part of the configuration that placement of one group needs.
+type Policy struct {
+	// TakenOut names data centres that operators took out.
+	TakenOut map[string]bool
+	// Draining names incarnations whose node or backend server is stopping.
+	Draining map[ledger.Incarnation]bool
+	// SliceCount is the number of slices of a new group; zero plans none.
+	SliceCount uint32
+}
+
+// Policies returns the policy of a group. It must be a pure function.
+type Policies func(keyspace.Group) Policy
+
+// eligible reports whether the member may receive slices of the group.
+func (p Policy) eligible(m *ledger.Member, g keyspace.Group) bool {
+	return serves(m, g) && m.Weight > 0 && !p.TakenOut[m.DataCentre] && !p.Draining[m.Incarnation]
+}
+
+// ownedBy counts the slices of a group by owner, living or not.
+func ownedBy(g *ledger.Group) map[ledger.Incarnation]int {
+	counts := map[ledger.Incarnation]int{}
+	if g == nil {
+		return counts
+	}
+	for i := range g.Slices {
+		counts[g.Slices[i].Owner]++
+	}
+	return counts
+}
+
+// Shares that bound where the slices of one leaving member go.
+const (
+	// spreadFactor bounds a successor to this multiple of its share by weight, at least one slice. Without a bound, a
+	// member that has just joined, and may be cold, would get all slices of a lost one.
+	spreadFactor = 2
+	// outsideShare is the least share of the eligible weight outside the ended member's data centre for which the
+	// members inside are left out. A lost data centre takes all its members, but their ends come one by one; slices
+	// given to another lost member would be lost again. With less outside, too few members would take the load.
+	outsideShare = 1.0 / 3
+)
+
+// targetsFor returns the eligible members of a group with their loads, except left out ones.
+func targetsFor(
+	state *ledger.State, id keyspace.Group, p Policy, seed uint64, leftOut func(*ledger.Member) bool,
+) *targets {
+	t := &targets{}
+	counts := ownedBy(state.Groups[id])
+	for i, m := range state.Members {
+		if !p.eligible(m, id) || leftOut != nil && leftOut(m) {
+			continue
+		}
+		t.add(&target{member: m, load: counts[i], tie: mix(seed, uint64(i)), limit: math.MaxInt})
+	}
+	return t
+}
+
+// PlanAssign returns an Assign for a group without slices or with unowned ones; nil if there is nothing to do or nobody
+// is eligible. Owned slices stay; each unowned one goes to the member with the least load per weight.
+func PlanAssign(state *ledger.State, id keyspace.Group, p Policy) *ledger.Assign {
+	a := &ledger.Assign{Group: id, Count: min(p.SliceCount, ledger.MaxSlices)}
+	g := state.Groups[id]
+	if g != nil {
+		a.Base, a.Count = g.Version, uint32(len(g.Slices))
+	}
+	for index := range a.Count {
+		if g == nil || g.Slices[index].Owner == 0 {
+			a.Placements = append(a.Placements, ledger.Placement{Index: index})
+		}
+	}
+	if len(a.Placements) == 0 {
+		return nil
+	}
+	t := targetsFor(state, id, p, hashGroup(id), nil)
+	for i := range a.Placements {
+		next := t.take()
+		if next == nil {
+			return nil
+		}
+		a.Placements[i].Owner = next.member.Incarnation
+	}
+	return a
+}
+
+// successorsOf returns the targets for count slices of a leaving member, each bounded by its share.
+func successorsOf(
+	state *ledger.State, id keyspace.Group, p Policy, from ledger.Incarnation, count int, leftOut func(*ledger.Member) bool,
+) *targets {
+	t := targetsFor(state, id, p, mix(hashGroup(id), uint64(from)), leftOut)
+	t.bound(count)
+	return t
+}
+
+// PlanFailover returns successors for the slices that a member owns in all groups. Slices without an eligible successor
+// are left out and become unowned. Excluded incarnations, such as others that are suspected, receive nothing.
+func PlanFailover(
+	state *ledger.State, ended ledger.Incarnation, excluded map[ledger.Incarnation]bool, policies Policies,
+) []ledger.Successor {
+	var plan []ledger.Successor
+	lost := state.Members[ended]
+	if lost == nil {
+		return nil
+	}
+	for _, id := range sortedGroups(state) {
+		owned := indexesOf(state.Groups[id], ended)
+		if len(owned) == 0 {
+			continue
+		}
+		p := policies(id)
+		leftOut := func(m *ledger.Member) bool { return m.Incarnation == ended || excluded[m.Incarnation] }
+		if weightOutside(state, id, p, lost.DataCentre, leftOut) >= outsideShare {
+			leftOut = func(m *ledger.Member) bool { return excluded[m.Incarnation] || m.DataCentre == lost.DataCentre }
+		}
+		t := successorsOf(state, id, p, ended, len(owned), leftOut)
+		for _, index := range owned {
+			next := t.take()
+			if next == nil {
+				break
+			}
+			slice := keyspace.SliceID{Group: id, Index: index}
+			plan = append(plan, ledger.Successor{Slice: slice, Owner: next.member.Incarnation})
+		}
+	}
+	return plan
+}
+
+// weightOutside returns the share of the eligible weight that lies outside a data centre.
+func weightOutside(
+	state *ledger.State, id keyspace.Group, p Policy, dataCentre string, leftOut func(*ledger.Member) bool,
+) float64 {
+	var outside, total float64
+	for _, m := range state.Members {
+		if !p.eligible(m, id) || leftOut(m) {
+			continue
+		}
+		total += float64(m.Weight)
+		if m.DataCentre != dataCentre {
+			outside += float64(m.Weight)
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return outside / total
+}
+
+// PlanDrain returns moves that take all settled slices away from a member, at most maxSlices per move and one per group
+// and target. All moves of a group name its present version, so that only the first appended of each group takes
+// effect: append that one, read it, and plan again. Unsettled slices follow once they are settled.
+func PlanDrain(state *ledger.State, from ledger.Incarnation, maxSlices int, policies Policies) []ledger.Move {
+	var plan []ledger.Move
+	for _, id := range sortedGroups(state) {
+		g := state.Groups[id]
+		movable := slices.DeleteFunc(indexesOf(g, from), func(i uint32) bool { return len(g.Slices[i].Sources) > 0 })
+		if len(movable) == 0 {
+			continue
+		}
+		leftOut := func(m *ledger.Member) bool { return m.Incarnation == from }
+		t := successorsOf(state, id, policies(id), from, len(movable), leftOut)
+		m := newMoves(g, maxSlices)
+		for _, index := range movable {
+			next := t.take()
+			if next == nil {
+				break
+			}
+			m.add(from, next.member.Incarnation, index)
+		}
+		plan = append(plan, m.list()...)
+	}
+	return plan
+}
+
+// Rebalance bounds PlanRebalance.
+type Rebalance struct {
+	// Threshold is the share of the mean load per weight by which a move must narrow the gap between two members.
+	// Without it, members whose loads differ by a rounding would exchange slices after each small change.
+	Threshold float64
+	// MaxSlices is the highest number of slices per move.
+	MaxSlices int
+}
+
+// DefaultRebalance keeps members with 16 slices within two slices of each other: 0.1 of 16 is above one slice.
+var DefaultRebalance = Rebalance{Threshold: 0.1, MaxSlices: 4}
+
+// PlanRebalance returns the moves that even out the load per weight of a group, largest first, or none if no move gains
+// enough. It moves one slice at a time from the highest to the lowest load per weight, so it moves the fewest. As with
+// PlanDrain, only the first appended move of a group takes effect.
+func PlanRebalance(state *ledger.State, id keyspace.Group, p Policy, r Rebalance) []ledger.Move {
+	g := state.Groups[id]
+	if g == nil {
+		return nil
+	}
+	t := targetsFor(state, id, p, hashGroup(id), nil)
+	least := r.Threshold * t.meanLoad()
+	movable := settledByOwner(g)
+	m := newMoves(g, r.MaxSlices)
+	for {
+		from, to := t.extremes(movable)
+		if from == nil || from.perWeight(0)-to.perWeight(1) <= least {
+			break
+		}
+		indexes := movable[from.member.Incarnation]
+		m.add(from.member.Incarnation, to.member.Incarnation, indexes[0])
+		movable[from.member.Incarnation] = indexes[1:]
+		from.load--
+		to.load++
+	}
+	return m.list()
+}
+
+// Imbalance returns the highest load per weight over the mean of the eligible members: 1 is even, 0 means that the group
+// has no slices or no eligible owner.
+func Imbalance(state *ledger.State, id keyspace.Group, p Policy) float64 {
+	t := targetsFor(state, id, p, 0, nil)
+	mean := t.meanLoad()
+	if mean == 0 {
+		return 0
+	}
+	highest := 0.0
+	for _, member := range t.list {
+		highest = max(highest, member.perWeight(0))
+	}
+	return highest / mean
+}
+
+func sortedGroups(state *ledger.State) []keyspace.Group {
+	ids := make([]keyspace.Group, 0, len(state.Groups))
+	for id := range state.Groups {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, keyspace.Group.Compare)
+	return ids
+}
+
+// indexesOf returns the slices of a group that a member owns.
+func indexesOf(g *ledger.Group, owner ledger.Incarnation) []uint32 {
+	var indexes []uint32
+	for i := range g.Slices {
+		if g.Slices[i].Owner == owner {
+			indexes = append(indexes, uint32(i))
+		}
+	}
+	return indexes
+}
+
+// settledByOwner returns the slices of a group that a move may take.
+func settledByOwner(g *ledger.Group) map[ledger.Incarnation][]uint32 {
+	settled := map[ledger.Incarnation][]uint32{}
+	for i := range g.Slices {
+		if s := &g.Slices[i]; len(s.Sources) == 0 {
+			settled[s.Owner] = append(settled[s.Owner], uint32(i))
+		}
+	}
+	return settled
+}
--- /dev/null
+++ b/internal/placement/targets.go
@@ -0,0 +1,163 @@
+package placement
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+
+	"heatherreel/internal/ledger"
+)
+
+// target is a member that may receive slices of one group.
+type target struct {
+	member *ledger.Member
+	// load is the number of slices of the group, including those planned.
+	load int
+	// received is the number of slices that this plan gave to the member, at most limit.
+	received int
+	limit    int
+	// tie orders members of equal load.
+	tie uint64
+}
+
+// perWeight returns the load per weight with more slices added.
+func (t *target) perWeight(more int) float64 {
+	return float64(t.load+more) / float64(t.member.Weight)
+}
+
+// targets is a heap, least load per weight after one more slice first. It implements heap.Interface.
+type targets struct {
+	list  []*target
+	ready bool
+}
+
+// Len implements heap.Interface.
+func (t *targets) Len() int { return len(t.list) }
+
+// Swap implements heap.Interface.
+func (t *targets) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
+
+// Less implements heap.Interface.
+func (t *targets) Less(i, j int) bool {
+	a, b := t.list[i], t.list[j]
+	return cmp.Or(cmp.Compare(a.perWeight(1), b.perWeight(1)), cmp.Compare(a.tie, b.tie)) < 0
+}
+
+// Push implements heap.Interface.
+func (t *targets) Push(x any) { t.list = append(t.list, x.(*target)) }
+
+// Pop implements heap.Interface.
+func (t *targets) Pop() any {
+	last := t.list[len(t.list)-1]
+	t.list = t.list[:len(t.list)-1]
+	return last
+}
+
+func (t *targets) add(member *target) { t.list = append(t.list, member) }
+
+// bound limits each target to spreadFactor times its share by weight of count slices.
+func (t *targets) bound(count int) {
+	weight := 0.0
+	for _, member := range t.list {
+		weight += float64(member.member.Weight)
+	}
+	for _, member := range t.list {
+		share := float64(count) * float64(member.member.Weight) / weight
+		member.limit = max(1, int(math.Ceil(spreadFactor*share)))
+	}
+}
+
+// take returns the target that gets the next slice and counts it; nil if there is none.
+func (t *targets) take() *target {
+	if !t.ready {
+		heap.Init(t)
+		t.ready = true
+	}
+	if len(t.list) == 0 {
+		return nil
+	}
+	next := t.list[0]
+	next.load++
+	next.received++
+	if next.received >= next.limit {
+		heap.Pop(t)
+		return next
+	}
+	heap.Fix(t, 0)
+	return next
+}
+
+// meanLoad returns all slices of the targets over their weight; zero without targets.
+func (t *targets) meanLoad() float64 {
+	var load, weight float64
+	for _, member := range t.list {
+		load += float64(member.load)
+		weight += float64(member.member.Weight)
+	}
+	if weight == 0 {
+		return 0
+	}
+	return load / weight
+}
+
+// extremes returns the target with the highest load per weight among those with movable slices, and the lowest after
+// one more slice; nil if no slice is movable.
+func (t *targets) extremes(movable map[ledger.Incarnation][]uint32) (from, to *target) {
+	for _, member := range t.list {
+		if len(movable[member.member.Incarnation]) > 0 && (from == nil || heavier(member, from)) {
+			from = member
+		}
+		if to == nil || lighter(member, to) {
+			to = member
+		}
+	}
+	return from, to
+}
+
+func heavier(a, b *target) bool {
+	return cmp.Or(cmp.Compare(a.perWeight(0), b.perWeight(0)), cmp.Compare(a.tie, b.tie)) > 0
+}
+
+func lighter(a, b *target) bool {
+	return cmp.Or(cmp.Compare(a.perWeight(1), b.perWeight(1)), cmp.Compare(a.tie, b.tie)) < 0
+}
+
+// moveKey names the owner and target of a move.
+type moveKey struct{ from, to ledger.Incarnation }
+
+// moves collects planned transfers of one group into one move per owner and target.
+type moves struct {
+	group     *ledger.Group
+	maxSlices int
+	order     []moveKey
+	byKey     map[moveKey][]uint32
+}
+
+func newMoves(g *ledger.Group, maxSlices int) *moves {
+	return &moves{group: g, maxSlices: maxSlices, byKey: map[moveKey][]uint32{}}
+}
+
+// add plans the transfer of a slice; slices over the bound of a move are left to the next plan.
+func (m *moves) add(from, to ledger.Incarnation, index uint32) {
+	key := moveKey{from, to}
+	if m.byKey[key] == nil {
+		m.order = append(m.order, key)
+	}
+	if len(m.byKey[key]) < m.maxSlices {
+		m.byKey[key] = append(m.byKey[key], index)
+	}
+}
+
+// list returns the moves, largest first.
+func (m *moves) list() []ledger.Move {
+	var list []ledger.Move
+	for _, key := range m.order {
+		if indexes := m.byKey[key]; len(indexes) > 0 {
+			move := ledger.Move{Group: m.group.ID, Base: m.group.Version, Indexes: indexes, From: key.from, To: key.to}
+			list = append(list, move)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b ledger.Move) int { return cmp.Compare(len(b.Indexes), len(a.Indexes)) })
+	return list
+}
