--- /dev/null
+++ b/internal/fake/operatorsource.go
@@ -0,0 +1,60 @@
+package fake
+
+import (
+	"sync"
+
+	"heatherreel/internal/operator"
+	"heatherreel/internal/problem"
+)
+
+// OperatorSource is an operator.Source with fixed answers. mu guards the fields.
+type OperatorSource struct {
+	mu      sync.Mutex
+	answers OperatorAnswers
+}
+
+// OperatorAnswers are the answers of an OperatorSource.
+type OperatorAnswers struct {
+	Health        operator.Health
+	Status        operator.Status
+	Explanation   operator.Explanation
+	Configuration operator.Configuration
+}
+
+// NewOperatorSource returns a source with the answers. It explains only the service of the explanation.
+func NewOperatorSource(answers OperatorAnswers) *OperatorSource {
+	return &OperatorSource{answers: answers}
+}
+
+// Set replaces the answers.
+func (s *OperatorSource) Set(answers OperatorAnswers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = answers
+}
+
+// get returns the answers.
+func (s *OperatorSource) get() OperatorAnswers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers
+}
+
+// Health implements operator.Source.
+func (s *OperatorSource) Health() operator.Health { return s.get().Health }
+
+// Status implements operator.Source.
+func (s *OperatorSource) Status() operator.Status { return s.get().Status }
+
+// Configuration implements operator.Source.
+func (s *OperatorSource) Configuration() operator.Configuration { return s.get().Configuration }
+
+// Explain implements operator.Source.
+func (s *OperatorSource) Explain(subject operator.Subject) (operator.Explanation, error) {
+	e := s.get().Explanation
+	if subject.Service != e.Service {
+		return operator.Explanation{}, problem.New(problem.UnknownService, "use a service of the configuration",
+			"service %q is unknown", subject.Service)
+	}
+	return e, nil
+}
