Let a move record build on fences and name several new owners

Cause: a move named the version of its group, so that of all nodes that move slices of one group at the same time only one succeeded per round trip to the log. Taking out a data centre of 140 nodes with 16 slices to as many targets would have needed 2,240 accepted records, each of which voids the others in flight. Ruled out: one planner that moves for all nodes, because its load grows with the fleet. Change: a move names the fence of each slice and a new owner for each, so that a node drains a group with one record and different nodes do not conflict.

--- a/internal/fake/log_http.go
+++ b/internal/fake/log_http.go
@@ -42,7 +42,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, http.StatusCreated, map[string]ledger.Offset{"offset": offset})
+	writeDocument(w, http.StatusCreated, map[string]ledger.Offset{"offset": offset})
 }
 
 // logRecord and logPage are the JSON forms of the read answer.
@@ -69,7 +69,7 @@
 	raw, err := l.ReadBytes(q.Context(), ledger.Offset(from), min(limit, maxReadRecords), wait)
 	switch {
 	case problem.KindOf(err) == problem.Forgotten:
-		writeJSON(w, http.StatusGone, logPage{Earliest: raw.Earliest})
+		writeDocument(w, http.StatusGone, logPage{Earliest: raw.Earliest})
 		return
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -79,7 +79,7 @@
 	for i, data := range raw.Records {
 		page.Records = append(page.Records, logRecord{Offset: raw.First + ledger.Offset(i), Data: data})
 	}
-	writeJSON(w, http.StatusOK, page)
+	writeDocument(w, http.StatusOK, page)
 }
 
 func (l *Log) serveFaults(w http.ResponseWriter, q *http.Request) {
@@ -92,8 +92,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// writeJSON answers with a JSON document.
-func writeJSON(w http.ResponseWriter, status int, document any) {
+// writeDocument answers with a JSON document.
+func writeDocument(w http.ResponseWriter, status int, document any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(document)
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -108,13 +108,22 @@
 	Placements []Placement `json:"placements"`
 }
 
-// Move transfers slices of a group from one living owner to another.
+// MovedSlice is one slice of a Move.
+type MovedSlice struct {
+	Index uint32 `json:"i"`
+	// Fence is the fence under which the slice is moved away.
+	Fence Offset `json:"f"`
+	// To is the new owner.
+	To Incarnation `json:"o"`
+}
+
+// Move transfers settled slices of a group from one living owner to others. It builds on the fence of each slice and
+// not on the version of the group: when a data centre is taken out, all its nodes move slices of the same groups, and
+// with a common version only one of them would succeed at a time.
 type Move struct {
-	Group   keyspace.Group `json:"group"`
-	Base    Offset         `json:"base"`
-	Indexes []uint32       `json:"indexes"`
-	From    Incarnation    `json:"from"`
-	To      Incarnation    `json:"to"`
+	Group  keyspace.Group `json:"group"`
+	From   Incarnation    `json:"from"`
+	Slices []MovedSlice   `json:"slices"`
 }
 
 // SliceFence names a slice under one fence.
--- a/internal/ledger/rejection_test.go
+++ b/internal/ledger/rejection_test.go
@@ -22,7 +22,7 @@
 		{Kind: KindJoin, ID: "b", Join: &Join{}},
 		{Kind: KindJoin, ID: "c", Join: &Join{Witnesses: []Incarnation{2}}},
 		{Kind: KindAssign, Assign: &Assign{Group: orders, Count: 3, Placements: []Placement{{0, 1}, {1, 1}}}},
-		{Kind: KindMove, Move: &Move{Group: orders, Base: 4, Indexes: []uint32{1}, From: 1, To: 2}},
+		{Kind: KindMove, Move: &Move{Group: orders, From: 1, Slices: []MovedSlice{{Index: 1, Fence: 4, To: 2}}}},
 		{Kind: KindConfiguration, Configuration: &Configuration{Document: "one"}},
 	}
 	for i, r := range records {
@@ -35,8 +35,13 @@
 
 // TestRejections guards against a record that takes effect although its condition does not hold.
 func TestRejections(t *testing.T) {
-	move := func(base Offset, index uint32, from, to Incarnation) *Record {
-		return &Record{Kind: KindMove, Move: &Move{Group: orders, Base: base, Indexes: []uint32{index}, From: from, To: to}}
+	move := func(fence Offset, index uint32, from, to Incarnation) *Record {
+		moved := []MovedSlice{{Index: index, Fence: fence, To: to}}
+		return &Record{Kind: KindMove, Move: &Move{Group: orders, From: from, Slices: moved}}
+	}
+	moveTwice := func(second MovedSlice) *Record {
+		moved := []MovedSlice{{Index: 0, Fence: 4, To: 2}, second}
+		return &Record{Kind: KindMove, Move: &Move{Group: orders, From: 1, Slices: moved}}
 	}
 	assign := func(base Offset, count uint32, p ...Placement) *Record {
 		return &Record{Kind: KindAssign, Assign: &Assign{Group: orders, Base: base, Count: count, Placements: p}}
@@ -83,12 +88,16 @@
 		{"assign with too many slices", assign(0, MaxSlices+1), MalformedRecord},
 		{"create outside", &Record{Kind: KindAssign, Assign: &Assign{Group: other, Count: 1, Placements: []Placement{{1, 1}}}}, OutsideOfGroup},
 		{"create without slices", &Record{Kind: KindAssign, Assign: &Assign{Group: other}}, StaleBase},
-		{"move to an unknown node", move(5, 0, 1, 9), NotAMember},
-		{"move to itself", move(5, 0, 1, 1), NotAMember},
-		{"move on a stale base", move(4, 0, 1, 2), StaleBase},
-		{"move by another owner", move(5, 0, 2, 3), NotTheOwner},
+		{"move to an unknown node", move(4, 0, 1, 9), NotAMember},
+		{"move from an unknown node", move(4, 0, 9, 1), NotAMember},
+		{"move to itself", move(4, 0, 1, 1), NotAMember},
+		{"move under a stale fence", move(3, 0, 1, 2), StaleBase},
+		{"move by another owner", move(4, 0, 2, 3), NotTheOwner},
 		{"move of an unsettled slice", move(5, 1, 2, 3), NotSettled},
-		{"move outside", move(5, 3, 1, 2), OutsideOfGroup},
+		{"move outside", move(4, 3, 1, 2), OutsideOfGroup},
+		{"move of one slice to two owners", moveTwice(MovedSlice{Index: 0, Fence: 4, To: 3}), MalformedRecord},
+		{"move of which one slice is not owned", moveTwice(MovedSlice{Index: 2, To: 3}), NotTheOwner},
+		{"move in an unknown group", &Record{Kind: KindMove, Move: &Move{Group: other, From: 1}}, OutsideOfGroup},
 		{"settled under an old fence", &Record{Kind: KindSettled, Settled: &Settled{Incarnation: 1, Slices: fences(3)}}, NotTheOwner},
 		{"settled by another node", &Record{Kind: KindSettled, Settled: &Settled{Incarnation: 2, Slices: fences(4)}}, NotTheOwner},
 		{"released under an old fence", &Record{Kind: KindReleased, Released: &Released{Incarnation: 1, Slices: fences(3)}}, StaleBase},
@@ -137,7 +146,7 @@
 // new owner fetched the retained outcomes.
 func TestLeaveBeforeRelease(t *testing.T) {
 	s := prepared(t)
-	s.Apply(7, &Record{Kind: KindMove, Move: &Move{Group: orders, Base: 5, Indexes: []uint32{0}, From: 1, To: 3}})
+	s.Apply(7, &Record{Kind: KindMove, Move: &Move{Group: orders, From: 1, Slices: []MovedSlice{{Index: 0, Fence: 4, To: 3}}}})
 	if got := s.Apply(8, &Record{Kind: KindLeave, Leave: &Leave{Incarnation: 1}}); got != Accepted {
 		t.Fatal(got)
 	}
--- a/internal/ledger/replay_test.go
+++ b/internal/ledger/replay_test.go
@@ -137,11 +137,12 @@
 }
 
 func (w *writer) move() *Move {
-	m := &Move{Group: rapid.SampledFrom(testGroups).Draw(w.t, "group"), To: w.member("to"), Indexes: []uint32{0}}
+	m := &Move{Group: rapid.SampledFrom(testGroups).Draw(w.t, "group"), Slices: []MovedSlice{{To: w.member("to")}}}
 	if g := w.view.Groups[m.Group]; g != nil {
 		index := uint32(rapid.IntRange(0, len(g.Slices)).Draw(w.t, "index"))
-		m.Base, m.Indexes = g.Version, []uint32{index}
-		m.From = g.Slices[index%uint32(len(g.Slices))].Owner
+		slice := g.Slices[index%uint32(len(g.Slices))]
+		m.From = slice.Owner
+		m.Slices[0].Index, m.Slices[0].Fence = index, slice.Fence
 	}
 	return m
 }
@@ -177,7 +178,7 @@
 	case KindAssign:
 		return r.Assign.Base != version(r.Assign.Group)
 	case KindMove:
-		return r.Move.Base != version(r.Move.Group)
+		return fenceIsStale(s, r.Move)
 	case KindEnd:
 		return r.End.SetVersion != set(r.End.Incarnation)
 	case KindConfiguration:
@@ -186,6 +187,17 @@
 	return false
 }
 
+// fenceIsStale reports whether a slice of the move is not under the fence that the move names.
+func fenceIsStale(s *State, m *Move) bool {
+	g := s.Groups[m.Group]
+	for _, n := range m.Slices {
+		if g == nil || int(n.Index) >= len(g.Slices) || g.Slices[n.Index].Fence != n.Fence {
+			return true
+		}
+	}
+	return false
+}
+
 // term is one slice under one fence.
 type term struct {
 	slice keyspace.SliceID
--- a/internal/ledger/size_test.go
+++ b/internal/ledger/size_test.go
@@ -45,7 +45,7 @@
 				slice := &s.Groups[orders].Slices[index]
 				slice.Sources = nil
 				to := Incarnation(int(slice.Owner)%n + 1)
-				m := &Move{Group: orders, Base: s.Groups[orders].Version, Indexes: []uint32{index}, From: slice.Owner, To: to}
+				m := &Move{Group: orders, From: slice.Owner, Slices: []MovedSlice{{Index: index, Fence: slice.Fence, To: to}}}
 				if got := s.Apply(s.Offset+1, &Record{Kind: KindMove, Move: m}); got != Accepted {
 					b.Fatal(got)
 				}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -347,30 +347,49 @@
 }
 
 func (s *State) applyMove(offset Offset, m *Move) Rejection {
-	if !s.alive(m.From, m.To) || m.From == m.To {
-		return NotAMember
-	}
-	g, rejection := s.groupFor(m.Group, m.Base, m.Indexes...)
+	g := s.Groups[m.Group]
 	if g == nil {
-		return rejection
+		return OutsideOfGroup
 	}
-	for _, i := range m.Indexes {
-		if g.Slices[i].Owner != m.From {
-			return NotTheOwner
+	if !s.alive(m.From) {
+		return NotAMember
+	}
+	moved := make(map[uint32]bool, len(m.Slices))
+	for _, n := range m.Slices {
+		if rejection := s.checkMove(g, m.From, n); rejection != Accepted {
+			return rejection
 		}
-		if len(g.Slices[i].Sources) != 0 {
-			return NotSettled
+		if moved[n.Index] {
+			return MalformedRecord
 		}
+		moved[n.Index] = true
 	}
-	for _, i := range m.Indexes {
+	for _, n := range m.Slices {
 		// Lost is kept: the new owner must still treat older request ids as possibly run.
-		g.Slices[i].giveTo(m.To, offset)
-		g.Slices[i].Sources = []Incarnation{m.From}
+		g.Slices[n.Index].giveTo(n.To, offset)
+		g.Slices[n.Index].Sources = []Incarnation{m.From}
 	}
 	g.Version = offset
 	return Accepted
 }
 
+// checkMove returns why one slice of a move cannot be moved, or Accepted.
+func (s *State) checkMove(g *Group, from Incarnation, n MovedSlice) Rejection {
+	switch {
+	case int(n.Index) >= len(g.Slices):
+		return OutsideOfGroup
+	case n.To == from || !s.alive(n.To):
+		return NotAMember
+	case g.Slices[n.Index].Owner != from:
+		return NotTheOwner
+	case g.Slices[n.Index].Fence != n.Fence:
+		return StaleBase
+	case len(g.Slices[n.Index].Sources) != 0:
+		return NotSettled
+	}
+	return Accepted
+}
+
 // slice returns the slice if it exists under the fence.
 func (s *State) slice(f SliceFence) *Slice {
 	g := s.Groups[f.Slice.Group]
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -77,13 +77,12 @@
 	c.Helper()
 	m := plan[0]
 	c.apply(ledger.Record{Kind: ledger.KindMove, Move: &m})
-	settled := &ledger.Settled{Incarnation: m.To}
-	for _, index := range m.Indexes {
-		fence := ledger.SliceFence{Slice: keyspace.SliceID{Group: m.Group, Index: index}, Fence: c.Offset}
-		settled.Slices = append(settled.Slices, fence)
+	for _, n := range m.Slices {
+		fence := ledger.SliceFence{Slice: keyspace.SliceID{Group: m.Group, Index: n.Index}, Fence: c.Groups[m.Group].Slices[n.Index].Fence}
+		settled := &ledger.Settled{Incarnation: n.To, Slices: []ledger.SliceFence{fence}}
+		c.apply(ledger.Record{Kind: ledger.KindSettled, Settled: settled})
 	}
-	c.apply(ledger.Record{Kind: ledger.KindSettled, Settled: settled})
-	return len(m.Indexes)
+	return len(m.Slices)
 }
 
 // rebalance moves until no plan is left, and returns the number of records and moved slices.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -153,9 +153,8 @@
 	return outside / total
 }
 
-// PlanDrain returns moves that take all settled slices away from a member, at most maxSlices per move and one per group
-// and target. All moves of a group name its present version, so that only the first appended of each group takes
-// effect: append that one, read it, and plan again. Unsettled slices follow once they are settled.
+// PlanDrain returns moves that take all settled slices away from a member: one move per group, of at most maxSlices
+// slices. Unsettled slices follow once they are settled.
 func PlanDrain(state *ledger.State, from ledger.Incarnation, maxSlices int, policies Policies) []ledger.Move {
 	var plan []ledger.Move
 	for _, id := range sortedGroups(state) {
@@ -192,8 +191,7 @@
 var DefaultRebalance = Rebalance{Threshold: 0.1, MaxSlices: 4}
 
 // PlanRebalance returns the moves that even out the load per weight of a group, largest first, or none if no move gains
-// enough. It moves one slice at a time from the highest to the lowest load per weight, so it moves the fewest. As with
-// PlanDrain, only the first appended move of a group takes effect.
+// enough. It moves one slice at a time from the highest to the lowest load per weight, so it moves the fewest.
 func PlanRebalance(state *ledger.State, id keyspace.Group, p Policy, r Rebalance) []ledger.Move {
 	g := state.Groups[id]
 	if g == nil {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -62,8 +62,10 @@
 			plan = append(plan, PlanRebalance(c.State, id, p, DefaultRebalance)...)
 		}
 		for _, m := range plan {
-			if !c.mayOwn(m.Group, p, m.To) || m.To == m.From || len(m.Indexes) > 4 {
-				t.Fatalf("planned the move %+v", m)
+			for _, n := range m.Slices {
+				if !c.mayOwn(m.Group, p, n.To) || n.To == m.From || len(m.Slices) > 4 {
+					t.Fatalf("planned the move %+v", m)
+				}
 			}
 		}
 		c.end(from, p)
@@ -200,9 +202,9 @@
 			unsettled := first[0]
 			c.apply(ledger.Record{Kind: ledger.KindMove, Move: &unsettled})
 			for _, m := range PlanRebalance(c.State, orders, p, DefaultRebalance) {
-				for _, index := range m.Indexes {
-					if slices.Contains(unsettled.Indexes, index) {
-						t.Fatalf("slice %d was planned before it settled", index)
+				for _, n := range m.Slices {
+					if slices.ContainsFunc(unsettled.Slices, func(o ledger.MovedSlice) bool { return o.Index == n.Index }) {
+						t.Fatalf("slice %d was planned before it settled", n.Index)
 					}
 				}
 			}
--- a/internal/placement/targets.go
+++ b/internal/placement/targets.go
@@ -123,41 +123,35 @@
 	return cmp.Or(cmp.Compare(a.perWeight(1), b.perWeight(1)), cmp.Compare(a.tie, b.tie)) < 0
 }
 
-// moveKey names the owner and target of a move.
-type moveKey struct{ from, to ledger.Incarnation }
-
-// moves collects planned transfers of one group into one move per owner and target.
+// moves collects planned transfers of one group into one move per owner.
 type moves struct {
 	group     *ledger.Group
 	maxSlices int
-	order     []moveKey
-	byKey     map[moveKey][]uint32
+	order     []ledger.Incarnation
+	byOwner   map[ledger.Incarnation][]ledger.MovedSlice
 }
 
 func newMoves(g *ledger.Group, maxSlices int) *moves {
-	return &moves{group: g, maxSlices: maxSlices, byKey: map[moveKey][]uint32{}}
+	return &moves{group: g, maxSlices: maxSlices, byOwner: map[ledger.Incarnation][]ledger.MovedSlice{}}
 }
 
 // add plans the transfer of a slice; slices over the bound of a move are left to the next plan.
 func (m *moves) add(from, to ledger.Incarnation, index uint32) {
-	key := moveKey{from, to}
-	if m.byKey[key] == nil {
-		m.order = append(m.order, key)
+	if m.byOwner[from] == nil {
+		m.order = append(m.order, from)
 	}
-	if len(m.byKey[key]) < m.maxSlices {
-		m.byKey[key] = append(m.byKey[key], index)
+	if len(m.byOwner[from]) < m.maxSlices {
+		moved := ledger.MovedSlice{Index: index, Fence: m.group.Slices[index].Fence, To: to}
+		m.byOwner[from] = append(m.byOwner[from], moved)
 	}
 }
 
 // list returns the moves, largest first.
 func (m *moves) list() []ledger.Move {
 	var list []ledger.Move
-	for _, key := range m.order {
-		if indexes := m.byKey[key]; len(indexes) > 0 {
-			move := ledger.Move{Group: m.group.ID, Base: m.group.Version, Indexes: indexes, From: key.from, To: key.to}
-			list = append(list, move)
-		}
+	for _, from := range m.order {
+		list = append(list, ledger.Move{Group: m.group.ID, From: from, Slices: m.byOwner[from]})
 	}
-	slices.SortStableFunc(list, func(a, b ledger.Move) int { return cmp.Compare(len(b.Indexes), len(a.Indexes)) })
+	slices.SortStableFunc(list, func(a, b ledger.Move) int { return cmp.Compare(len(b.Slices), len(a.Slices)) })
 	return list
 }
