Add the table of retained outcomes

Cause: a repeated request must not run a second time, and an owner that lost outcomes must not run ids it cannot know.

Change: internal/outcome decides for each request id: run, wait for the running one, or answer (retained, unknown, or refused for a reused id, an id issued in the future, or a full table). A full table refuses; an answer whose body has no room is retained without it. Ids issued more than CallerLead ahead are refused, and a failover makes ids unknown up to CallerLead plus NodeSkew later, so that at most one run does not rest on callers' clocks. Keys and bodies are not kept, only a fingerprint.

Ruled out: retaining outcomes for the node skew longer.

--- /dev/null
+++ b/internal/outcome/table.go
@@ -0,0 +1,163 @@
+package outcome
+
+import (
+	"time"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/request"
+)
+
+// Table holds the outcomes of the slices that a node owns. Its methods need one lock around them.
+type Table struct {
+	options Options
+	slices  map[keyspace.SliceID]*sliceTable
+	// expiry orders the completed entries by the time from which their retention counts.
+	expiry expiryHeap
+	// tenants keeps one copy of each tenant's name.
+	tenants map[string]string
+	// unknownBefore holds for all slices; it rises when the retention is lengthened.
+	unknownBefore time.Time
+	entries       int
+	bytes         int64
+	trimmed       uint64
+}
+
+// sliceTable holds the outcomes of one slice.
+type sliceTable struct {
+	entries map[entryKey]*entry
+	// unknownBefore is the time of issue up to which ids without an entry are unknown.
+	unknownBefore time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(o Options) *Table {
+	return &Table{options: o, slices: map[keyspace.SliceID]*sliceTable{}, tenants: map[string]string{}}
+}
+
+// Usage returns the memory in use.
+func (t *Table) Usage() Usage { return Usage{Entries: t.entries, Bytes: t.bytes, Trimmed: t.trimmed} }
+
+// SetRetention changes the retention. After a longer one, ids that the shorter one may have dropped stay unknown.
+func (t *Table) SetRetention(now time.Time, retention time.Duration) {
+	if retention > t.options.Retention {
+		t.unknownBefore = later(t.unknownBefore, t.horizon(now))
+	}
+	t.options.Retention = retention
+}
+
+// horizon returns the time of issue since which no outcome has been dropped.
+func (t *Table) horizon(now time.Time) time.Time {
+	return now.Add(-t.options.Retention)
+}
+
+// Bound makes ids of the slice unknown that an earlier owner may have run before now, because its outcomes were lost.
+func (t *Table) Bound(now time.Time, slice keyspace.SliceID) {
+	s := t.slice(slice)
+	s.unknownBefore = later(s.unknownBefore, now.Add(t.options.CallerLead+t.options.NodeSkew))
+}
+
+// Admit decides about a request. A refusal is true: no attempt with this id and content has run.
+func (t *Table) Admit(now time.Time, ref Ref, f Fingerprint) Decision {
+	s := t.slice(ref.Slice)
+	if e := s.entries[entryKey{tenant: ref.Tenant, id: ref.ID}]; e != nil {
+		return repeated(e, f)
+	}
+	issued := IssuedAt(ref.ID)
+	if t.mayBeLost(now, s, issued) {
+		return decided(request.Uncertain(request.MayHaveRun, "read the key to see whether it ran; use a new request id for a new request"))
+	}
+	if issued.After(now.Add(t.options.CallerLead)) {
+		return decided(request.Refuse(request.Malformed, "set the caller's clock; the request id is issued in the future"))
+	}
+	t.Expire(now, expirePerAdmit)
+	if t.bytes+t.runningBytes() > t.options.MaxBytes {
+		return decided(request.Refuse(request.QueueFull, "retry after a pause; the retained outcomes fill their memory"))
+	}
+	t.start(s, ref, f)
+	return Decision{Verdict: Run}
+}
+
+// expirePerAdmit lets the table shrink while it is in use, at bounded cost: two removals for one addition.
+const expirePerAdmit = 2
+
+// repeated decides about a request whose id has an entry.
+func repeated(e *entry, f Fingerprint) Decision {
+	switch {
+	case e.fingerprint != f:
+		return decided(request.Refuse(request.IDReused, "use a new request id for each request"))
+	case e.running():
+		return Decision{Verdict: Wait}
+	default:
+		return decided(e.answer())
+	}
+}
+
+// decided returns the decision to give an answer.
+func decided(a request.Answer) Decision { return Decision{Verdict: Answer, Answer: a} }
+
+// mayBeLost reports whether the outcome of an id without an entry may have been dropped or lost.
+func (t *Table) mayBeLost(now time.Time, s *sliceTable, issued time.Time) bool {
+	return issued.Before(t.horizon(now)) || issued.Before(s.unknownBefore) || issued.Before(t.unknownBefore)
+}
+
+// Complete records the answer of a running request. A request that did not run is dropped, so that its id may run
+// later. It returns false if the request is not running here, for example because its slice was forgotten.
+func (t *Table) Complete(now time.Time, ref Ref, a request.Answer) bool {
+	s := t.slices[ref.Slice]
+	if s == nil {
+		return false
+	}
+	e := s.entries[entryKey{tenant: ref.Tenant, id: ref.ID}]
+	if e == nil || !e.running() {
+		return false
+	}
+	if a.Outcome == request.NotRun {
+		t.remove(e)
+		return true
+	}
+	t.bytes -= t.options.AnswerReserve
+	t.retain(e, later(now, IssuedAt(ref.ID)), a)
+	return true
+}
+
+// Expire drops at most limit outcomes whose retention has passed, and returns how many it dropped.
+func (t *Table) Expire(now time.Time, limit int) int {
+	horizon := t.horizon(now).UnixNano()
+	for n := range limit {
+		if len(t.expiry) == 0 || t.expiry[0].since >= horizon {
+			return n
+		}
+		t.remove(t.expiry[0])
+	}
+	return limit
+}
+
+// Forget drops all that is known of a slice, after its new owner has imported it.
+func (t *Table) Forget(slice keyspace.SliceID) {
+	s := t.slices[slice]
+	if s == nil {
+		return
+	}
+	for _, e := range s.entries {
+		t.remove(e)
+	}
+	delete(t.slices, slice)
+}
+
+// slice returns the table of a slice, made if absent.
+func (t *Table) slice(id keyspace.SliceID) *sliceTable {
+	s := t.slices[id]
+	if s == nil {
+		s = &sliceTable{entries: map[entryKey]*entry{}}
+		t.slices[id] = s
+	}
+	return s
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
