--- /dev/null
+++ b/cmd/heatherreelctl/main_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"heatherreel/internal/config"
+	"heatherreel/internal/fake"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/platformlog"
+	"heatherreel/internal/worker"
+)
+
+// logKey is the key of the script's fake log.
+type logKey struct{}
+
+// Guards against a tool whose exit code, output or effect on the log differs from its reference, above all after
+// conflicts and lost replies.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			e.Values[logKey{}] = fake.NewMemoryLog()
+			e.Setenv("HEATHERREEL_LOG", "fake")
+			e.Setenv("HEATHERREEL_AUTHOR", "ann")
+			e.Setenv("HEATHERREEL_NODE", startNode(e))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand},
+	})
+}
+
+// exits runs the tool in this process and requires the exit code: exits CODE ARGUMENT...
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	log := ts.Value(logKey{}).(*fake.MemoryLog)
+	t := &tool{
+		stdout: ts.Stdout(), stderr: ts.Stderr(), getenv: ts.Getenv,
+		readFile: func(path string) ([]byte, error) { return os.ReadFile(ts.MkAbs(path)) },
+		openLog:  func(string, string) (platformlog.Log, error) { return log, nil },
+	}
+	if got := fmt.Sprint(int(t.run(context.Background(), args[1:]))); got != args[0] {
+		ts.Fatalf("exit code %s, want %s", got, args[0])
+	}
+}
+
+// logCommand injects faults into the log or requires its length.
+func logCommand(ts *testscript.TestScript, _ bool, args []string) {
+	log := ts.Value(logKey{}).(*fake.MemoryLog)
+	switch args[0] {
+	case "rival":
+		base, err := strconv.ParseUint(args[1], 10, 64)
+		ts.Check(err)
+		log.OvertakeNext(&ledger.Record{Kind: ledger.KindConfiguration, ID: "rival", Configuration: &ledger.Configuration{
+			Base: ledger.Offset(base), Document: ts.ReadFile(args[2]), Author: "bob", Note: "take west-a out"}})
+	case "assign":
+		_, err := log.Append(context.Background(), &ledger.Record{Kind: ledger.KindAssign, ID: "assign",
+			Assign: &ledger.Assign{Group: keyspace.Group{Service: args[1]}, Count: 256}})
+		ts.Check(err)
+	case "lose-reply":
+		log.FailNext(fake.LoseReply)
+	case "lose-request":
+		log.FailNext(fake.LoseRequest)
+	case "refuse":
+		log.FailNext(fake.RefuseConnection)
+	case "down":
+		log.SetDown(true)
+	case "up":
+		log.SetDown(false)
+	case "holds":
+		if got := fmt.Sprint(len(log.Records())); got != args[1] {
+			ts.Fatalf("the log holds %s records, want %s", got, args[1])
+		}
+	default:
+		ts.Fatalf("unknown log command %s", args[0])
+	}
+}
+
+// startNode serves fixed answers and returns the address.
+func startNode(e *testscript.Env) string {
+	member := operator.Member{Incarnation: 7, Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders",
+		Weight: 100, Slices: 255, Addresses: ledger.Addresses{Callers: "127.0.0.1:8080"}}
+	position := operator.Position{Offset: 40, Currency: operator.Behind, Known: 42}
+	source := fake.NewOperatorSource(fake.OperatorAnswers{
+		Status: operator.Status{Incarnation: 7, Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders",
+			Ledger: position, Revision: 30, Lease: operator.Lease{State: operator.Owning, RemainingMS: 420},
+			Members: []operator.Member{member},
+			Groups: []operator.Group{{Service: "orders", Home: []string{"emea-west"}, Version: 12, Slices: 256, Unowned: 1,
+				Owners: []operator.Share{{Owner: 7, Instance: "i-1", Slices: 255}}}, {Service: "history", Slices: 16, Unowned: 16}}},
+		Explanation: operator.Explanation{Service: "orders", Ledger: position, Revision: 30, Home: []string{"emea-west"},
+			Slice: 3, Slices: 256, Owner: &member, Fence: 12, Sources: []ledger.Incarnation{5},
+			Settings: []config.Explanation{{Setting: "deadline", Value: "250ms", Origin: config.FromDefaults},
+				{Setting: "home_regions", Value: "[emea-west]", Origin: config.FromException, Exception: "alpha-at-home",
+					Reason: "contract 12", Match: "tenant=alpha", Line: 11}}},
+		Configuration: operator.Configuration{
+			Current: &ledger.Revision{Revision: 30, Base: 20, Author: "bob", Note: "second",
+				Document: "regions: {emea-west: {data_centres: [west-a]}}\nservices: [orders]\ndefaults: {home_regions: any}\n"},
+			History: []ledger.Revision{{Revision: 20, Author: "ann", Note: "first"}}},
+	})
+	pool := worker.NewPool("operators", 1, 4)
+	server := httptest.NewServer(operator.NewServer(source, pool, nil).Handler)
+	e.Defer(func() {
+		server.Close()
+		pool.Stop()
+	})
+	return server.URL
+}
+
+// tableRows returns the rows of docs/heatherreelctl.md whose first cell is code.
+func tableRows(t *testing.T, section string) []string {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/heatherreelctl.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, found := strings.Cut(string(page), "\n## "+section+"\n")
+	if !found {
+		t.Fatalf("the page has no section %q", section)
+	}
+	rest, _, _ = strings.Cut(rest, "\n## ")
+	return regexp.MustCompile("(?m)^\\| `.*$").FindAllString(rest, -1)
+}
+
+// compareRows requires equal rows in any order.
+func compareRows(t *testing.T, got, want []string) {
+	t.Helper()
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Errorf("the page has\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+// Guards against a reference of exit codes that scripts of operators rely on and that the tool does not keep.
+func TestReferenceOfExitCodes(t *testing.T) {
+	var want []string
+	for _, e := range exitCodes {
+		want = append(want, fmt.Sprintf("| `%d` | %s | %s |", e.code, e.name, e.meaning))
+	}
+	compareRows(t, tableRows(t, "Exit codes"), want)
+}
+
+// Guards against commands and flags that the reference leaves out or that no longer exist.
+func TestReferenceOfCommandsAndFlags(t *testing.T) {
+	root := (&tool{}).root()
+	var commands, options []string
+	describe := func(c *cobra.Command, on string) func(*pflag.Flag) {
+		return func(f *pflag.Flag) {
+			text, _, _ := strings.Cut(f.Usage, " [")
+			fallback := f.DefValue
+			if f.Name == "author" {
+				fallback = "the current user"
+			}
+			options = append(options, fmt.Sprintf("| `--%s` | %s | `%s` | %s | %s |", f.Name, on, environmentName(f.Name), orNone(fallback), text))
+		}
+	}
+	root.PersistentFlags().VisitAll(describe(root, "all"))
+	for _, c := range root.Commands() {
+		commands = append(commands, fmt.Sprintf("| `%s` | %s |", c.Use, c.Short))
+		c.LocalNonPersistentFlags().VisitAll(describe(c, c.Name()))
+	}
+	compareRows(t, tableRows(t, "Commands"), commands)
+	compareRows(t, tableRows(t, "Flags"), options)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -31,12 +31,12 @@
 		return 0
 	}
 	for id := range settings {
-		if !shared.has(settingID(id)) || d.decided(both, a, b, settingID(id)) {
+		if !shared.has(settingID(id)) {
 			continue
 		}
 		s := &settings[id]
 		mine, other := s.format(&a.values), s.format(&b.values)
-		if mine != other {
+		if mine != other && !d.decided(both, a, b, settingID(id)) {
 			contradicted |= 1 << id
 			d.fault(a.Line, "exceptions."+a.Name+".set."+s.name,
 				"make one match more specific, or add an exception that matches exactly "+both.String(),
