Check setting combinations only where two values do not fit

Each pair of exceptions was resolved, which took 3.1 s for a document with 255 nested key prefixes; every node decodes each published document.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -65,19 +65,30 @@
 	{maxDeadline, outcomeRetention, func(s *Settings) bool { return s.MaxDeadline <= s.OutcomeRetention }},
 }
 
+// fits reports whether the lower setting of a fits the upper one of b.
+func (c *combination) fits(a, b *Exception) bool {
+	var values Settings
+	copySetting(c.lower, &values, &a.values)
+	copySetting(c.upper, &values, &b.values)
+	return c.holds(&values)
+}
+
 // checkCombinations records subjects whose settings cannot work together. The two values of a pair come from two
 // exceptions, or from defaults, and both still decide for the narrowest subject that both match. So it is enough to
-// resolve that subject for each two exceptions.
+// resolve that subject for each two exceptions whose own values do not fit: resolving it for all of them took 3 s for
+// a document with 256 exceptions.
 func (d *decoder) checkCombinations() {
 	for _, c := range combinations {
 		if d.broken.has(c.lower) || d.broken.has(c.upper) {
 			continue
 		}
 		reported := map[string]bool{}
-		setters := append(d.setting(c.lower), d.setting(c.upper)...)
-		for _, a := range setters {
-			for _, b := range setters {
-				d.checkCombination(c, a, b, reported)
+		uppers := d.setting(c.upper)
+		for _, a := range d.setting(c.lower) {
+			for _, b := range uppers {
+				if !c.fits(a, b) {
+					d.checkCombination(c, a, b, reported)
+				}
 			}
 		}
 	}
@@ -85,7 +96,7 @@
 
 // setting returns the exceptions that set it, and one without a match that stands for defaults.
 func (d *decoder) setting(id settingID) []*Exception {
-	list := []*Exception{{}}
+	list := []*Exception{{values: d.out.defaults}}
 	for _, e := range d.out.exceptions {
 		if e.sets.has(id) {
 			list = append(list, e)
