--- a/cmd/heatherreelctl/main.go
+++ b/cmd/heatherreelctl/main.go
@@ -9,7 +9,6 @@
 	"syscall"
 
 	"heatherreel/internal/platformlog"
-	"heatherreel/internal/problem"
 )
 
 func main() {
@@ -25,8 +24,7 @@
 
 // openLog returns the client of a stream of the platform's log.
 func openLog(address, stream string) (platformlog.Log, error) {
-	return nil, problem.New(problem.NotSent, "use a build with the log client",
-		"this build cannot reach stream %q at %s", stream, address)
+	return platformlog.NewClient("http://"+address, stream), nil
 }
 
 // tool is one run of the program with everything that it reaches outside.
--- a/internal/backendserver/backendserver_test.go
+++ b/internal/backendserver/backendserver_test.go
@@ -198,7 +198,7 @@
 		n, _ := r.Body.Read(buffer)
 		switch r.Method + r.URL.Path {
 		case "PUT/grants":
-			if got, want := string(buffer[:n]), `{"slices":[{"slice":{"service":"s","home":"north","index":7},"fence":9}]}`; got != want {
+			if got, want := string(buffer[:n]), `{"slices":[{"slice":{"service":"s","home":"north","index":7},"fence":9}],"valid_until_unix_ms":77}`; got != want {
 				t.Errorf("grants %s, want %s", got, want)
 			}
 		case "GET/health":
@@ -209,7 +209,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 	})
-	if err := client.Grant(t.Context(), address, []ledger.SliceFence{{Slice: testSlice, Fence: 9}}); err != nil {
+	if err := client.Grant(t.Context(), address, Grants{Slices: []ledger.SliceFence{{Slice: testSlice, Fence: 9}}, ValidUntilUnixMS: 77}); err != nil {
 		t.Error(err)
 	}
 	if h, err := client.Health(t.Context(), address); err != nil || !h.Healthy || !h.Warm || h.Draining {
--- a/internal/backendserver/client.go
+++ b/internal/backendserver/client.go
@@ -30,6 +30,10 @@
 // Grants are all slices that the node may send requests for. They replace those sent before.
 type Grants struct {
 	Slices []ledger.SliceFence `json:"slices"`
+	// ValidUntilUnixMS is the end of the node's lease by the wall clock of the instance, which node and backend server
+	// share. A backend server that checks grants runs nothing for them after that time. An absolute time is used
+	// because the node may be paused between reading its lease and sending the grants.
+	ValidUntilUnixMS int64 `json:"valid_until_unix_ms"`
 }
 
 // Health is what the backend server states about its health. It may lag or be wrong.
@@ -82,11 +86,11 @@
 }
 
 // Grant sends all grants. Errors are problem.NotSent and problem.Unavailable.
-func (c *Client) Grant(ctx context.Context, address string, slices []ledger.SliceFence) error {
-	if slices == nil {
-		slices = []ledger.SliceFence{}
+func (c *Client) Grant(ctx context.Context, address string, g Grants) error {
+	if g.Slices == nil {
+		g.Slices = []ledger.SliceFence{}
 	}
-	body, err := json.Marshal(Grants{Slices: slices})
+	body, err := json.Marshal(g)
 	if err != nil {
 		return problem.New(problem.NotSent, "report this fault", "cannot encode grants: %w", err)
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"heatherreel/internal/config"
 	"heatherreel/internal/httpwire"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/request"
@@ -42,7 +43,7 @@
 	}
 	return Limits{
 		DefaultDeadline: time.Second, MaxDeadline: 10 * time.Second, MaxBody: 16,
-		IdempotentMethods: []string{"GET"}, Class: request.Lookup,
+		IdempotentMethods: config.NewMethods("GET"), Class: request.Lookup,
 	}, nil
 }
 
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"regexp"
-	"slices"
 	"strconv"
 	"time"
 
@@ -129,7 +128,7 @@
 func parseIdempotent(text, method string, l Limits) (bool, error) {
 	switch text {
 	case "":
-		return slices.Contains(l.IdempotentMethods, method), nil
+		return l.IdempotentMethods.Has(method), nil
 	case "true":
 		return true, nil
 	case "false":
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"heatherreel/internal/config"
 	"heatherreel/internal/request"
 )
 
@@ -18,7 +19,7 @@
 	// MaxBody bounds the body, in bytes.
 	MaxBody int64
 	// IdempotentMethods are the methods that are idempotent unless the caller says otherwise.
-	IdempotentMethods []string
+	IdempotentMethods config.Methods
 	// Class applies when the caller names none.
 	Class request.Class
 }
--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -34,6 +34,19 @@
 // methodNames are the methods that a set can hold, by bit.
 var methodNames = [...]string{"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"}
 
+// NewMethods returns the set of the methods; names that no set can hold are left out.
+func NewMethods(names ...string) Methods {
+	var m Methods
+	for bit, name := range methodNames {
+		for _, other := range names {
+			if other == name {
+				m |= 1 << bit
+			}
+		}
+	}
+	return m
+}
+
 // Has reports whether the set holds the method.
 func (m Methods) Has(method string) bool {
 	for bit, name := range methodNames {
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,230 @@
+// Package daemon builds a node from its settings: it opens the listeners, connects peers and engine, and stops them in
+// order.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"heatherreel/internal/backendserver"
+	"heatherreel/internal/caller"
+	"heatherreel/internal/engine"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/lease"
+	"heatherreel/internal/node"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/platformlog"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/settings"
+	"heatherreel/internal/telemetry"
+)
+
+// Bounds of the connection to the backend server.
+const (
+	// maxBackendConnections is below the least number of connections that a backend server accepts today, 110.
+	maxBackendConnections = 64
+	maxAnswerBytes        = 16 << 20
+)
+
+const (
+	// lingerTime is how long a node that left still answers callers and nodes that have not read its leave record.
+	lingerTime = 500 * time.Millisecond
+	// flushInterval is how often the counts of suppressed events are written.
+	flushInterval = 10 * time.Second
+)
+
+// daemon is a running node.
+type daemon struct {
+	settings settings.Settings
+	events   *eventlog.Logger
+	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
+	log      *platformlog.Client
+	peers    *node.Client
+	backend  *backendserver.Client
+	leases   *node.Datagrams
+	engine   *engine.Engine
+
+	nodesListener net.Listener
+	servers       []*http.Server
+	// serving counts the accept loops and the datagram reader.
+	serving sync.WaitGroup
+}
+
+// Run runs a node until ctx ends, then stops it: slices move away, running requests finish, and the node leaves. It
+// writes events to out. An error means that the node could not start or was stopped with work left.
+func Run(ctx context.Context, s settings.Settings, out io.Writer) error {
+	d, err := build(s, out)
+	if err != nil {
+		return err
+	}
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	if err := d.listen(serving); err != nil {
+		d.close(stopServing)
+		return err
+	}
+	d.engine.Start()
+	d.flushEvents(ctx)
+	drained := d.drain()
+	d.close(stopServing)
+	if !drained {
+		return problem.New(problem.Unavailable, "raise --shutdown-timeout, or check that other nodes have room",
+			"the node was stopped while it owned slices or ran requests")
+	}
+	return nil
+}
+
+// build makes the parts of a node without opening listeners.
+func build(s settings.Settings, out io.Writer) (*daemon, error) {
+	d := &daemon{settings: s}
+	d.events = eventlog.New(out, s.LogLevel, eventlog.Node{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region})
+	timing, err := lease.NewParameters(lease.DefaultTiming())
+	if err != nil {
+		return nil, err
+	}
+	if d.metrics, err = telemetry.NewMetrics(); err != nil {
+		return nil, err
+	}
+	identity := telemetry.Identity{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region}
+	if d.tracing, err = telemetry.NewTracing(s.TraceOutput, s.TraceRatio, identity); err != nil {
+		return nil, err
+	}
+	if d.leases, err = node.ListenDatagrams(s.LeasesAddress.String()); err != nil {
+		d.events.Emit(eventlog.ListenFailed, eventlog.Word("listener", "leases"), eventlog.Address("address", s.LeasesAddress))
+		return nil, err
+	}
+	d.log = platformlog.NewClient(s.LogURL.String(), s.LogStream)
+	d.peers = node.NewClient()
+	d.backend = backendserver.NewClient(maxBackendConnections, maxAnswerBytes)
+	d.engine = engine.New(engine.Options{
+		Self: engine.Self{
+			Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Addresses: s.Advertised(),
+		},
+		Ingress: s.Ingress, Owner: s.Owner, Lease: s.Lease, Ledger: s.Ledger,
+		RequestIDSkew: s.RequestIDSkew,
+		Timing:        timing,
+	}, engine.Dependencies{
+		Log: d.log, Peers: d.peers, Leases: d.leases, Backend: d.backend,
+		Events: d.events, Metrics: d.metrics, Tracing: d.tracing,
+	})
+	return d, d.metrics.Watch(d.engine.Gauges)
+}
+
+// listen opens the listeners and serves the peers until serving ends.
+func (d *daemon) listen(serving context.Context) error {
+	server, err := node.NewServer(d.engine)
+	if err != nil {
+		return err
+	}
+	if d.nodesListener, err = d.open("nodes", d.settings.NodesAddress); err != nil {
+		return err
+	}
+	d.goServe(func() { _ = server.Serve(serving, d.nodesListener) })
+	d.goServe(func() { d.leases.Receive(d.engine.LeaseMessage, d.malformedDatagram) })
+	for _, h := range []struct {
+		name    string
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{"callers", d.settings.CallersAddress, caller.NewServer(caller.NewHandler(d.engine))},
+		{"backend", d.settings.BackendAddress, caller.NewServer(backendserver.NewHandler(d.engine))},
+		{"operators", d.settings.OperatorsAddress, operator.NewServer(d.engine, d.engine.ControlPool(), d.metrics.Handler())},
+	} {
+		listener, err := d.open(h.name, h.address)
+		if err != nil {
+			return err
+		}
+		d.servers = append(d.servers, h.server)
+		d.goServe(func() { _ = h.server.Serve(listener) })
+	}
+	return nil
+}
+
+// open opens one TCP listener.
+func (d *daemon) open(name string, address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		d.events.Emit(eventlog.ListenFailed, eventlog.Address("address", address), eventlog.Cause(err))
+		return nil, problem.New(problem.Invalid, "free the address or change the setting --"+name+"-address",
+			"cannot listen for %s: %w", name, err)
+	}
+	d.events.Emit(eventlog.Listening, eventlog.Address("address", address))
+	return listener, nil
+}
+
+// goServe runs an accept loop or a reader of a socket.
+func (d *daemon) goServe(serve func()) {
+	d.serving.Add(1)
+	go func() {
+		defer d.serving.Done()
+		serve()
+	}()
+}
+
+// malformedDatagram reports a datagram that is no lease message.
+func (d *daemon) malformedDatagram(from string) {
+	address, err := netip.ParseAddrPort(from)
+	if err != nil {
+		return
+	}
+	d.events.Emit(eventlog.DatagramMalformed, eventlog.Address("address", address))
+}
+
+// flushEvents writes the counts of suppressed events at intervals until ctx ends.
+func (d *daemon) flushEvents(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.events.Flush()
+		}
+	}
+}
+
+// drain makes a planned stop. Callers and nodes that still send requests here are served or sent on meanwhile.
+func (d *daemon) drain() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout)
+	defer cancel()
+	drained := d.engine.Drain(ctx)
+	if drained {
+		linger := time.NewTimer(lingerTime)
+		defer linger.Stop()
+		select {
+		case <-linger.C:
+		case <-ctx.Done():
+		}
+	}
+	for _, s := range d.servers {
+		// Shutdown lets the requests of callers that are in progress finish.
+		drained = s.Shutdown(ctx) == nil && drained
+	}
+	return drained
+}
+
+// close ends all parts in the order in which they use each other.
+func (d *daemon) close(stopServing func()) {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	stopServing()
+	d.engine.Close()
+	err := errors.Join(d.leases.Close(), d.peers.Close(), d.tracing.Shutdown(context.Background()),
+		d.metrics.Shutdown(context.Background()))
+	if err != nil {
+		d.events.Emit(eventlog.PeerConnectionFailed, eventlog.Cause(err))
+	}
+	d.log.Close()
+	d.backend.Close()
+	d.serving.Wait()
+	d.events.Flush()
+}
--- /dev/null
+++ b/internal/engine/call.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"heatherreel/internal/config"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/outcome"
+	"heatherreel/internal/request"
+)
+
+// call is one caller's request on its way through the pools of this node. A job works on it and either finishes it or
+// hands it to the next job, so that no worker waits for another.
+//
+// One job at a time works on a call; handing it to a pool's queue orders the accesses.
+type call struct {
+	ctx context.Context
+	r   request.Request
+	// forwarded tells that another node sent the request here.
+	forwarded bool
+	// attempt counts the attempts so far, from zero.
+	attempt int
+	// mayHaveRun tells that an earlier attempt ended without proof that it did not run.
+	mayHaveRun bool
+	// last is the answer for the caller if no further attempt is made.
+	last   request.Answer
+	result chan request.Answer
+
+	// place is where the request is executed on this node.
+	place place
+	// ref names the request among the retained outcomes; retained tells that this call must complete the entry.
+	ref      outcome.Ref
+	retained bool
+}
+
+// place is the slice of a key with the settings for the request, as this node saw them when it decided.
+type place struct {
+	slice    keyspace.SliceID
+	fence    ledger.Offset
+	settings config.Settings
+}
+
+// newCall returns a call for the request.
+func newCall(ctx context.Context, r request.Request) *call {
+	return &call{
+		ctx:    ctx,
+		r:      r,
+		last:   request.Refuse(request.DeadlineTooClose, "allow more time"),
+		result: make(chan request.Answer, 1),
+	}
+}
+
+// finish gives the answer to the waiting handler. Only the first answer counts.
+func (c *call) finish(a request.Answer) {
+	select {
+	case c.result <- a:
+	default:
+	}
+}
+
+// await blocks the handler until the call is finished. It waits for the answer even after the caller has gone, because
+// the jobs of the call observe the context themselves and always finish it.
+func (c *call) await() request.Answer {
+	return <-c.result
+}
+
+// expired reports whether nobody waits for the answer any more.
+func (c *call) expired(now time.Time) bool {
+	return !now.Before(c.r.Deadline) || c.ctx.Err() != nil
+}
--- /dev/null
+++ b/internal/engine/ingress.go
@@ -0,0 +1,291 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"heatherreel/internal/caller"
+	"heatherreel/internal/config"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+	"heatherreel/internal/retry"
+	"heatherreel/internal/routing"
+	"heatherreel/internal/serving"
+	"heatherreel/internal/telemetry"
+)
+
+// maxWaitForOffset is how long a call waits for a record that a peer has read before it asks again.
+const maxWaitForOffset = 250 * time.Millisecond
+
+// errNotConfigured is returned before the first configuration is in force.
+var errNotConfigured = problem.New(problem.Unavailable, "publish a configuration, or ask another node",
+	"no configuration is in force on this node")
+
+// Limits implements caller.Service.
+func (e *Engine) Limits(service, tenant string) (caller.Limits, error) {
+	var limits caller.Limits
+	var err error
+	e.ledger.read(func(_ *ledger.State, c *config.Configuration) {
+		switch {
+		case c == nil:
+			err = errNotConfigured
+		case !c.HasService(service):
+			err = problem.New(problem.UnknownService, "use a service of the configuration, or have it published",
+				"the configuration does not name the service")
+		case !c.HasTenant(tenant):
+			err = problem.New(problem.UnknownTenant, "use a tenant of the configuration, or have it published",
+				"the configuration does not name the tenant")
+		default:
+			limits = e.limits(c, service, tenant)
+		}
+	})
+	return limits, err
+}
+
+// limits resolves what decoding a request needs. The key is not known yet, so that exceptions for key prefixes do not
+// apply to these settings.
+func (e *Engine) limits(c *config.Configuration, service, tenant string) caller.Limits {
+	s := c.Resolve(e.subject(service, tenant, ""))
+	return caller.Limits{
+		DefaultDeadline:   s.Deadline,
+		MaxDeadline:       s.MaxDeadline,
+		MaxBody:           s.MaxBody,
+		IdempotentMethods: s.IdempotentMethods,
+		Class:             s.Class,
+	}
+}
+
+// subject names what settings are resolved for on this node.
+func (e *Engine) subject(service, tenant, key string) config.Subject {
+	return config.Subject{
+		Service: service, Tenant: tenant, Key: key,
+		DataCentre: e.options.Self.DataCentre, Region: e.options.Self.Region,
+	}
+}
+
+// Serve implements caller.Service: it answers a caller's request.
+func (e *Engine) Serve(ctx context.Context, r request.Request) request.Answer {
+	started := time.Now()
+	ctx, span := e.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
+	defer span.End()
+	if traceparent := e.deps.Tracing.Traceparent(ctx); traceparent != "" {
+		r.Traceparent = traceparent
+	}
+	c := newCall(ctx, r)
+	if e.ingressPool.Submit(func() { e.firstAttempt(c) }) != nil {
+		c.finish(e.queueFull(e.ingressPool.Name()))
+	}
+	answer := c.await()
+	span.Result(answer.Outcome, answer.Reason)
+	e.reportAnswer(answer)
+	e.deps.Metrics.Request(telemetry.Ingress, r.Service, answer.Outcome, answer.Reason, time.Since(started))
+	return answer
+}
+
+// queueFull refuses a request because a pool has no room.
+func (e *Engine) queueFull(pool string) request.Answer {
+	e.deps.Events.Emit(eventlog.QueueFull, eventlog.Pool(pool))
+	return request.Refuse(request.QueueFull, "repeat the request after a pause, or at another node")
+}
+
+// reportAnswer emits events for requests that were not done.
+func (e *Engine) reportAnswer(a request.Answer) {
+	switch a.Outcome {
+	case request.Unknown:
+		e.deps.Events.Emit(eventlog.OutcomeUnknown, eventlog.Reason(a.Reason))
+	case request.NotRun:
+		if a.Location == "" {
+			e.deps.Events.Emit(eventlog.RequestsRefused, eventlog.Reason(a.Reason))
+		}
+	}
+}
+
+// firstAttempt counts the request for the retry budget and routes it.
+func (e *Engine) firstAttempt(c *call) {
+	e.retries.request(c.r.Service)
+	e.route(c)
+}
+
+// look fills the snapshot for a request and the place where it would run.
+func (e *Engine) look(c *call, now time.Time) (routing.Snapshot, bool) {
+	s := routing.Snapshot{Region: e.options.Self.Region, Forwarded: c.forwarded}
+	configured := false
+	e.ledger.read(func(state *ledger.State, configuration *config.Configuration) {
+		if configuration == nil {
+			return
+		}
+		configured = true
+		c.place.settings = configuration.Resolve(e.subject(c.r.Service, c.r.Tenant, c.r.Key))
+		group := keyspace.Group{Service: c.r.Service, Home: c.place.settings.HomeRegions}
+		index := routing.Lookup(state, group, keyspace.Hash(c.r.Key), &s)
+		c.place.slice = keyspace.SliceID{Group: group, Index: index}
+		c.place.fence = s.Slice.Fence
+		if !group.Home.Allows(s.Region) {
+			s.HomeCallers = homeCallers(state, group.Home)
+		}
+	})
+	s.Self = e.incarnation()
+	if s.Owner != nil && s.Owner.Incarnation == s.Self {
+		_, s.LeaseHeld = e.leases.owns(now)
+		s.Serves = s.LeaseHeld && e.serves(c.place)
+	}
+	return s, configured
+}
+
+// serves reports whether this node serves the slice under its fence.
+func (e *Engine) serves(p place) bool {
+	ok := false
+	e.serving.with(func(t *serving.Table) {
+		state, fence, known := t.StateOf(p.slice)
+		ok = known && state == serving.Serving && fence == p.fence
+	})
+	return ok
+}
+
+// homeCallers returns the caller address of some node in a home region; empty if there is none.
+func homeCallers(s *ledger.State, home keyspace.Home) string {
+	for _, m := range s.Members {
+		if home.Allows(m.Region) && !m.Draining {
+			return m.Addresses.Callers
+		}
+	}
+	return ""
+}
+
+// route decides where the request goes and makes one attempt.
+func (e *Engine) route(c *call) {
+	now := time.Now()
+	if c.expired(now) {
+		c.finish(c.last)
+		return
+	}
+	s, configured := e.look(c, now)
+	if !configured {
+		c.finish(request.Refuse(request.NotConfigured, "publish a configuration, or ask another node"))
+		return
+	}
+	d := routing.Decide(&s)
+	switch d.Action {
+	case routing.Local:
+		e.executeHere(c)
+	case routing.Forward:
+		e.forward(c, d)
+	case routing.Redirect:
+		answer := request.Refuse(d.Reason, d.Remedy)
+		answer.Location = d.Address
+		c.finish(answer)
+	default:
+		e.attempted(c, routing.Attempt{Delivery: routing.Answered, Answer: request.Refuse(d.Reason, d.Remedy)}, false)
+	}
+}
+
+// executeHere hands the call to the owner pool of this node.
+func (e *Engine) executeHere(c *call) {
+	// The owner's jobs finish a call of their own, so that its answer may lead to another attempt of this one.
+	local := newCall(c.ctx, c.r)
+	job := func() {
+		e.execute(local, func(answer request.Answer) {
+			e.resumeRoute(c, routing.Attempt{Delivery: routing.Answered, Answer: answer})
+		})
+	}
+	if e.ownerPool.Submit(job) != nil {
+		c.finish(e.queueFull(e.ownerPool.Name()))
+	}
+}
+
+// resumeRoute continues a call on the ingress pool after its attempt ended elsewhere.
+func (e *Engine) resumeRoute(c *call, a routing.Attempt) {
+	if a.Answer.Outcome == request.Done || e.ingressPool.Submit(func() { e.attempted(c, a, false) }) != nil {
+		c.finish(a.Answer)
+	}
+}
+
+// forward sends the request to its owner and takes in the answer.
+func (e *Engine) forward(c *call, d routing.Decision) {
+	if !e.forwards.begin(d.Owner) {
+		c.finish(request.Refuse(request.QueueFull, "repeat the request after a pause; its owner answers slowly"))
+		return
+	}
+	ctx, span := e.deps.Tracing.StartHop(c.ctx, "", telemetry.HopForward)
+	r := c.r
+	if traceparent := e.deps.Tracing.Traceparent(ctx); traceparent != "" {
+		r.Traceparent = traceparent
+	}
+	e.deps.Metrics.Forwarded(r.Service)
+	answer, err := e.deps.Peers.Forward(ctx, d.Address, node.Forwarded{
+		Request: r, LedgerOffset: e.ledger.offset(), Revision: e.ledger.revision(),
+	})
+	e.forwards.end(d.Owner)
+	attempt := deliveryOf(answer, err)
+	span.Result(answer.Outcome, answer.Reason)
+	span.End()
+	if err != nil {
+		e.deps.Events.Emit(eventlog.PeerConnectionFailed, eventlog.Peer(d.Owner), eventlog.Cause(err))
+	}
+	e.ledger.heardOffset(ledger.Offset(answer.LedgerOffset))
+	e.attempted(c, attempt, true)
+}
+
+// deliveryOf classifies the result of a call to another node.
+func deliveryOf(answer request.Answer, err error) routing.Attempt {
+	switch {
+	case err == nil:
+		return routing.Attempt{Delivery: routing.Answered, Answer: answer}
+	case errors.Is(err, problem.NotSent):
+		return routing.Attempt{Delivery: routing.NotSent}
+	default:
+		return routing.Attempt{Delivery: routing.Lost}
+	}
+}
+
+// attempted decides what follows an attempt. sent tells that the attempt may have loaded its owner, so that another one
+// needs the retry budget.
+func (e *Engine) attempted(c *call, a routing.Attempt, sent bool) {
+	a.Idempotent = c.r.Idempotent
+	a.EarlierMayHaveRun = c.mayHaveRun
+	a.Offset = e.ledger.offset()
+	next := routing.AfterAttempt(a)
+	c.mayHaveRun, c.last = next.MayHaveRun, next.Answer
+	now := time.Now()
+	if next.Step == routing.Return || !retry.May(now, c.r.Deadline, outcomeForRetry(next), c.r.Idempotent) {
+		c.finish(next.Answer)
+		return
+	}
+	delay, ok := retry.DefaultBackoff.Delay(c.attempt, now, c.r.Deadline, e.random())
+	if !ok || loads(a, sent) && !e.retries.take(c.r.Service, now) {
+		c.finish(next.Answer)
+		return
+	}
+	c.attempt++
+	e.deps.Metrics.Retried(c.r.Service)
+	again := func() { e.route(c) }
+	if next.Step == routing.WaitForOffset {
+		e.waiting.park(next.Offset, min(maxWaitForOffset, c.r.Deadline.Sub(now)), again)
+		return
+	}
+	e.waiting.park(a.Offset+1, delay, again)
+}
+
+// outcomeForRetry returns the outcome by which a retry is judged: that of the last attempt. An earlier attempt of an
+// idempotent request may have run.
+func outcomeForRetry(n routing.Next) request.Outcome { return n.Answer.Outcome }
+
+// loads reports whether a retry after the attempt needs the retry budget. A request that was not sent, or that was
+// refused because ownership moved on, puts no load on a backend server.
+func loads(a routing.Attempt, sent bool) bool {
+	if !sent || a.Delivery == routing.NotSent {
+		return false
+	}
+	return a.Delivery == routing.Lost || a.Answer.Outcome != request.NotRun || a.Answer.Reason == request.BackendUnreachable
+}
+
+// random returns a source of random numbers for one decision.
+func (e *Engine) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/engine/lease_table.go
@@ -0,0 +1,268 @@
+package engine
+
+import (
+	"time"
+
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/lockorder"
+)
+
+// leaseTable is this node's part in the lease protocol: its own lease, the leases that it witnesses, and its claims.
+//
+// mu guards all fields; it has rank lockorder.Lease.
+type leaseTable struct {
+	mu         *lockorder.Mutex
+	parameters lease.Parameters
+	// self is zero before the node has joined and after its incarnation has ended; holder and witness are nil then.
+	self    ledger.Incarnation
+	holder  *lease.Holder
+	witness *lease.Witness
+	claims  map[ledger.Incarnation]*lease.Claimant
+	// ended holds how this node learned of the ends of incarnations that a witness set may still name.
+	ended map[ledger.Incarnation]lease.Ended
+	// staleSince is since when a witness has given no answer within a lease time.
+	staleSince map[ledger.Incarnation]time.Time
+	// owning is the last reported state of the lease, for events.
+	owning bool
+}
+
+func newLeaseTable(p lease.Parameters) *leaseTable {
+	return &leaseTable{
+		mu:         lockorder.New(lockorder.Lease),
+		parameters: p,
+		claims:     map[ledger.Incarnation]*lease.Claimant{},
+		ended:      map[ledger.Incarnation]lease.Ended{},
+		staleSince: map[ledger.Incarnation]time.Time{},
+	}
+}
+
+// incarnation returns the own incarnation; zero if the node is not a member.
+func (t *leaseTable) incarnation() ledger.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// owns reports whether this node owns its slices at the time, and until when.
+func (t *leaseTable) owns(now time.Time) (until time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holder == nil {
+		return time.Time{}, false
+	}
+	return t.holder.OwnsUntil(), t.holder.Owns(now)
+}
+
+// join starts the lease of a new incarnation. joinSent was taken before the first append of the join record.
+func (t *leaseTable) join(self ledger.Incarnation, set ledger.WitnessSet, joinSent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self = self
+	t.holder = lease.NewHolder(t.parameters, self, set, joinSent)
+	t.witness = lease.NewWitness(t.parameters, self)
+	clear(t.claims)
+	clear(t.staleSince)
+	t.owning = false
+}
+
+// end drops the own incarnation.
+func (t *leaseTable) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holder != nil {
+		t.holder.End()
+	}
+	t.self, t.holder, t.witness = 0, nil, nil
+	clear(t.claims)
+}
+
+// stopWitness makes this node refuse all renewals. It is called before the leave record is appended.
+func (t *leaseTable) stopWitness() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.witness != nil {
+		t.witness.Stop()
+	}
+}
+
+// recordReplayed takes in a record in the order of the log.
+func (t *leaseTable) recordReplayed(a applied, now time.Time) {
+	if a.rejection != ledger.Accepted {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := a.record
+	switch r.Kind {
+	case ledger.KindJoin:
+		t.learn(ledger.Incarnation(a.offset), r.ID, ledger.WitnessSet{Version: a.offset, Members: r.Join.Witnesses}, now)
+	case ledger.KindWitnesses:
+		t.learn(r.Witnesses.Incarnation, r.ID, ledger.WitnessSet{Version: a.offset, Members: r.Witnesses.Witnesses}, now)
+	case ledger.KindRenewed:
+		t.learn(r.Renewed.Incarnation, r.ID, ledger.WitnessSet{Version: a.offset}, now)
+	case ledger.KindEnd:
+		t.incarnationEnded(r.End.Incarnation, lease.Ended{Read: now, Direct: r.End.Direct})
+	case ledger.KindLeave:
+		t.incarnationEnded(r.Leave.Incarnation, lease.Ended{Read: now, Direct: true})
+	}
+}
+
+// learn takes in the witness set of a holder. The caller holds mu.
+func (t *leaseTable) learn(holder ledger.Incarnation, recordID string, set ledger.WitnessSet, now time.Time) {
+	if t.witness != nil {
+		t.witness.Learn(holder, set, now)
+	}
+	if t.holder != nil && holder == t.self {
+		t.holder.SetRead(recordID, set)
+	}
+	if claim := t.claims[holder]; claim != nil {
+		claim.SetRead(set.Version)
+	}
+}
+
+// incarnationEnded takes in the end of an incarnation. The caller holds mu.
+func (t *leaseTable) incarnationEnded(i ledger.Incarnation, e lease.Ended) {
+	t.ended[i] = e
+	if t.witness != nil {
+		t.witness.Forget(i)
+	}
+	if claim := t.claims[i]; claim != nil {
+		claim.HolderEnded()
+	}
+	for _, claim := range t.claims {
+		claim.WitnessEnded(i, e)
+	}
+}
+
+// relearn takes in the witness sets of all members, after a join or a restored state.
+func (t *leaseTable) relearn(members []*ledger.Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range members {
+		t.learn(m.Incarnation, "", m.WitnessSet, now)
+	}
+}
+
+// pruneEnded forgets the ends of incarnations that no witness set names any more.
+func (t *leaseTable) pruneEnded(named map[ledger.Incarnation]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.ended {
+		if !named[i] {
+			delete(t.ended, i)
+		}
+	}
+}
+
+// claim starts a claim against a holder unless one runs already, and reports whether it did.
+func (t *leaseTable) claim(holder ledger.Incarnation, set ledger.WitnessSet, setRead time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self == 0 || holder == t.self || t.claims[holder] != nil {
+		return false
+	}
+	claim := lease.NewClaimant(t.parameters, t.self, holder, set, setRead)
+	for _, m := range set.Members {
+		if e, ok := t.ended[m]; ok {
+			claim.WitnessEnded(m, e)
+		}
+	}
+	t.claims[holder] = claim
+	return true
+}
+
+// leaseStep is what one step of the lease protocol asks for.
+type leaseStep struct {
+	renewals  []lease.Renewal
+	requests  []lease.PromiseRequest
+	overdue   []lease.Overdue
+	satisfied []*lease.Claimant
+	abandoned []ledger.Incarnation
+	// gained and lost tell that the lease began or ceased to hold since the last step.
+	gained, lost bool
+	// next is when the next step is due.
+	next time.Time
+}
+
+// step advances all state machines to now.
+func (t *leaseTable) step(now time.Time) leaseStep {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var s leaseStep
+	if t.self == 0 {
+		return s
+	}
+	s.renewals = t.holder.AppendRenewals(nil, now)
+	t.stepClaims(&s, now)
+	for _, o := range t.witness.AppendOverdue(nil, now) {
+		if t.claims[o.Holder] == nil {
+			s.overdue = append(s.overdue, o)
+		}
+	}
+	owning := t.holder.Owns(now)
+	s.gained, s.lost = owning && !t.owning, t.owning && !owning
+	t.owning = owning
+	s.next = t.nextStep(now)
+	return s
+}
+
+// stepClaims advances the claims. The caller holds mu.
+func (t *leaseTable) stepClaims(s *leaseStep, now time.Time) {
+	for holder, claim := range t.claims {
+		for _, r := range claim.AppendRequests(nil, now) {
+			if r.Witness != t.self {
+				s.requests = append(s.requests, r)
+				continue
+			}
+			claim.Answer(t.witness.Promise(r, now), now)
+		}
+		switch claim.Status(now) {
+		case lease.ClaimSatisfied:
+			s.satisfied = append(s.satisfied, claim)
+		case lease.ClaimAbandoned:
+			delete(t.claims, holder)
+			s.abandoned = append(s.abandoned, holder)
+		}
+	}
+}
+
+// minStepInterval bounds how often steps run while a claim stays without result.
+const minStepInterval = 10 * time.Millisecond
+
+// nextStep returns when the next step is due. The caller holds mu.
+func (t *leaseTable) nextStep(now time.Time) time.Time {
+	next := earliest(t.holder.NextRenewal(), t.nextOverdue(now))
+	for _, claim := range t.claims {
+		next = earliest(next, claim.NextCheck(now))
+	}
+	if t.owning {
+		next = earliest(next, t.holder.OwnsUntil())
+	}
+	if soonest := now.Add(minStepInterval); !next.IsZero() && next.Before(soonest) {
+		return soonest
+	}
+	return next
+}
+
+// nextOverdue returns when a holder without a claim may become overdue. The caller holds mu.
+func (t *leaseTable) nextOverdue(now time.Time) time.Time {
+	next := t.witness.NextOverdue()
+	if len(t.claims) > 0 && next.Before(now) {
+		// The holder under claim stays overdue; other holders are looked at again with the next renewal interval.
+		return now.Add(t.parameters.Timing().RenewalInterval)
+	}
+	return next
+}
+
+// earliest returns the earlier of two times, where zero stands for never.
+func earliest(a, b time.Time) time.Time {
+	switch {
+	case a.IsZero():
+		return b
+	case b.IsZero() || a.Before(b):
+		return a
+	default:
+		return b
+	}
+}
--- /dev/null
+++ b/internal/engine/ledger_table.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"time"
+
+	"heatherreel/internal/config"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/lockorder"
+	"heatherreel/internal/platformlog"
+)
+
+// maxLossTimes is the number of past losses whose reading times are kept. A loss matters for the in-flight bound only.
+const maxLossTimes = 4096
+
+// ledgerTable is the replayed log with the decoded configuration.
+//
+// mu guards all fields; it has rank lockorder.Ledger. A *ledger.Member read under mu may be kept, since the ledger
+// replaces members in place of changing them.
+type ledgerTable struct {
+	mu     *lockorder.RWMutex
+	state  *ledger.State
+	config *config.Configuration
+	// decoded is the revision that config was decoded from. It differs from the revision of state if the latest
+	// document cannot be decoded by this version.
+	decoded ledger.Offset
+	// synced is false while the records before the earliest kept one are missing and no checkpoint was found.
+	synced bool
+	// heard is when the log last answered.
+	heard time.Time
+	// highest is the highest offset that another node stated.
+	highest ledger.Offset
+	// lossTimes are the times at which this node read that owners were lost, by offset of the record.
+	lossTimes map[ledger.Offset]time.Time
+	// lossOrder lists the keys of lossTimes, oldest first.
+	lossOrder []ledger.Offset
+}
+
+func newLedgerTable() *ledgerTable {
+	return &ledgerTable{
+		mu:        lockorder.NewRW(lockorder.Ledger),
+		state:     ledger.NewState(),
+		synced:    true,
+		lossTimes: map[ledger.Offset]time.Time{},
+	}
+}
+
+// read calls f with the state and the configuration, which is nil before the first. f must not keep the state.
+func (t *ledgerTable) read(f func(s *ledger.State, c *config.Configuration)) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	f(t.state, t.config)
+}
+
+// offset returns the offset of the last replayed record.
+func (t *ledgerTable) offset() ledger.Offset {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.state.Offset
+}
+
+// revision returns the configuration revision in force; zero before the first.
+func (t *ledgerTable) revision() ledger.Offset {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.decoded
+}
+
+// member returns a living member, or nil.
+func (t *ledgerTable) member(i ledger.Incarnation) *ledger.Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.state.Members[i]
+}
+
+// applied is one replayed record.
+type applied struct {
+	offset    ledger.Offset
+	record    *ledger.Record
+	rejection ledger.Rejection
+	// restored tells that the record was a checkpoint that replaced the state.
+	restored bool
+}
+
+// took reports whether the record took effect and has the kind.
+func (a applied) took(kind ledger.Kind) bool {
+	return a.rejection == ledger.Accepted && a.record.Kind == kind
+}
+
+// apply replays one entry of the log.
+func (t *ledgerTable) apply(entry platformlog.Entry, now time.Time) applied {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if entry.Record == nil {
+		t.state.Skip(entry.Offset)
+		return applied{offset: entry.Offset, rejection: ledger.MalformedRecord}
+	}
+	isCheckpoint := entry.Record.Kind == ledger.KindCheckpoint
+	if !t.synced && !isCheckpoint {
+		return applied{offset: entry.Offset, record: entry.Record, rejection: ledger.OutdatedSnapshot}
+	}
+	rejection := t.state.Apply(entry.Offset, entry.Record)
+	a := applied{offset: entry.Offset, record: entry.Record, rejection: rejection}
+	if isCheckpoint && rejection == ledger.Accepted {
+		a.restored, t.synced = true, true
+	}
+	if rejection == ledger.Accepted && isLoss(entry.Record.Kind) {
+		t.noteLoss(entry.Offset, now)
+	}
+	return a
+}
+
+// isLoss reports whether records of the kind can take a slice from an owner that did not release it.
+func isLoss(kind ledger.Kind) bool {
+	return kind == ledger.KindEnd || kind == ledger.KindLeave || kind == ledger.KindReleased
+}
+
+// noteLoss remembers when a loss was read. The caller holds mu.
+func (t *ledgerTable) noteLoss(offset ledger.Offset, now time.Time) {
+	t.lossTimes[offset] = now
+	t.lossOrder = append(t.lossOrder, offset)
+	if len(t.lossOrder) > maxLossTimes {
+		delete(t.lossTimes, t.lossOrder[0])
+		t.lossOrder = t.lossOrder[1:]
+	}
+}
+
+// forgotten notes that the log no longer keeps the next record: only a checkpoint can be replayed now.
+func (t *ledgerTable) forgotten() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.synced = false
+}
+
+// adoptConfiguration decodes the current revision if it is new. It returns the revision in force, whether it changed,
+// and the error of a document that this version cannot decode; the previous one stays in force then.
+func (t *ledgerTable) adoptConfiguration() (revision ledger.Offset, changed bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.state.Configuration
+	if current == nil || current.Revision == t.decoded {
+		return t.decoded, false, nil
+	}
+	decoded, err := config.Decode([]byte(current.Document))
+	if err != nil {
+		return t.decoded, false, err
+	}
+	t.config, t.decoded = decoded, current.Revision
+	return t.decoded, true, nil
+}
+
+// heardFromLog notes that the log answered.
+func (t *ledgerTable) heardFromLog(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = now
+}
+
+// heardOffset notes an offset that another node stated.
+func (t *ledgerTable) heardOffset(o ledger.Offset) {
+	t.mu.RLock()
+	known := o <= t.highest
+	t.mu.RUnlock()
+	if known {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.highest = max(t.highest, o)
+}
+
+// currency says how far this node's view of the log can be trusted.
+type currency struct {
+	offset, highest ledger.Offset
+	silence         time.Duration
+	synced          bool
+}
+
+// current reports whether the node knows that it has read what others have, and that the log answers.
+func (c currency) current() bool {
+	return c.synced && c.offset >= c.highest && c.silence < outdatedAfter
+}
+
+// currency returns how far the view can be trusted.
+func (t *ledgerTable) currency(now time.Time) currency {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return currency{offset: t.state.Offset, highest: t.highest, silence: now.Sub(t.heard), synced: t.synced}
+}
--- /dev/null
+++ b/internal/engine/options.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"heatherreel/internal/backendserver"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/node"
+	"heatherreel/internal/platformlog"
+	"heatherreel/internal/request"
+	"heatherreel/internal/settings"
+	"heatherreel/internal/telemetry"
+)
+
+// Self is what a node knows of itself from its settings.
+type Self struct {
+	Instance   string
+	DataCentre string
+	Region     string
+	Addresses  ledger.Addresses
+}
+
+// Options are the values that the engine does not decide.
+type Options struct {
+	Self Self
+	// Ingress, Owner, Lease and Ledger are the sizes of the worker pools.
+	Ingress, Owner, Lease, Ledger settings.PoolSize
+	// RequestIDSkew is how far the clock of a caller may differ from the node's.
+	RequestIDSkew time.Duration
+	// Timing holds the durations of the lease protocol; all nodes of a fleet use equal values.
+	Timing lease.Parameters
+}
+
+// Backend talks to the backend server beside the node; backendserver.Client implements it.
+type Backend interface {
+	// Execute sends a request under a fence and returns what is known of its execution.
+	Execute(ctx context.Context, address string, slice keyspace.SliceID, fence ledger.Offset, r request.Request) request.Answer
+	// Grant states all slices that the backend server may serve.
+	Grant(ctx context.Context, address string, g backendserver.Grants) error
+	// Drain tells the backend server that the node stops.
+	Drain(ctx context.Context, address string) error
+}
+
+// Dependencies are the peers and the observers of an engine.
+type Dependencies struct {
+	Log     platformlog.Log
+	Peers   node.Peers
+	Leases  node.LeaseSender
+	Backend Backend
+	Events  *eventlog.Logger
+	Metrics *telemetry.Metrics
+	Tracing *telemetry.Tracing
+}
--- /dev/null
+++ b/internal/engine/owner.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/node"
+	"heatherreel/internal/outcome"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routing"
+	"heatherreel/internal/telemetry"
+
+	"github.com/google/uuid"
+)
+
+// leaseMargin is the least time that a lease must still hold when a request is sent. It covers the time between the
+// check and the first byte on the connection to the backend server, which runs on the same instance.
+const leaseMargin = 5 * time.Millisecond
+
+// Forward implements node.Service: it executes a request that another node sent here.
+func (e *Engine) Forward(ctx context.Context, f node.Forwarded) request.Answer {
+	started := time.Now()
+	e.ledger.heardOffset(f.LedgerOffset)
+	ctx, span := e.deps.Tracing.StartHop(ctx, f.Request.Traceparent, telemetry.HopOwner)
+	defer span.End()
+	c := newCall(ctx, f.Request)
+	c.forwarded = true
+	if e.ownerPool.Submit(func() { e.execute(c, c.finish) }) != nil {
+		c.finish(e.queueFull(e.ownerPool.Name()))
+	}
+	answer := c.await()
+	answer.LedgerOffset = uint64(e.ledger.offset())
+	span.Result(answer.Outcome, answer.Reason)
+	e.deps.Metrics.Request(telemetry.Owner, f.Request.Service, answer.Outcome, answer.Reason, time.Since(started))
+	return answer
+}
+
+// execute runs a request on this node if it owns the key, and passes the answer to done.
+func (e *Engine) execute(c *call, done func(request.Answer)) {
+	now := time.Now()
+	if c.expired(now) {
+		done(request.Refuse(request.DeadlineTooClose, "allow more time"))
+		return
+	}
+	s, configured := e.look(c, now)
+	if !configured {
+		done(request.Refuse(request.NotConfigured, "publish a configuration, or ask another node"))
+		return
+	}
+	if d := routing.Decide(&s); d.Action != routing.Local {
+		done(notHere(d))
+		return
+	}
+	if !e.serving.begin(c.place.slice, c.place.fence) {
+		done(request.Refuse(request.Moving, "repeat the request with the same id after a short delay"))
+		return
+	}
+	e.runOnce(c, func(answer request.Answer) {
+		if e.serving.finish(c.place.slice) {
+			e.releases.Fire()
+		}
+		done(answer)
+	})
+}
+
+// notHere returns the refusal for a request that this node does not own. A decision to forward, which is possible when
+// ownership changed since the ingress part of this node decided, is a refusal as well.
+func notHere(d routing.Decision) request.Answer {
+	if d.Action == routing.Refuse {
+		return request.Refuse(d.Reason, d.Remedy)
+	}
+	return request.Refuse(request.NotOwner, "repeat the request with the same id after a short delay")
+}
+
+// runOnce runs the request unless the same request id was seen before.
+func (e *Engine) runOnce(c *call, done func(request.Answer)) {
+	if c.r.Idempotent {
+		e.enter(c, done)
+		return
+	}
+	id, err := uuid.Parse(c.r.ID)
+	if err != nil {
+		done(request.Refuse(request.Malformed, "send a UUIDv7 as request id"))
+		return
+	}
+	c.ref = outcome.Ref{Slice: c.place.slice, Tenant: c.r.Tenant, ID: id}
+	decision := e.outcomes.admit(time.Now(), c.ref, outcome.NewFingerprint(c.r), done)
+	switch decision.Verdict {
+	case outcome.Run:
+		c.retained = true
+		e.enter(c, func(answer request.Answer) {
+			e.outcomes.complete(time.Now(), c.ref, answer)
+			done(answer)
+		})
+	case outcome.Answer:
+		done(decision.Answer)
+	}
+}
+
+// send makes the last checks and sends the request to the backend server.
+func (e *Engine) send(c *call) request.Answer {
+	address, ok := e.backend.address()
+	if !ok {
+		return request.Refuse(request.BackendUnreachable, "repeat the request with the same id after a short delay")
+	}
+	r := c.r
+	ctx, span := e.deps.Tracing.StartHop(c.ctx, r.Traceparent, telemetry.HopBackend)
+	defer span.End()
+	if traceparent := e.deps.Tracing.Traceparent(ctx); traceparent != "" {
+		r.Traceparent = traceparent
+	}
+	span.Slice(c.place.slice)
+	// The lease is checked last, so that as little time as possible passes before the request is sent.
+	until, owns := e.leases.owns(time.Now().Add(leaseMargin))
+	if !owns {
+		return request.Refuse(request.LeaseLapsed, "repeat the request with the same id after a short delay")
+	}
+	if bound := c.place.settings.InFlightBound; !c.place.settings.ChecksGrants && r.Deadline.After(until.Add(bound)) {
+		r.Deadline = until.Add(bound)
+	}
+	answer := e.deps.Backend.Execute(ctx, address, c.place.slice, c.place.fence, r)
+	if answer.Reason == request.BackendRefused {
+		e.deps.Events.Emit(eventlog.BackendRefusedFence, eventlog.Slice(c.place.slice), eventlog.Fence(c.place.fence))
+		e.granting.Fire()
+	}
+	span.Result(answer.Outcome, answer.Reason)
+	return answer
+}
+
+// importOutcomes takes in what an earlier owner knew.
+func (e *Engine) importOutcomes(result node.ReleaseResult) {
+	e.outcomes.importAll(time.Now(), result.Outcomes)
+}
+
+// exportOutcomes adds what this node knows about released slices.
+func (e *Engine) exportOutcomes(result *node.ReleaseResult) {
+	result.Outcomes = e.outcomes.export(time.Now(), result.Released)
+}
+
+// boundOutcomes makes request ids unknown that a lost owner of the slices may have run.
+func (e *Engine) boundOutcomes(lost []lostSlice) {
+	for _, l := range lost {
+		e.outcomes.bound(l.at, l.slice.Slice)
+	}
+}
+
+// lostSlice is a slice whose last owner was lost at a time.
+type lostSlice struct {
+	slice ledger.SliceFence
+	at    time.Time
+}
--- /dev/null
+++ b/internal/engine/status.go
@@ -0,0 +1,240 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"heatherreel/internal/config"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/telemetry"
+	"heatherreel/internal/worker"
+)
+
+var _ operator.Source = (*Engine)(nil)
+
+// Health implements operator.Source. A node can take requests when it has a configuration; without a lease of its own
+// it still forwards.
+func (e *Engine) Health() operator.Health {
+	switch {
+	case e.stopping.Load():
+		return operator.Health{Reason: "the node is stopping"}
+	case e.ledger.revision() == 0:
+		return operator.Health{Reason: "no configuration is in force"}
+	}
+	return operator.Health{Ready: true}
+}
+
+// position says how far this node has replayed the log.
+func (e *Engine) position() operator.Position {
+	c := e.ledger.currency(time.Now())
+	p := operator.Position{Offset: c.offset, Known: max(c.offset, c.highest), Currency: operator.Current}
+	switch {
+	case c.highest > c.offset:
+		p.Currency = operator.Behind
+	case !c.current():
+		p.Currency = operator.CurrencyUnknown
+	}
+	return p
+}
+
+// Status implements operator.Source.
+func (e *Engine) Status() operator.Status {
+	s := operator.Status{
+		Incarnation: e.incarnation(),
+		Instance:    e.options.Self.Instance,
+		DataCentre:  e.options.Self.DataCentre,
+		Region:      e.options.Self.Region,
+		Service:     e.backend.service(),
+		Draining:    e.drains(),
+		Ledger:      e.position(),
+		Revision:    e.ledger.revision(),
+		Lease:       e.leases.status(time.Now()),
+	}
+	e.ledger.read(func(state *ledger.State, c *config.Configuration) {
+		s.Members = members(state, c)
+		s.Groups = groups(state)
+	})
+	return s
+}
+
+// members lists the living incarnations in order.
+func members(s *ledger.State, c *config.Configuration) []operator.Member {
+	owned := map[ledger.Incarnation]int{}
+	for _, g := range s.Groups {
+		for i := range g.Slices {
+			owned[g.Slices[i].Owner]++
+		}
+	}
+	list := make([]operator.Member, 0, len(s.Members))
+	for _, m := range s.Members {
+		list = append(list, member(m, c, owned[m.Incarnation]))
+	}
+	slices.SortFunc(list, func(a, b operator.Member) int { return int(a.Incarnation) - int(b.Incarnation) })
+	return list
+}
+
+// member describes one incarnation.
+func member(m *ledger.Member, c *config.Configuration, owned int) operator.Member {
+	return operator.Member{
+		Incarnation: m.Incarnation,
+		Instance:    m.Instance,
+		DataCentre:  m.DataCentre,
+		Region:      m.Region,
+		Service:     m.Service,
+		Addresses:   m.Addresses,
+		Weight:      m.Weight,
+		Slices:      owned,
+		TakenOut:    c != nil && c.TakenOut(m.DataCentre),
+	}
+}
+
+// groups sums up the assignment of each group in order.
+func groups(s *ledger.State) []operator.Group {
+	list := make([]operator.Group, 0, len(s.Groups))
+	for _, g := range s.Groups {
+		list = append(list, groupOf(s, g))
+	}
+	slices.SortFunc(list, func(a, b operator.Group) int {
+		return keyspace.Group{Service: a.Service, Home: keyspace.NewHome(a.Home)}.Compare(
+			keyspace.Group{Service: b.Service, Home: keyspace.NewHome(b.Home)})
+	})
+	return list
+}
+
+// groupOf sums up one group.
+func groupOf(s *ledger.State, g *ledger.Group) operator.Group {
+	sum := operator.Group{Service: g.ID.Service, Home: g.ID.Home.Regions(), Version: g.Version, Slices: len(g.Slices)}
+	shares := map[ledger.Incarnation]int{}
+	for i := range g.Slices {
+		slice := &g.Slices[i]
+		if len(slice.Sources) > 0 {
+			sum.Unsettled++
+		}
+		if slice.Owner == 0 {
+			sum.Unowned++
+			continue
+		}
+		shares[slice.Owner]++
+	}
+	for owner, count := range shares {
+		share := operator.Share{Owner: owner, Slices: count}
+		if m := s.Members[owner]; m != nil {
+			share.Instance = m.Instance
+		}
+		sum.Owners = append(sum.Owners, share)
+	}
+	slices.SortFunc(sum.Owners, func(a, b operator.Share) int { return int(a.Owner) - int(b.Owner) })
+	return sum
+}
+
+// status describes the own lease.
+func (t *leaseTable) status(now time.Time) operator.Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holder == nil {
+		return operator.Lease{State: operator.NotJoined}
+	}
+	l := operator.Lease{State: operator.Expired, SetVersion: t.holder.Version()}
+	switch {
+	case t.holder.Owns(now):
+		l.State = operator.Owning
+		l.RemainingMS = t.holder.OwnsUntil().Sub(now).Milliseconds()
+	case t.holder.FirstLevel(now):
+		l.State = operator.FirstLevel
+	}
+	for _, w := range t.holder.Witnesses(now) {
+		l.Witnesses = append(l.Witnesses, witness(w, now))
+	}
+	return l
+}
+
+// witness describes one witness.
+func witness(w lease.WitnessStatus, now time.Time) operator.Witness {
+	status := operator.Witness{Incarnation: w.Witness, AnswerAgeMS: -1, Marked: w.Marked}
+	if !w.Answered.IsZero() {
+		status.AnswerAgeMS = now.Sub(w.Answered).Milliseconds()
+	}
+	return status
+}
+
+// Explain implements operator.Source.
+func (e *Engine) Explain(subject operator.Subject) (operator.Explanation, error) {
+	if _, err := e.Limits(subject.Service, subject.Tenant); err != nil {
+		return operator.Explanation{}, err
+	}
+	x := operator.Explanation{Service: subject.Service, Tenant: subject.Tenant, Ledger: e.position()}
+	x.Revision = e.ledger.revision()
+	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
+		named := e.subject(subject.Service, subject.Tenant, subject.Key)
+		home := c.Resolve(named).HomeRegions
+		x.Home = home.Regions()
+		x.Settings = c.Explain(named)
+		id := keyspace.Group{Service: subject.Service, Home: home}
+		index, slice, known := s.Lookup(id, keyspace.Hash(subject.Key))
+		if !known {
+			return
+		}
+		x.Slice, x.Slices = index, uint32(len(s.Groups[id].Slices))
+		x.Fence, x.Sources = slice.Fence, slice.Sources
+		if m := s.Members[slice.Owner]; m != nil {
+			owner := member(m, c, len(s.Owned(slice.Owner)))
+			x.Owner = &owner
+		}
+	})
+	return x, nil
+}
+
+// Configuration implements operator.Source.
+func (e *Engine) Configuration() operator.Configuration {
+	c := operator.Configuration{Ledger: e.position()}
+	e.ledger.read(func(s *ledger.State, _ *config.Configuration) {
+		if s.Configuration != nil {
+			current := *s.Configuration
+			c.Current = &current
+		}
+		c.History = slices.Clone(s.History)
+	})
+	return c
+}
+
+// Gauges returns the state that the metrics show.
+func (e *Engine) Gauges() telemetry.Snapshot {
+	now := time.Now()
+	currency := e.ledger.currency(now)
+	s := telemetry.Snapshot{
+		LedgerOffset:     uint64(currency.offset),
+		HighestOffset:    uint64(max(currency.highest, currency.offset)),
+		LogSilence:       currency.silence,
+		Revision:         uint64(e.ledger.revision()),
+		RetainedOutcomes: e.outcomes.usage().Entries,
+		RunningRequests:  e.admission.usage().Running,
+		Lease:            telemetry.LeaseNone,
+	}
+	switch lease := e.leases.status(now); lease.State {
+	case operator.Owning:
+		s.Lease = telemetry.LeaseOwning
+		s.LeaseLeft = time.Duration(lease.RemainingMS) * time.Millisecond
+	case operator.FirstLevel:
+		s.Lease = telemetry.LeaseFirstLevel
+	}
+	self := e.incarnation()
+	e.ledger.read(func(state *ledger.State, _ *config.Configuration) {
+		s.Members = len(state.Members)
+		s.OwnedSlices = []telemetry.ServiceCount{{Service: e.backend.service(), Count: len(state.Owned(self))}}
+	})
+	for _, p := range e.pools() {
+		s.Pools = append(s.Pools, telemetry.PoolDepth{Pool: p.Name(), Depth: p.Depth()})
+	}
+	return s
+}
+
+// pools lists all worker pools.
+func (e *Engine) pools() []*worker.Pool {
+	return []*worker.Pool{e.ingressPool, e.ownerPool, e.leasePool, e.ledgerPool, e.appendPool, e.controlPool}
+}
+
+// ControlPool is the pool on which operators' questions are answered.
+func (e *Engine) ControlPool() *worker.Pool { return e.controlPool }
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -40,7 +40,7 @@
 
 // BackendServer is a small stand-in of a backend server.
 //
-// mu guards faults, changed, grants and server. Slots are tokens in slots.
+// mu guards faults, changed, grants, validUntil and server. Slots are tokens in slots.
 type BackendServer struct {
 	options  BackendOptions
 	store    *Store
@@ -57,11 +57,13 @@
 	mu     sync.Mutex
 	faults Faults
 	// changed is closed when faults change.
-	changed  chan struct{}
-	grants   grantTable
-	server   *http.Server
-	address  string
-	finished chan struct{}
+	changed chan struct{}
+	grants  grantTable
+	// validUntil is when the grants expire.
+	validUntil time.Time
+	server     *http.Server
+	address    string
+	finished   chan struct{}
 }
 
 // NewBackendServer returns a backend server that serves over ServeHTTP or Listen.
@@ -166,12 +168,16 @@
 	}
 	defer b.giveSlot()
 	b.work(ctx)
+	if b.refusesFence(call) {
+		refuse(w, http.StatusConflict, httpwire.RefusedFence)
+		return
+	}
 	result := b.store.apply(call, b.options.ChecksGrants)
 	if result.refused {
 		refuse(w, http.StatusConflict, httpwire.RefusedFence)
 		return
 	}
-	b.reply(ctx, w, call, result)
+	b.reply(r.Context(), w, call, result)
 }
 
 // decodeCall returns the request, or answers 400 and returns false.
@@ -243,10 +249,11 @@
 	b.thaw(ctx)
 }
 
-// reply sends the result, unless a fault prevents it.
-func (b *BackendServer) reply(ctx context.Context, w http.ResponseWriter, c call, result result) {
+// reply sends the result, unless a fault prevents it. connection ends when the client closes its connection; a silent
+// server leaves the connection open beyond the deadline.
+func (b *BackendServer) reply(connection context.Context, w http.ResponseWriter, c call, result result) {
 	if b.currentFaults().Silent {
-		<-ctx.Done()
+		<-connection.Done()
 		panic(http.ErrAbortHandler)
 	}
 	if b.spend(func(f *Faults) *int { return &f.DropReplies }) {
--- a/internal/fake/backend_control.go
+++ b/internal/fake/backend_control.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"heatherreel/internal/backendserver"
 	"heatherreel/internal/httpwire"
@@ -49,9 +50,10 @@
 		next[name] = max(g.Fence, b.grants[name])
 	}
 	b.grants = next
+	b.validUntil = time.UnixMilli(grants.ValidUntilUnixMS)
 }
 
-// refusesFence reports whether the server checks grants and holds none for the call.
+// refusesFence reports whether the server checks grants and holds none for the call, or one that has expired.
 func (b *BackendServer) refusesFence(c call) bool {
 	if !b.options.ChecksGrants {
 		return false
@@ -59,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	fence, granted := b.grants[c.slice]
-	return !granted || uint64(fence) != c.fence
+	return !granted || uint64(fence) != c.fence || !time.Now().Before(b.validUntil)
 }
 
 // serveDrain notes that the node beside the server stops.
--- a/internal/fake/backend_test.go
+++ b/internal/fake/backend_test.go
@@ -97,7 +97,7 @@
 		return client.Execute(t.Context(), b.Address(), testSlice, fence, post("", time.Second))
 	}
 	grant := func(b *BackendServer, fence ledger.Offset) {
-		if err := client.Grant(t.Context(), b.Address(), []ledger.SliceFence{{Slice: testSlice, Fence: fence}}); err != nil {
+		if err := client.Grant(t.Context(), b.Address(), granted(fence, time.Minute)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -121,6 +121,17 @@
 	}
 }
 
+// Guards against a request that runs for a node whose lease has expired.
+func TestExpiredGrantIsRefused(t *testing.T) {
+	b, client := startBackend(t, BackendOptions{ChecksGrants: true})
+	if err := client.Grant(t.Context(), b.Address(), granted(5, -time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if a := client.Execute(t.Context(), b.Address(), testSlice, 5, post("", time.Second)); a.Reason != request.BackendRefused {
+		t.Errorf("expired grant: %+v", a)
+	}
+}
+
 // Guards against a stand-in that runs more than its slots, or loses requests that queue.
 func TestSlots(t *testing.T) {
 	b, client := startBackend(t, BackendOptions{Slots: 1, ServiceTime: 50 * time.Millisecond})
@@ -215,3 +226,9 @@
 		t.Errorf("error %v, want invalid", err)
 	}
 }
+
+// granted returns a grant of the test slice that expires after a time.
+func granted(fence ledger.Offset, valid time.Duration) backendserver.Grants {
+	slices := []ledger.SliceFence{{Slice: testSlice, Fence: fence}}
+	return backendserver.Grants{Slices: slices, ValidUntilUnixMS: time.Now().Add(valid).UnixMilli()}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -97,9 +97,10 @@
 	var result ReleaseResult
 	err := c.call(ctx, address, func(n nodepb.DRPCNodeClient) error {
 		response, err := n.Release(ctx, encodeReleaseRequest(r))
-		if err == nil {
-			result = decodeReleaseResult(response, time.Now())
+		if err != nil {
+			return err
 		}
+		result, err = decodeReleaseResult(response)
 		return err
 	})
 	return result, err
--- a/internal/node/datagram.go
+++ b/internal/node/datagram.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -48,8 +49,8 @@
 // Traffic returns the counters of the socket.
 func (d *Datagrams) Traffic() *Traffic { return &d.traffic }
 
-// Send sends one message. A lost datagram is not reported; the protocol repeats what matters.
-func (d *Datagrams) Send(address string, m *nodepb.LeaseDatagram) error {
+// send sends one message. A lost datagram is not reported; the protocol repeats what matters.
+func (d *Datagrams) send(address string, m *nodepb.LeaseDatagram) error {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return problem.New(problem.Malformed, "report this as a defect", "lease message: %w", err)
@@ -65,22 +66,34 @@
 	return nil
 }
 
-// Receive hands each message to deliver until the socket is closed. Malformed datagrams go to malformed.
-func (d *Datagrams) Receive(deliver func(*nodepb.LeaseDatagram), malformed func(from string)) {
+// Receive hands each message to deliver until the socket is closed. It calls malformed for other datagrams.
+func (d *Datagrams) Receive(deliver func(LeaseMessage), malformed func(from string)) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, peer, err := d.conn.ReadFromUDP(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			continue
+		}
 		d.traffic.Received.Add(uint64(n + datagramOverhead))
-		var m nodepb.LeaseDatagram
-		if err := proto.Unmarshal(buffer[:n], &m); err != nil || m.Message == nil {
+		message, ok := parseLease(buffer[:n])
+		if !ok {
 			malformed(peer.String())
 			continue
 		}
-		deliver(&m)
+		deliver(message)
+	}
+}
+
+// parseLease decodes a datagram; ok is false if it is malformed.
+func parseLease(data []byte) (LeaseMessage, bool) {
+	var d nodepb.LeaseDatagram
+	if err := proto.Unmarshal(data, &d); err != nil {
+		return LeaseMessage{}, false
 	}
+	return decodeLease(&d)
 }
 
 // Close closes the socket and ends Receive.
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -3,14 +3,21 @@
 import (
 	"time"
 
+	"github.com/google/uuid"
+
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/outcome"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
 )
 
 // ReleaseResult is the answer to a ReleaseRequest.
 type ReleaseResult struct {
 	// Released are the slices that the source no longer serves; the others must be asked for again.
 	Released []ledger.SliceFence
+	// Outcomes holds what the new owner must know about requests that ran on the released slices.
+	Outcomes []outcome.SliceExport
 	// Offset is the ledger offset up to which the source has replayed.
 	Offset ledger.Offset
 }
@@ -31,10 +38,84 @@
 	}
 }
 
-func encodeReleaseResult(r ReleaseResult, _ time.Time) *nodepb.ReleaseResponse {
-	return &nodepb.ReleaseResponse{Released: encodeSlices(r.Released), LedgerOffset: uint64(r.Offset)}
+func encodeReleaseResult(r ReleaseResult) *nodepb.ReleaseResponse {
+	response := &nodepb.ReleaseResponse{Released: encodeSlices(r.Released), LedgerOffset: uint64(r.Offset)}
+	for _, export := range r.Outcomes {
+		response.Outcomes = append(response.Outcomes, encodeExport(export))
+	}
+	return response
+}
+
+func encodeExport(export outcome.SliceExport) *nodepb.SliceOutcomes {
+	encoded := &nodepb.SliceOutcomes{
+		Slice:               encodeSlice(ledger.SliceFence{Slice: export.Slice}),
+		UnknownBeforeUnixMs: export.UnknownBefore.UnixMilli(),
+	}
+	for _, r := range export.Outcomes {
+		encoded.Outcomes = append(encoded.Outcomes, &nodepb.RetainedOutcome{
+			Tenant:      r.Tenant,
+			RequestId:   r.ID[:],
+			Fingerprint: r.Fingerprint[:],
+			RemainingMs: uint64(max(r.Remaining, 0).Milliseconds()),
+			Outcome:     encodeOutcome(r.Answer.Outcome),
+			Reason:      string(r.Answer.Reason),
+			Remedy:      r.Answer.Remedy,
+			Status:      uint32(r.Answer.Status),
+			ContentType: r.Answer.ContentType,
+			Body:        r.Answer.Body,
+		})
+	}
+	return encoded
+}
+
+// decodeReleaseResult returns the result in a response. A malformed outcome makes the whole response malformed: a new
+// owner that lacks one outcome could run its request again.
+func decodeReleaseResult(m *nodepb.ReleaseResponse) (ReleaseResult, error) {
+	result := ReleaseResult{Released: decodeSlices(m.Released), Offset: ledger.Offset(m.LedgerOffset)}
+	for _, encoded := range m.Outcomes {
+		export, err := decodeExport(encoded)
+		if err != nil {
+			return ReleaseResult{}, err
+		}
+		result.Outcomes = append(result.Outcomes, export)
+	}
+	return result, nil
 }
 
-func decodeReleaseResult(m *nodepb.ReleaseResponse, _ time.Time) ReleaseResult {
-	return ReleaseResult{Released: decodeSlices(m.Released), Offset: ledger.Offset(m.LedgerOffset)}
+func decodeExport(m *nodepb.SliceOutcomes) (outcome.SliceExport, error) {
+	export := outcome.SliceExport{
+		Slice: decodeSlice(m.Slice).Slice,
+		// The millisecond that was cut off when the time was encoded is added, so that no id falls out of the range.
+		UnknownBefore: time.UnixMilli(m.UnknownBeforeUnixMs + 1),
+	}
+	for _, encoded := range m.Outcomes {
+		retained, err := decodeRetained(encoded)
+		if err != nil {
+			return export, err
+		}
+		export.Outcomes = append(export.Outcomes, retained)
+	}
+	return export, nil
+}
+
+func decodeRetained(m *nodepb.RetainedOutcome) (outcome.Retained, error) {
+	id, err := uuid.FromBytes(m.RequestId)
+	if err != nil || len(m.Fingerprint) != len(outcome.Fingerprint{}) {
+		return outcome.Retained{}, problem.New(problem.Malformed, "bring both nodes to the same version",
+			"a retained outcome has a malformed request id or fingerprint")
+	}
+	return outcome.Retained{
+		Tenant:      m.Tenant,
+		ID:          id,
+		Fingerprint: outcome.Fingerprint(m.Fingerprint),
+		Remaining:   time.Duration(m.RemainingMs) * time.Millisecond,
+		Answer: request.Answer{
+			Outcome:     decodeOutcome(m.Outcome),
+			Reason:      request.Reason(m.Reason),
+			Remedy:      m.Remedy,
+			Status:      int(m.Status),
+			ContentType: m.ContentType,
+			Body:        m.Body,
+		},
+	}, nil
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encodeReleaseResult(result, time.Now()), nil
+	return encodeReleaseResult(result), nil
 }
 
 // Snapshot implements nodepb.DRPCNodeServer.
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -164,13 +164,16 @@
 	return false
 }
 
-// Granted moves the slices whose grant the backend server confirmed to Serving.
-func (t *Table) Granted(grants []ledger.SliceFence) {
+// Granted moves the slices whose grant the backend server confirmed to Serving, and reports whether there were any.
+func (t *Table) Granted(grants []ledger.SliceFence) bool {
+	moved := false
 	for _, g := range grants {
 		if s := t.slices[g.Slice]; s != nil && s.fence == g.Fence && s.state == Granting {
 			s.state = Serving
+			moved = true
 		}
 	}
+	return moved
 }
 
 // Regrant moves all served slices back to Granting, because the backend server is a new one.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,9 +103,10 @@
 	MaxQueue   = 65536
 )
 
-// DefaultRequestIDSkew is the default allowance for callers' clocks. After a failover, requests with ids issued
-// within the allowance are answered "outcome unknown"; a caller whose clock is ahead by more could run one twice.
-const DefaultRequestIDSkew = time.Second
+// DefaultRequestIDSkew is the default allowance for callers' clocks. A request id that is further in the future is
+// refused. After a failover, requests with ids issued within the allowance are answered "outcome unknown", so it must
+// stay well below the 1 s within which a key is served again.
+const DefaultRequestIDSkew = 100 * time.Millisecond
 
 // MaxRequestIDSkew is half the default retention of outcomes; a larger allowance would leave little of it.
 const MaxRequestIDSkew = 30 * time.Second
