--- a/internal/engine/proposals.go
+++ b/internal/engine/proposals.go
@@ -40,8 +40,8 @@
 	// outdated reports whether the record can no longer take effect. It is called under the ledger's read lock.
 	outdated func(s *ledger.State) bool
 	// done is called once: with what the log decided, or with ledger.StaleBase for an outdated record that was given up.
-	done func(offset ledger.Offset, rejection ledger.Rejection)
-	retry    *worker.Timer
+	done  func(offset ledger.Offset, rejection ledger.Rejection)
+	retry *worker.Timer
 }
 
 // proposals are the open proposals.
