Run scripted failure scenarios on whole nodes in virtual time

A fleet of engines with an in-memory network, log and backend servers runs the scenario language under testing/synctest. Its network delays, cuts, pauses and kills; Advance looks every 10 ms for a slice with two owners.

Found by the scenarios and fixed here: - After a fault that expired all leases, promise requests (every 50 ms) reached the witnesses before the renewals (every 250 ms) did, and with the log down the holders stayed without ownership. A witness now judges others only after its own first-level lease has held for a lease time and a renewal interval. - A node that joined did not watch members that renew through the log, so that a lone node lost before was never ended. - After a restart of everything at once nobody could end the old incarnations, since their witnesses were gone as well. Ruled out: ending them after a long silence, because a group of nodes that is cut off from the log looks the same and must go on serving. Operators state the loss with the setting lost_before, and publish it like any other.

Known: the scenario small_fleets fails; the cause is looked for next.

--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -60,6 +60,12 @@
 	return c.Resolve(Subject{DataCentre: dataCentre}).TakenOut
 }
 
+// LostBefore returns the offset before which all nodes of the data centre joined that operators state to be gone; zero if
+// they state none.
+func (c *Configuration) LostBefore(dataCentre string) uint32 {
+	return c.Resolve(Subject{DataCentre: dataCentre}).LostBefore
+}
+
 // Origin says what decided a setting.
 type Origin string
 
--- a/internal/config/resolve_test.go
+++ b/internal/config/resolve_test.go
@@ -311,7 +311,7 @@
 func TestEverySettingIsCopied(t *testing.T) {
 	from := Settings{HomeRegions: "r", Deadline: 1, MaxDeadline: 1, MaxBody: 1, IdempotentMethods: 1,
 		Class: request.Lookup, ConcurrencyLimit: 1, QueueLimit: 1, RetryRatio: 1, Slices: 1, ChecksGrants: true,
-		InFlightBound: 1, OutcomeRetention: 1, TakenOut: true}
+		InFlightBound: 1, OutcomeRetention: 1, TakenOut: true, LostBefore: 1}
 	var to Settings
 	for id := range settingCount {
 		before := settings[id].format(&to)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -39,6 +40,8 @@
 	OutcomeRetention time.Duration
 	// TakenOut tells that the data centre gets no new work.
 	TakenOut bool
+	// LostBefore is the operators' statement that all nodes of the data centre that joined before this offset are gone.
+	LostBefore uint32
 }
 
 // settingID is the index of a setting in the table that Reference returns.
@@ -60,6 +63,7 @@
 	inFlightBound
 	outcomeRetention
 	takenOut
+	lostBefore
 	settingCount
 )
 
@@ -176,8 +180,12 @@
 		takenOut: describe("taken_out", boolCodec, "false", byPlace,
 			func(s *Settings) *bool { return &s.TakenOut },
 			"Whether the data centre gets no new work. Only an exception may set it."),
+		lostBefore: describe("lost_before", countCodec(0, math.MaxUint32), "0", byPlace,
+			func(s *Settings) *uint32 { return &s.LostBefore },
+			"States that all nodes of the data centre that joined before this log offset are gone, so that their slices get new owners without the promises of their witnesses. For a loss that took the witnesses too, such as a restart of everything at once. Only an exception may set it."),
 	}
 	settings[takenOut].exceptionOnly = true
+	settings[lostBefore].exceptionOnly = true
 	builtIn = builtInDefaults()
 }
 
@@ -243,6 +251,8 @@
 		to.OutcomeRetention = from.OutcomeRetention
 	case takenOut:
 		to.TakenOut = from.TakenOut
+	case lostBefore:
+		to.LostBefore = from.LostBefore
 	}
 }
 
--- /dev/null
+++ b/internal/engine/fleet_test.go
@@ -0,0 +1,569 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"heatherreel/internal/backendserver"
+	"heatherreel/internal/config"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/fake"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
+	"heatherreel/internal/scenario"
+	"heatherreel/internal/serving"
+	"heatherreel/internal/settings"
+	"heatherreel/internal/telemetry"
+)
+
+// fleet is a scenario.World of whole engines with in-memory peers. It runs in a synctest bubble.
+//
+// mu guards nodes and loads.
+type fleet struct {
+	t       *testing.T
+	network *fake.Network
+	log     *fake.Log
+	metrics *telemetry.Metrics
+	tracing *telemetry.Tracing
+	// stores holds the values of each service, which its backend servers share.
+	stores map[string]*fake.Store
+	events *eventBuffer
+
+	mu       sync.Mutex
+	nodes    map[string]*fleetNode
+	order    []string
+	loads    map[string]*load
+	document []byte
+	closing  sync.WaitGroup
+}
+
+var _ scenario.World = (*fleet)(nil)
+
+// fleetNode is one node with the backend server beside it.
+type fleetNode struct {
+	scenario.Node
+	host    *fake.Host
+	engine  *Engine
+	backend *fake.BackendServer
+	silent  bool
+	stop    context.CancelFunc
+}
+
+// regions are the places of the first deployment.
+var regions = map[string]string{
+	"west-a": "emea-west", "west-b": "emea-west", "central-a": "emea-central", "central-b": "emea-central",
+}
+
+// eventBuffer collects the events of all nodes, for searches and failure reports.
+type eventBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *eventBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *eventBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// newFleet returns a fleet without nodes that is closed at the end of the test.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracing, err := telemetry.NewTracing(telemetry.OutputNone, 0, telemetry.Identity{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		t: t, network: fake.NewNetwork(fake.KatodaLatencies, "emea-west"), log: fake.NewLog(),
+		metrics: metrics, tracing: tracing, stores: map[string]*fake.Store{}, events: &eventBuffer{},
+		nodes: map[string]*fleetNode{}, loads: map[string]*load{},
+	}
+	t.Cleanup(f.close)
+	return f
+}
+
+// close stops all loads and ends all nodes.
+func (f *fleet) close() {
+	if f.t.Failed() {
+		f.t.Logf("events:\n%s", f.events.String())
+	}
+	for _, l := range f.loads {
+		l.end()
+	}
+	f.log.SetFaults(fake.LogFaults{})
+	for _, n := range f.nodes {
+		f.kill(n)
+	}
+	f.closing.Wait()
+}
+
+// kill ends a node at once.
+func (f *fleet) kill(n *fleetNode) {
+	if n.host.Killed() {
+		return
+	}
+	n.host.Kill()
+	n.stop()
+	f.closing.Add(1)
+	go func() {
+		defer f.closing.Done()
+		n.engine.Close()
+	}()
+}
+
+// node returns a node that was started.
+func (f *fleet) node(name string) (*fleetNode, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.nodes[name]
+	if n == nil {
+		return nil, fmt.Errorf("no node %q was started", name)
+	}
+	return n, nil
+}
+
+// living returns the nodes that run, in the order in which they were first started.
+func (f *fleet) living() []*fleetNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*fleetNode
+	for _, name := range f.order {
+		if n := f.nodes[name]; !n.host.Killed() {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Start implements scenario.World.
+func (f *fleet) Start(spec scenario.Node) error {
+	region, ok := regions[spec.DataCentre]
+	if !ok {
+		return fmt.Errorf("no data centre %q", spec.DataCentre)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.nodes[spec.Name]; old != nil && !old.host.Killed() {
+		return fmt.Errorf("node %s runs", spec.Name)
+	}
+	if f.stores[spec.Service] == nil {
+		f.stores[spec.Service] = fake.NewStore()
+	}
+	n := &fleetNode{Node: spec, host: f.network.AddHost(spec.Name, spec.DataCentre, region)}
+	n.backend = fake.NewBackendServer(fake.BackendOptions{
+		Service: spec.Service, Incarnation: fmt.Sprint(time.Now().UnixNano()), Slots: 10, Connections: 130, Weight: 100,
+		ChecksGrants: f.checksGrants(), ServiceTime: 2 * time.Millisecond, Store: f.stores[spec.Service],
+	})
+	n.engine = f.newEngine(n, region)
+	n.host.Attach(n.engine)
+	n.engine.Start()
+	if f.nodes[spec.Name] == nil {
+		f.order = append(f.order, spec.Name)
+	}
+	f.nodes[spec.Name] = n
+	f.announce(n)
+	return nil
+}
+
+// checksGrants reports whether the published configuration says that backend servers check grants.
+func (f *fleet) checksGrants() bool { return bytes.Contains(f.document, []byte("checks_grants: true")) }
+
+// newEngine returns the engine of a node.
+func (f *fleet) newEngine(n *fleetNode, region string) *Engine {
+	timing, err := lease.NewParameters(lease.DefaultTiming())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	identity := eventlog.Node{Instance: n.Name, DataCentre: n.DataCentre, Region: region}
+	return New(Options{
+		Self: Self{Instance: n.Name, DataCentre: n.DataCentre, Region: region, Addresses: ledger.Addresses{
+			Nodes: n.Name, Leases: n.Name, Callers: n.Name, Operators: n.Name,
+		}},
+		Ingress:       settings.PoolSize{Workers: settings.DefaultIngressWorkers, Queue: settings.DefaultIngressQueue},
+		Owner:         settings.PoolSize{Workers: 16, Queue: 512},
+		Lease:         settings.PoolSize{Workers: 2, Queue: 256},
+		Ledger:        settings.PoolSize{Workers: 2, Queue: 256},
+		RequestIDSkew: settings.DefaultRequestIDSkew,
+		Timing:        timing,
+	}, Dependencies{
+		Log: n.host.Log(f.log), Peers: n.host, Leases: n.host,
+		Backend: fake.Direct{Host: n.host, Server: n.backend},
+		Events:  eventlog.New(f.events, 0, identity),
+		Metrics: f.metrics, Tracing: f.tracing,
+	})
+}
+
+// announce announces the backend server of a node every second until the node is killed.
+func (f *fleet) announce(n *fleetNode) {
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	f.closing.Add(1)
+	go func() {
+		defer f.closing.Done()
+		ticker := time.NewTicker(fake.AnnounceInterval / 4)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			f.announceOnce(ctx, n)
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+			}
+		}
+	}()
+}
+
+// announceOnce sends one announcement.
+func (f *fleet) announceOnce(ctx context.Context, n *fleetNode) {
+	f.mu.Lock()
+	silent := n.silent
+	f.mu.Unlock()
+	if silent || !n.host.Pass() {
+		return
+	}
+	// A refusal is repeated by the next announcement.
+	_ = n.engine.Announce(ctx, backendserver.Announcement{
+		Address: n.Name + "/backend", Service: n.Service, Incarnation: "1", Slots: 10, Connections: 130, Weight: 100,
+	})
+}
+
+// Stop implements scenario.World.
+func (f *fleet) Stop(name string) error {
+	n, err := f.node(name)
+	if err != nil {
+		return err
+	}
+	f.closing.Add(1)
+	go func() {
+		defer f.closing.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), settings.DefaultShutdownTimeout)
+		defer cancel()
+		n.engine.Drain(ctx)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.kill(n)
+	}()
+	return nil
+}
+
+// Kill implements scenario.World.
+func (f *fleet) Kill(name string) error {
+	n, err := f.node(name)
+	if err == nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.kill(n)
+	}
+	return err
+}
+
+// Pause implements scenario.World.
+func (f *fleet) Pause(name string) error {
+	n, err := f.node(name)
+	if err == nil {
+		n.host.Pause()
+	}
+	return err
+}
+
+// Resume implements scenario.World.
+func (f *fleet) Resume(name string) error {
+	n, err := f.node(name)
+	if err == nil {
+		n.host.Resume()
+	}
+	return err
+}
+
+// Cut implements scenario.World.
+func (f *fleet) Cut(a, b string) error {
+	f.network.Cut(a, b)
+	return nil
+}
+
+// Heal implements scenario.World.
+func (f *fleet) Heal(a, b string) error {
+	f.network.Heal(a, b)
+	return nil
+}
+
+// SetLog implements scenario.World.
+func (f *fleet) SetLog(state scenario.LogState, delay time.Duration) error {
+	f.log.SetFaults(fake.LogFaults{Down: state == scenario.LogDown, Delay: delay})
+	return nil
+}
+
+// LoseReplies implements scenario.World.
+func (f *fleet) LoseReplies(n int) error {
+	faults := f.log.Faults()
+	faults.LostReplies = n
+	f.log.SetFaults(faults)
+	return nil
+}
+
+// Forget implements scenario.World.
+func (f *fleet) Forget(n int) error {
+	f.log.Forget(ledger.Offset(max(f.log.Len()-n+1, 1)))
+	return nil
+}
+
+// SetBackend implements scenario.World.
+func (f *fleet) SetBackend(name string, state scenario.BackendState) error {
+	n, err := f.node(name)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	n.silent = state == scenario.BackendFrozen || state == scenario.BackendSilent
+	f.mu.Unlock()
+	faults := fake.Faults{Frozen: state == scenario.BackendFrozen}
+	if state == scenario.BackendCold {
+		faults.ColdRequests, faults.ColdMS = 100, 50
+	}
+	n.backend.SetFaults(faults)
+	return nil
+}
+
+// Publish implements scenario.World. It appends the document on the current revision.
+func (f *fleet) Publish(document []byte) error {
+	if _, err := config.Decode(document); err != nil {
+		return err
+	}
+	state := f.replayed()
+	record := &ledger.Record{Kind: ledger.KindConfiguration, ID: newRecordID(), Configuration: &ledger.Configuration{
+		Base: state.Revision(), Document: string(document), Author: "scenario",
+	}}
+	_, err := f.log.Append(context.Background(), record)
+	if err == nil {
+		f.document = document
+	}
+	return err
+}
+
+// replayed returns the state that the log holds.
+func (f *fleet) replayed() *ledger.State {
+	state := ledger.NewState()
+	page, err := f.log.Read(context.Background(), 1, 1<<20, 0)
+	if err != nil {
+		return state
+	}
+	for _, entry := range page.Entries {
+		if entry.Record != nil {
+			state.Apply(entry.Offset, entry.Record)
+		}
+	}
+	return state
+}
+
+// Now implements scenario.World.
+func (f *fleet) Now() time.Time { return time.Now() }
+
+// checkInterval is how often Advance looks for slices with two owners.
+const checkInterval = 10 * time.Millisecond
+
+// Advance implements scenario.World. It looks for slices with two owners all the while.
+func (f *fleet) Advance(d time.Duration) {
+	end := time.Now().Add(d)
+	for {
+		f.checkOwners()
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
+		<-time.After(min(left, checkInterval))
+	}
+}
+
+// checkOwners fails the test if two nodes would serve one slice.
+func (f *fleet) checkOwners() {
+	for service := range f.stores {
+		o, err := f.Ownership(service)
+		if err != nil {
+			f.t.Error(err)
+		}
+		if o.Shared > 0 {
+			f.t.Errorf("%d slices of %s have two owners", o.Shared, service)
+		}
+	}
+}
+
+// served returns the slices that a node would serve now. A paused node would serve what its lease still covers when it
+// resumes.
+func (n *fleetNode) served() []keyspace.SliceID {
+	if n.host.Killed() {
+		return nil
+	}
+	if _, owns := n.engine.leases.owns(time.Now()); !owns {
+		return nil
+	}
+	var list []keyspace.SliceID
+	n.engine.serving.with(func(t *serving.Table) {
+		for _, g := range t.Grants() {
+			if state, _, _ := t.StateOf(g.Slice); state == serving.Serving {
+				list = append(list, g.Slice)
+			}
+		}
+	})
+	return list
+}
+
+// Ownership implements scenario.World.
+func (f *fleet) Ownership(service string) (scenario.Ownership, error) {
+	var o scenario.Ownership
+	counts := map[keyspace.SliceID]int{}
+	for _, n := range f.living() {
+		served := 0
+		for _, id := range n.served() {
+			if id.Service == service {
+				counts[id]++
+				served++
+			}
+		}
+		if served > 0 {
+			o.Owners++
+		}
+	}
+	o.Slices = f.sliceCount(service)
+	o.Unserved = o.Slices - len(counts)
+	for _, count := range counts {
+		if count > 1 {
+			o.Shared++
+		}
+	}
+	return o, nil
+}
+
+// sliceCount returns the number of slices of a service over all its groups, as some living node knows them.
+func (f *fleet) sliceCount(service string) int {
+	highest := 0
+	for _, n := range f.living() {
+		count := 0
+		n.engine.ledger.read(func(s *ledger.State, _ *config.Configuration) {
+			for id, g := range s.Groups {
+				if id.Service == service {
+					count += len(g.Slices)
+				}
+			}
+		})
+		highest = max(highest, count)
+	}
+	return highest
+}
+
+// ingress returns a living node of a data centre, a different one for each n; nil if there is none.
+func (f *fleet) ingress(dataCentre string, n int) *fleetNode {
+	var here []*fleetNode
+	for _, candidate := range f.living() {
+		if candidate.DataCentre == dataCentre && !candidate.engine.stopping.Load() {
+			here = append(here, candidate)
+		}
+	}
+	if len(here) == 0 {
+		return nil
+	}
+	return here[n%len(here)]
+}
+
+// send sends a request to a node as a caller does: a killed node drops the connection.
+func (f *fleet) send(n *fleetNode, r request.Request) request.Answer {
+	if !n.host.Pass() {
+		return request.Refuse(request.OwnerUnreachable, "ask another node")
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	defer cancel()
+	result := make(chan request.Answer, 1)
+	go func() { result <- n.engine.Serve(ctx, r) }()
+	select {
+	case answer := <-result:
+		return answer
+	case <-n.host.Dead():
+		return request.Uncertain(request.ConnectionLost, "repeat the request")
+	}
+}
+
+// Probe implements scenario.World.
+func (f *fleet) Probe(service, dataCentre string) ([]request.Answer, error) {
+	n := f.ingress(dataCentre, 0)
+	if n == nil {
+		return nil, fmt.Errorf("no node runs in %s", dataCentre)
+	}
+	limits, err := n.engine.Limits(service, "t")
+	if err != nil {
+		return nil, err
+	}
+	keys := f.keyPerSlice(n, service)
+	answers := make([]request.Answer, len(keys))
+	var all sync.WaitGroup
+	for i, key := range keys {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			answers[i] = f.send(n, readOf(service, key, limits.DefaultDeadline))
+		}()
+	}
+	all.Wait()
+	return answers, nil
+}
+
+// readOf returns an idempotent read.
+func readOf(service, key string, deadline time.Duration) request.Request {
+	return request.Request{
+		Service: service, Tenant: "t", Key: key, Method: "GET", Idempotent: true, Deadline: time.Now().Add(deadline),
+	}
+}
+
+// keyPerSlice returns one key for each slice of the group without home regions.
+func (f *fleet) keyPerSlice(n *fleetNode, service string) []string {
+	count := 0
+	n.engine.ledger.read(func(s *ledger.State, _ *config.Configuration) {
+		if g := s.Groups[keyspace.Group{Service: service}]; g != nil {
+			count = len(g.Slices)
+		}
+	})
+	keys := make([]string, count)
+	for i, found := 0, 0; found < count; i++ {
+		key := fmt.Sprintf("key-%d", i)
+		index := keyspace.Index(keyspace.Hash(key), uint32(count))
+		if keys[index] == "" {
+			keys[index] = key
+			found++
+		}
+	}
+	return keys
+}
+
+// Executions implements scenario.World.
+func (f *fleet) Executions() (ran int, twice []string) {
+	for service, store := range f.stores {
+		ran += store.Identified()
+		for _, id := range store.Duplicates() {
+			twice = append(twice, service+" "+id)
+		}
+	}
+	return ran, twice
+}
+
+// status returns what a node tells operators.
+func (n *fleetNode) status() operator.Status { return n.engine.Status() }
+
+// errNoLoad is returned for an unknown load.
+func errNoLoad(name string) error {
+	return problem.New(problem.NotFound, "start the load", "no load %q", name)
+}
--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -23,6 +23,8 @@
 	ended map[ledger.Incarnation]lease.Ended
 	// staleSince is since when a witness has given no answer within a lease time.
 	staleSince map[ledger.Incarnation]time.Time
+	// steadySince is since when the own first-level lease has held without a break; zero while it does not hold.
+	steadySince time.Time
 	// owning is the last reported state of the lease, for events.
 	owning bool
 }
@@ -63,7 +65,7 @@
 	t.witness = lease.NewWitness(t.parameters, self)
 	clear(t.claims)
 	clear(t.staleSince)
-	t.owning = false
+	t.owning, t.steadySince = false, time.Time{}
 }
 
 // end drops the own incarnation.
@@ -193,11 +195,14 @@
 	if t.self == 0 {
 		return s
 	}
+	t.noteFirstLevel(now)
 	s.renewals = t.holder.AppendRenewals(nil, now)
 	t.stepClaims(&s, now)
-	for _, o := range t.witness.AppendOverdue(nil, now) {
-		if t.claims[o.Holder] == nil {
-			s.overdue = append(s.overdue, o)
+	if t.steadyIn(now) == 0 {
+		for _, o := range t.witness.AppendOverdue(nil, now) {
+			if t.claims[o.Holder] == nil {
+				s.overdue = append(s.overdue, o)
+			}
 		}
 	}
 	owning := t.holder.Owns(now)
@@ -207,6 +212,39 @@
 	return s
 }
 
+// noteFirstLevel keeps track of how long the own first-level lease has held. The caller holds mu.
+func (t *leaseTable) noteFirstLevel(now time.Time) {
+	switch {
+	case !t.holder.FirstLevel(now):
+		t.steadySince = time.Time{}
+	case t.steadySince.IsZero():
+		t.steadySince = now
+	}
+}
+
+// steadyIn returns how long this node must still be in contact with its own witnesses before it may judge others; zero
+// if it may now. A node that was cut off itself would take every holder for lost. Without this wait, after a fault that
+// expired all leases the promise requests, which are repeated every 50 ms, reached the witnesses before the renewals
+// did, and the promised-against holders could not own again until the log ended them. The caller holds mu.
+func (t *leaseTable) steadyIn(now time.Time) time.Duration {
+	timing := t.parameters.Timing()
+	wait := timing.LeaseTime + timing.RenewalInterval
+	if t.steadySince.IsZero() || !t.holder.FirstLevel(now) {
+		return wait
+	}
+	return max(t.steadySince.Add(wait).Sub(now), 0)
+}
+
+// promise answers a claimant, or asks it to wait while this node cannot judge. The caller holds mu.
+func (t *leaseTable) promise(r lease.PromiseRequest, now time.Time) lease.PromiseAnswer {
+	if wait := t.steadyIn(now); wait > 0 {
+		return lease.PromiseAnswer{
+			Holder: r.Holder, SetVersion: r.SetVersion, Claimant: r.Claimant, Witness: r.Witness, Wait: wait,
+		}
+	}
+	return t.witness.Promise(r, now)
+}
+
 // stepClaims advances the claims. The caller holds mu.
 func (t *leaseTable) stepClaims(s *leaseStep, now time.Time) {
 	for holder, claim := range t.claims {
@@ -215,7 +253,7 @@
 				s.requests = append(s.requests, r)
 				continue
 			}
-			claim.Answer(t.witness.Promise(r, now), now)
+			claim.Answer(t.promise(r, now), now)
 		}
 		switch claim.Status(now) {
 		case lease.ClaimSatisfied:
@@ -239,6 +277,9 @@
 	if t.owning {
 		next = earliest(next, t.holder.OwnsUntil())
 	}
+	if !t.steadySince.IsZero() {
+		next = earliest(next, t.holder.FirstLevelUntil())
+	}
 	if soonest := now.Add(minStepInterval); !next.IsZero() && next.Before(soonest) {
 		return soonest
 	}
--- a/internal/engine/leases.go
+++ b/internal/engine/leases.go
@@ -79,7 +79,7 @@
 		t.mu.Unlock()
 		return
 	}
-	answer := t.witness.Promise(r, time.Now())
+	answer := t.promise(r, time.Now())
 	t.mu.Unlock()
 	e.sendLease(r.Claimant, node.LeaseMessage{PromiseAnswer: &answer})
 }
@@ -130,7 +130,7 @@
 		e.startClaim(o.Holder, o.SetVersion, time.Time{})
 	}
 	for _, claim := range step.satisfied {
-		e.proposeEnd(claim)
+		e.proposeEnd(claim.Holder(), claim.SetVersion(), claim.Direct(), e.suspected())
 	}
 	e.leaseStep.FireAt(step.next)
 }
@@ -162,21 +162,23 @@
 // endPurpose names the proposal that ends a holder.
 func endPurpose(holder ledger.Incarnation) purpose { return purpose(fmt.Sprintf("end %d", holder)) }
 
-// proposeEnd appends the end of a claimed holder with the new owners of its slices.
-func (e *Engine) proposeEnd(claim *lease.Claimant) {
-	holder, version := claim.Holder(), claim.SetVersion()
+// proposeEnd appends the end of a holder with the new owners of its slices. direct says on what the end rests;
+// suspected holders receive no slices.
+func (e *Engine) proposeEnd(
+	holder ledger.Incarnation, version ledger.Offset, direct bool, suspected map[ledger.Incarnation]bool,
+) {
 	if e.proposals.isOpen(endPurpose(holder)) {
 		return
 	}
 	var successors []ledger.Successor
 	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
-		successors = placement.PlanFailover(s, holder, e.suspected(), policies(s, c))
+		successors = placement.PlanFailover(s, holder, suspected, policies(s, c))
 	})
 	record := &ledger.Record{Kind: ledger.KindEnd, ID: newRecordID(), End: &ledger.End{
 		Incarnation: holder,
 		SetVersion:  version,
 		Claimant:    e.incarnation(),
-		Direct:      claim.Direct(),
+		Direct:      direct,
 		AtUnixMS:    time.Now().UnixMilli(),
 		Successors:  successors,
 	}}
@@ -204,8 +206,7 @@
 	e.leaseStep.Fire()
 }
 
-// suspected returns the holders that this node claims. They receive no slices from its plans. It takes the lease lock
-// under the ledger lock.
+// suspected returns the holders that this node claims. They receive no slices from its plans.
 func (e *Engine) suspected() map[ledger.Incarnation]bool {
 	t := e.leases
 	t.mu.Lock()
@@ -217,7 +218,7 @@
 	return suspected
 }
 
-// relearnLeases takes in all witness sets after the state was replaced.
+// relearnLeases takes in all witness sets after this node joined or the state was replaced.
 func (e *Engine) relearnLeases(now time.Time) {
 	var members []*ledger.Member
 	e.ledger.read(func(s *ledger.State, _ *config.Configuration) {
@@ -226,6 +227,11 @@
 		}
 	})
 	e.leases.relearn(members, now)
+	for _, m := range members {
+		if len(m.WitnessSet.Members) == 0 {
+			e.watchLogLease(m.Incarnation, m.WitnessSet.Version, now)
+		}
+	}
 }
 
 // followWitnesses arranges the claims that no witness would start: against holders that renew through the log, and
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -110,8 +110,9 @@
 	e.leaseStep.Fire()
 }
 
-// endedByOthers stops serving and joins again. It runs while the end record is replayed.
-func (e *Engine) endedByOthers() {
+// stopIncarnation stops serving and joins again. It runs while the end of this incarnation is replayed, or the
+// configuration by which operators state that it is gone.
+func (e *Engine) stopIncarnation() {
 	self := e.incarnation()
 	e.leases.end()
 	e.serving.with(func(t *serving.Table) { t.Clear() })
@@ -120,6 +121,18 @@
 	e.membership.FireAfter(joinRetry)
 }
 
+// stopIfStatedLost stops this incarnation if operators state that it is gone.
+func (e *Engine) stopIfStatedLost() {
+	self := e.incarnation()
+	lost := false
+	e.ledger.read(func(_ *ledger.State, c *config.Configuration) {
+		lost = self != 0 && statedLost(c, e.options.Self.DataCentre, self)
+	})
+	if lost {
+		e.stopIncarnation()
+	}
+}
+
 // renewThroughLog renews the lease of a node without witnesses.
 func (e *Engine) renewThroughLog(self ledger.Incarnation) {
 	record := &ledger.Record{Kind: ledger.KindRenewed, ID: newRecordID()}
--- a/internal/engine/planning.go
+++ b/internal/engine/planning.go
@@ -69,6 +69,7 @@
 	if e.drains() {
 		e.drainSlices(self)
 	}
+	e.endLost(self)
 	for _, id := range e.ownGroups() {
 		e.planGroup(self, id)
 	}
@@ -230,3 +231,52 @@
 		e.proposeMove(m)
 	}
 }
+
+// lostMembers returns the members that operators state to be gone, and this node's rank among the others.
+func (e *Engine) lostMembers(self ledger.Incarnation) (lost []*ledger.Member, rank int) {
+	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
+		if c == nil {
+			return
+		}
+		for i, m := range s.Members {
+			switch {
+			case statedLost(c, m.DataCentre, i):
+				lost = append(lost, m)
+			case i < self:
+				rank++
+			}
+		}
+	})
+	return lost, rank
+}
+
+// statedLost reports whether operators state that the incarnation in the data centre is gone.
+func statedLost(c *config.Configuration, dataCentre string, i ledger.Incarnation) bool {
+	return i < ledger.Incarnation(c.LostBefore(dataCentre))
+}
+
+// endLost ends the members that operators state to be gone. It waits a lease time first: a node that is stated lost by
+// mistake and reads the configuration stops serving at once.
+func (e *Engine) endLost(self ledger.Incarnation) {
+	lost, rank := e.lostMembers(self)
+	if len(lost) == 0 {
+		return
+	}
+	wait := 2*e.options.Timing.Timing().LeaseTime + time.Duration(rank)*planStagger
+	for _, m := range lost {
+		e.controlPool.After(wait, func() { e.endStatedLost(m.Incarnation) })
+	}
+}
+
+// endStatedLost ends one member if it is still stated to be gone.
+func (e *Engine) endStatedLost(i ledger.Incarnation) {
+	lost, _ := e.lostMembers(e.incarnation())
+	gone := map[ledger.Incarnation]bool{}
+	for _, m := range lost {
+		gone[m.Incarnation] = true
+	}
+	if m := e.ledger.member(i); m != nil && gone[i] && e.incarnation() != 0 {
+		// No promise was given, but the operators state that the process has ended.
+		e.proposeEnd(i, m.WitnessSet.Version, true, gone)
+	}
+}
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -96,7 +96,7 @@
 	e.followWitnesses(a, now)
 	e.proposals.replayed(a)
 	if a.took(ledger.KindEnd) && a.record.End.Incarnation == e.incarnation() {
-		e.endedByOthers()
+		e.stopIncarnation()
 	}
 	if a.took(ledger.KindSettled) && a.record.Settled.Incarnation == e.incarnation() {
 		e.serving.settledRead(a.record.Settled.Slices)
@@ -123,6 +123,7 @@
 		return
 	}
 	e.deps.Events.Emit(eventlog.ConfigurationInForce, eventlog.Revision(revision))
+	e.stopIfStatedLost()
 	e.configurationChanged()
 }
 
--- a/internal/fake/backend_store.go
+++ b/internal/fake/backend_store.go
@@ -113,6 +113,17 @@
 	return s.total
 }
 
+// Identified returns how many requests with an id ran.
+func (s *Store) Identified() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ran := 0
+	for _, n := range s.executions {
+		ran += n
+	}
+	return ran
+}
+
 // Duplicates returns the ids of requests that ran more than once, in order.
 func (s *Store) Duplicates() []string {
 	s.mu.Lock()
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -23,6 +23,7 @@
 	}
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
 			bubble(t, func(t *testing.T) {
 				testscript.RunT(inline{t}, testscript.Params{Files: []string{file}, Cmds: commands(build(t))})
 			})
