--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -32,7 +32,8 @@
 	sends   [sendsRemembered]send
 	// granted and marked are the send times of the latest renewals that were answered, and answered with the mark.
 	granted, marked time.Time
-	nextSend        time.Time
+	// firstSend is when the first renewal under the current set version was sent; zero if none was.
+	firstSend, nextSend time.Time
 }
 
 // send is a renewal that is on its way or was answered; sequence zero is none.
@@ -126,11 +127,12 @@
 }
 
 // AppendStale appends the witnesses of the current set that granted no renewal sent in the last lease time, although
-// the set is older than that. They should be replaced if this persists. A witness that promised stays stale until the set version changes.
+// renewals were sent for longer. They should be replaced if this persists. A witness that promised stays stale until the set version changes.
 func (h *Holder) AppendStale(dst []ledger.Incarnation, now time.Time) []ledger.Incarnation {
 	for i := range h.links {
-		if now.Sub(later(h.links[i].granted, h.current.sent)) > h.parameters.timing.LeaseTime {
-			dst = append(dst, h.links[i].witness)
+		l := &h.links[i]
+		if !l.firstSend.IsZero() && now.Sub(later(l.granted, l.firstSend)) > h.parameters.timing.LeaseTime {
+			dst = append(dst, l.witness)
 		}
 	}
 	return dst
@@ -147,6 +149,9 @@
 }
 
 func (l *link) remember(sequence uint64, at time.Time) {
+	if l.firstSend.IsZero() {
+		l.firstSend = at
+	}
 	copy(l.sends[1:], l.sends[:sendsRemembered-1])
 	l.sends[0] = send{sequence: sequence, at: at}
 }
--- a/internal/lease/witness_set.go
+++ b/internal/lease/witness_set.go
@@ -73,7 +73,7 @@
 		if old := h.link(m); old != nil {
 			l = *old
 		}
-		l.nextSend = time.Time{}
+		l.firstSend, l.nextSend = time.Time{}, time.Time{}
 		links = append(links, l)
 	}
 	h.current, h.links = s, links
