Add admission to a backend server

Cause: a backend server must not get more requests than its limit, and late or crowding requests must not keep others from finishing in time.

Change: internal/admission holds a concurrency limit and a bounded queue. A slot goes to the most urgent class, then to tenants and keys below their fair share, then by deadline; each eighth slot is given without regard to class. A job that cannot finish by the measured service time is refused at once or while it waits; with nothing running it may try, so that the estimate can fall again. A full queue refuses a job of a tenant above its share of the places first.

Within one tenant background work yields to urgent requests.

--- /dev/null
+++ b/internal/admission/order.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"time"
+
+	"heatherreel/internal/request"
+)
+
+// anyClassEvery is how often a slot is given without regard to class, so that a stream of urgent requests leaves an
+// eighth of the slots to the rest.
+const anyClassEvery = 8
+
+// join returns the job for an offer, with its shares.
+func (q *Queue) join(offered Job) *job {
+	j := &job{Job: offered, ticket: q.last}
+	if j.tenant = q.tenants[offered.Tenant]; j.tenant == nil {
+		j.tenant = &share{}
+		q.tenants[offered.Tenant] = j.tenant
+	}
+	name := tenantKey{tenant: offered.Tenant, key: offered.Key}
+	if j.key = q.keys[name]; j.key == nil {
+		j.key = &share{}
+		q.keys[name] = j.key
+	}
+	return j
+}
+
+// leave drops the shares of a job that neither runs nor waits, unless other jobs use them.
+func (q *Queue) leave(j *job) {
+	if *j.tenant == (share{}) {
+		delete(q.tenants, j.Tenant)
+	}
+	if *j.key == (share{}) {
+		delete(q.keys, tenantKey{tenant: j.Tenant, key: j.Key})
+	}
+}
+
+// begin gives a slot to a job that does not wait.
+func (q *Queue) begin(now time.Time, j *job) {
+	j.begun = now
+	j.tenant.running++
+	j.key.running++
+	q.running[j.ticket] = j
+}
+
+// enqueue adds a waiting job.
+func (q *Queue) enqueue(j *job) {
+	j.tenant.waiting++
+	j.key.waiting++
+	q.waiting = append(q.waiting, j)
+}
+
+// dequeue removes a waiting job; the last one takes its place.
+func (q *Queue) dequeue(j *job) {
+	for i, other := range q.waiting {
+		if other != j {
+			continue
+		}
+		last := len(q.waiting) - 1
+		q.waiting[i] = q.waiting[last]
+		q.waiting[last] = nil
+		q.waiting = q.waiting[:last]
+		break
+	}
+	j.tenant.waiting--
+	j.key.waiting--
+}
+
+// refuse removes a waiting job and returns its refusal.
+func (q *Queue) refuse(j *job, reason request.Reason) Refusal {
+	q.dequeue(j)
+	q.leave(j)
+	return Refusal{Ticket: j.ticket, Reason: reason}
+}
+
+// next returns the waiting job that gets a free slot.
+func (q *Queue) next() *job {
+	byClass := (q.started+1)%anyClassEvery != 0
+	tenantShare := fairShare(q.options.Limit, len(q.tenants))
+	keyShare := fairShare(q.options.Limit, len(q.keys))
+	best := q.waiting[0]
+	for _, j := range q.waiting[1:] {
+		if precedes(j, best, byClass, tenantShare, keyShare) {
+			best = j
+		}
+	}
+	return best
+}
+
+// fairShare returns the number of slots that each of count parties may take before the others, rounded up.
+func fairShare(slots, count int) int {
+	return (slots + count - 1) / max(count, 1)
+}
+
+// precedes reports whether a gets a slot before b.
+func precedes(a, b *job, byClass bool, tenantShare, keyShare int) bool {
+	if byClass && a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	if aOver, bOver := a.tenant.running >= tenantShare, b.tenant.running >= tenantShare; aOver != bOver {
+		return bOver
+	}
+	if aOver, bOver := a.key.running >= keyShare, b.key.running >= keyShare; aOver != bOver {
+		return bOver
+	}
+	return earlier(a, b)
+}
+
+// earlier orders jobs by deadline, then by arrival.
+func earlier(a, b *job) bool {
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.ticket < b.ticket
+}
+
+// leastClaim returns the waiting job that gives up its place when the queue is full.
+func (q *Queue) leastClaim() *job {
+	places := fairShare(q.options.QueueLimit, len(q.tenants))
+	worst := q.waiting[0]
+	for _, j := range q.waiting[1:] {
+		if claimsLess(j, worst, places) {
+			worst = j
+		}
+	}
+	return worst
+}
+
+// claimsLess reports whether a gives up its place before b: jobs of tenants above their share of the places, then
+// the less urgent class, then the key with more waiting jobs, then the later deadline. The tenant comes before the
+// class, so that one that calls all its requests urgent cannot take all places.
+func claimsLess(a, b *job, places int) bool {
+	if aOver, bOver := a.tenant.waiting > places, b.tenant.waiting > places; aOver != bOver {
+		return aOver
+	}
+	if a.Class != b.Class {
+		return a.Class > b.Class
+	}
+	if a.key.waiting != b.key.waiting {
+		return a.key.waiting > b.key.waiting
+	}
+	return earlier(b, a)
+}
+
+// latestStart returns the latest time at which a job can start and be expected to finish.
+func (q *Queue) latestStart(j *job) time.Time { return j.Deadline.Add(-q.serviceTime) }
+
+// latestDeadline returns the waiting job with the latest deadline; nil if none waits.
+func (q *Queue) latestDeadline() *job {
+	var latest *job
+	for _, j := range q.waiting {
+		if latest == nil || earlier(latest, j) {
+			latest = j
+		}
+	}
+	return latest
+}
+
+// tooLate reports whether an offered job is not expected to finish in time. With nothing running it may try, since
+// the estimate could not fall otherwise.
+func (q *Queue) tooLate(now time.Time, offered Job) bool {
+	if !offered.Deadline.After(now) {
+		return true
+	}
+	if len(q.running) == 0 {
+		return false
+	}
+	return now.Add(q.expectedWait(offered) + q.serviceTime).After(offered.Deadline)
+}
+
+// expectedWait estimates how long an offered job would wait for a slot.
+func (q *Queue) expectedWait(offered Job) time.Duration {
+	if len(q.running) < q.options.Limit {
+		return 0
+	}
+	all, own := 0, 0
+	for _, j := range q.waiting {
+		if j.Class > offered.Class || j.Class == offered.Class && j.Deadline.After(offered.Deadline) {
+			continue
+		}
+		all++
+		if j.Job.Tenant == offered.Tenant {
+			own++
+		}
+	}
+	tenants := len(q.tenants)
+	if q.tenants[offered.Tenant] == nil {
+		tenants++
+	}
+	// A tenant waits behind its own jobs and as many of each other tenant, however many those have.
+	ahead := min(all, (own+1)*tenants-1)
+	return q.serviceTime * time.Duration(ahead+1) / time.Duration(max(q.options.Limit, 1))
+}
