Bound the time that a caller may hold a connection with an unsent body

Cause: net/http reads the rest of a request body before it sends an answer. A new test with a caller that never sends its body hung until the test's time limit of 10 minutes, because the read deadline was removed too early; requests refused for their headers or path had none at all.

Change: the read deadline stays in force until the body is read: 1 s for a refused request, the request's deadline otherwise. Announcements get a server with a read timeout, and answers a bound on their headers (64 KiB).

--- a/internal/backendserver/announcement.go
+++ b/internal/backendserver/announcement.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -64,6 +65,18 @@
 	return router
 }
 
+// Bounds of a connection of the announcer. It announces every second, so that five seconds without data mean a fault.
+const (
+	readTimeout       = 5 * time.Second
+	serverIdleTimeout = time.Minute
+	maxHeaderBytes    = 8 << 10
+)
+
+// NewServer returns an HTTP server with bounds for the connections of the announcer.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // takeAnnouncement decodes one announcement and passes it on.
 func takeAnnouncement(w http.ResponseWriter, r *http.Request, l Listener) error {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
--- a/internal/backendserver/backendserver_test.go
+++ b/internal/backendserver/backendserver_test.go
@@ -270,3 +270,11 @@
 		}
 	}
 }
+
+// Guards against an announcer that holds a connection by never sending the rest of its message.
+func TestServerBoundsReading(t *testing.T) {
+	s := NewServer(http.NotFoundHandler())
+	if s.ReadTimeout <= 0 || s.IdleTimeout <= 0 || s.MaxHeaderBytes <= 0 {
+		t.Errorf("unbounded: %v, %v, %d", s.ReadTimeout, s.IdleTimeout, s.MaxHeaderBytes)
+	}
+}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -143,6 +146,70 @@
 	}
 }
 
+// Guards against a caller that holds a connection by never sending its body.
+func TestSlowBodyIsCutOff(t *testing.T) {
+	for name, head := range map[string]string{
+		"at the deadline":  "/v1/services/s/keys/k HTTP/1.1\r\nHeatherreel-Tenant: t\r\nHeatherreel-Deadline-Ms: 50\r\n",
+		"refused headers":  "/v1/services/s/keys/k HTTP/1.1\r\n",
+		"refused path":     "/v1 HTTP/1.1\r\n",
+		"refused for size": "/v1/services/s/keys/k HTTP/1.1\r\nHeatherreel-Tenant: t\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &stubService{}
+			conn, err := net.Dial("tcp", startServer(t, s))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			length := 4
+			if name == "refused for size" {
+				length = 400
+			}
+			fmt.Fprintf(conn, "GET %sHost: h\r\nContent-Length: %d\r\n\r\nab", head, length)
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer.Body.Close()
+			if answer.StatusCode < 400 || answer.StatusCode > 499 || len(s.got) != 0 {
+				t.Errorf("status %d, %d requests reached the service", answer.StatusCode, len(s.got))
+			}
+		})
+	}
+}
+
+// Guards against a read deadline that outlives the body and cancels a request that takes longer.
+func TestSlowServiceIsNotCancelled(t *testing.T) {
+	s := &slowService{stubService{answer: request.Answer{Outcome: request.Done, Status: 200}}}
+	client := NewClient(1)
+	defer client.Close()
+	address := startServer(t, s)
+	for _, body := range []string{"", "body"} {
+		answer, err := client.Do(t.Context(), address, request.Request{
+			Service: "s", Tenant: "t", Key: "k", Method: "POST", ID: testID, Body: []byte(body),
+			Deadline: time.Now().Add(5 * time.Second),
+		})
+		if err != nil || answer.Outcome != request.Done {
+			t.Errorf("answer %+v, error %v", answer, err)
+		}
+	}
+}
+
+// slowService answers after the drain timeout, unless it is cancelled.
+type slowService struct{ stubService }
+
+func (s *slowService) Serve(ctx context.Context, r request.Request) request.Answer {
+	select {
+	case <-ctx.Done():
+		return request.Uncertain(request.ConnectionLost, "r")
+	case <-time.After(drainTimeout + 200*time.Millisecond):
+		return s.stubService.Serve(ctx, r)
+	}
+}
+
 // Guards against a request that changes between the client and the service, for any key.
 func TestRequestRoundTrip(t *testing.T) {
 	s := &stubService{answer: request.Answer{Outcome: request.Done, Status: 201, ContentType: "text/x", Body: []byte("ok")}}
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -196,11 +196,8 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	control := http.NewResponseController(w)
-	// Writers without a connection, as in tests, support no read deadline and cannot block.
-	_ = control.SetReadDeadline(deadline)
+	setReadDeadline(w, deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, tooLarge(limit)
@@ -211,6 +208,12 @@
 	return body, nil
 }
 
+// setReadDeadline bounds reading from the caller's connection; the zero time removes the bound.
+func setReadDeadline(w http.ResponseWriter, deadline time.Time) {
+	// Writers without a connection, as in tests, support no read deadline and cannot block.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 // tooLarge returns the error for a body over limit bytes.
 func tooLarge(limit int64) error {
 	return problem.New(problem.TooLarge, "send a smaller body", "the body is over %d bytes", limit)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -20,6 +20,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// drainTimeout bounds reading the body of a request that is refused for its headers.
+	drainTimeout = time.Second
 )
 
 // NewHandler returns the HTTP handler for callers.
@@ -45,17 +47,22 @@
 
 // serve decodes one request, has it answered and encodes the answer.
 func serve(w http.ResponseWriter, r *http.Request, s Service) {
+	// net/http reads the rest of a body before it sends an answer. The read deadline is removed only when the body
+	// is read, since a caller that never sends it would otherwise hold the connection and this goroutine for ever.
+	setReadDeadline(w, time.Now().Add(drainTimeout))
 	decoded, err := decode(w, r, s)
 	if err != nil {
 		answer, detail := refusal(err)
 		encode(w, r.URL.EscapedPath(), answer, detail)
 		return
 	}
+	setReadDeadline(w, time.Time{})
 	encode(w, r.URL.EscapedPath(), s.Serve(r.Context(), decoded), "")
 }
 
 // notFound answers paths that name no service and key.
 func notFound(w http.ResponseWriter, r *http.Request) {
+	setReadDeadline(w, time.Now().Add(drainTimeout))
 	err := problem.New(problem.Malformed, "use /v1/services/{service}/keys/{key} with a key that is not empty", "no such path")
 	answer, detail := refusal(err)
 	encode(w, r.URL.EscapedPath(), answer, detail)
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -24,6 +24,9 @@
 	IdleTimeout time.Duration
 }
 
+// maxHeaderBytes bounds the headers of an answer.
+const maxHeaderBytes = 64 << 10
+
 // Transport makes HTTP/1.1 exchanges over kept connections, one at a time on each. It follows no redirects, uses no
 // proxy and no compression, and sends each request at most once.
 type Transport struct {
@@ -45,6 +48,8 @@
 		MaxConnsPerHost:     o.MaxConnections,
 		MaxIdleConnsPerHost: o.MaxConnections,
 		IdleConnTimeout:     o.IdleTimeout,
+		// The library's own bound of 10 MiB would let one answer take a sixth of a node's memory.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/httpwire/transport_test.go
+++ b/internal/httpwire/transport_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -161,6 +162,7 @@
 		"short chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
 		"no length":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n12345",
 		"half a header": "HTTP/1.1 200 OK\r\nContent-Le",
+		"large header":  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n",
 	}
 	for name, bytes := range cases {
 		t.Run(name, func(t *testing.T) {
