Keep the stand-in's connection open until the node's own deadline

Cause: TestBackendFaults/frozen failed once in 16 runs: the deadline sent to the backend server is rounded down to milliseconds, so that the stand-in closed the connection just before the node's deadline and the node saw a lost connection in place of a missed deadline. Both are "unknown"; only the reason differed.

Change: a stand-in that gives up at a deadline waits for the node to close the connection. The test is unchanged.

--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -155,6 +155,7 @@
 	defer b.noteUse()
 	ctx, cancel := context.WithTimeout(r.Context(), call.deadline)
 	defer cancel()
+	defer awaitCaller(ctx, r)
 	b.thaw(ctx)
 	if b.refusesFence(call) {
 		refuse(w, http.StatusConflict, httpwire.RefusedFence)
@@ -174,6 +175,19 @@
 	b.reply(ctx, w, call, result)
 }
 
+// awaitCaller is deferred. It keeps the connection of a request that was given up at its deadline until the node
+// closes it, because the deadline sent is rounded down and the node would see a lost connection shortly before its own.
+func awaitCaller(ctx context.Context, r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		<-r.Context().Done()
+	}
+	panic(cause)
+}
+
 // decodeCall returns the request, or answers 400 and returns false.
 func decodeCall(w http.ResponseWriter, r *http.Request) (call, bool) {
 	key, keyErr := httpwire.UnescapeKey(mux.Vars(r)["key"])
