--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -20,9 +20,11 @@
 	witness *lease.Witness
 	claims  map[ledger.Incarnation]*lease.Claimant
 	// ended holds how this node learned of the ends of incarnations that a witness set may still name.
-	ended map[ledger.Incarnation]lease.Ended
+	ended map[ledger.Incarnation]endedNode
 	// staleSince is since when a witness has given no answer within a lease time.
 	staleSince map[ledger.Incarnation]time.Time
+	// avoidUntil is how long a witness that gave no answer is not chosen again.
+	avoidUntil map[ledger.Incarnation]time.Time
 	// steadySince is since when the own first-level lease has held without a break; zero while it does not hold.
 	steadySince time.Time
 	// owning is the last reported state of the lease, for events.
@@ -34,11 +36,18 @@
 		mu:         lockorder.New(lockorder.Lease),
 		parameters: p,
 		claims:     map[ledger.Incarnation]*lease.Claimant{},
-		ended:      map[ledger.Incarnation]lease.Ended{},
+		ended:      map[ledger.Incarnation]endedNode{},
 		staleSince: map[ledger.Incarnation]time.Time{},
+		avoidUntil: map[ledger.Incarnation]time.Time{},
 	}
 }
 
+// endedNode is how this node learned of the end of an incarnation.
+type endedNode struct {
+	lease.Ended
+	instance string
+}
+
 // incarnation returns the own incarnation; zero if the node is not a member.
 func (t *leaseTable) incarnation() ledger.Incarnation {
 	t.mu.Lock()
@@ -65,6 +74,7 @@
 	t.witness = lease.NewWitness(t.parameters, self)
 	clear(t.claims)
 	clear(t.staleSince)
+	clear(t.avoidUntil)
 	t.owning, t.steadySince = false, time.Time{}
 }
 
@@ -98,15 +108,16 @@
 	r := a.record
 	switch r.Kind {
 	case ledger.KindJoin:
+		t.instanceReplaced(r.Join.Instance, now)
 		t.learn(ledger.Incarnation(a.offset), r.ID, ledger.WitnessSet{Version: a.offset, Members: r.Join.Witnesses}, now)
 	case ledger.KindWitnesses:
 		t.learn(r.Witnesses.Incarnation, r.ID, ledger.WitnessSet{Version: a.offset, Members: r.Witnesses.Witnesses}, now)
 	case ledger.KindRenewed:
 		t.learn(r.Renewed.Incarnation, r.ID, ledger.WitnessSet{Version: a.offset}, now)
 	case ledger.KindEnd:
-		t.incarnationEnded(r.End.Incarnation, lease.Ended{Read: now, Direct: r.End.Direct})
+		t.incarnationEnded(a.ended, lease.Ended{Read: now, Direct: r.End.Direct})
 	case ledger.KindLeave:
-		t.incarnationEnded(r.Leave.Incarnation, lease.Ended{Read: now, Direct: true})
+		t.incarnationEnded(a.ended, lease.Ended{Read: now, Direct: true})
 	}
 }
 
@@ -123,9 +134,25 @@
 	}
 }
 
-// incarnationEnded takes in the end of an incarnation. The caller holds mu.
-func (t *leaseTable) incarnationEnded(i ledger.Incarnation, e lease.Ended) {
-	t.ended[i] = e
+// instanceReplaced notes that an instance runs a new process, so that its earlier incarnations mark no more answers.
+// The caller holds mu.
+func (t *leaseTable) instanceReplaced(instance string, now time.Time) {
+	for i, e := range t.ended {
+		if e.instance != instance || e.Direct {
+			continue
+		}
+		e.Ended = lease.Ended{Read: now, Direct: true}
+		t.ended[i] = e
+		for _, claim := range t.claims {
+			claim.WitnessEnded(i, e.Ended)
+		}
+	}
+}
+
+// incarnationEnded takes in the end of a member. The caller holds mu.
+func (t *leaseTable) incarnationEnded(m *ledger.Member, e lease.Ended) {
+	i := m.Incarnation
+	t.ended[i] = endedNode{Ended: e, instance: m.Instance}
 	if t.witness != nil {
 		t.witness.Forget(i)
 	}
@@ -167,7 +194,7 @@
 	claim := lease.NewClaimant(t.parameters, t.self, holder, set, setRead)
 	for _, m := range set.Members {
 		if e, ok := t.ended[m]; ok {
-			claim.WitnessEnded(m, e)
+			claim.WitnessEnded(m, e.Ended)
 		}
 	}
 	t.claims[holder] = claim
--- a/internal/engine/ledger_table.go
+++ b/internal/engine/ledger_table.go
@@ -77,6 +77,8 @@
 	offset    ledger.Offset
 	record    *ledger.Record
 	rejection ledger.Rejection
+	// ended is the member that an accepted end or leave record removed; nil for other records.
+	ended *ledger.Member
 	// restored tells that the record was a checkpoint that replaced the state.
 	restored bool
 }
@@ -98,8 +100,12 @@
 	if !t.synced && !isCheckpoint {
 		return applied{offset: entry.Offset, record: entry.Record, rejection: ledger.OutdatedSnapshot}
 	}
+	leaving := t.leavingMember(entry.Record)
 	rejection := t.state.Apply(entry.Offset, entry.Record)
 	a := applied{offset: entry.Offset, record: entry.Record, rejection: rejection}
+	if rejection == ledger.Accepted {
+		a.ended = leaving
+	}
 	if isCheckpoint && rejection == ledger.Accepted {
 		a.restored, t.synced = true, true
 	}
@@ -109,6 +115,17 @@
 	return a
 }
 
+// leavingMember returns the member that an end or leave record is about, or nil. The caller holds mu.
+func (t *ledgerTable) leavingMember(r *ledger.Record) *ledger.Member {
+	switch {
+	case r.Kind == ledger.KindEnd && r.End != nil:
+		return t.state.Members[r.End.Incarnation]
+	case r.Kind == ledger.KindLeave && r.Leave != nil:
+		return t.state.Members[r.Leave.Incarnation]
+	}
+	return nil
+}
+
 // isLoss reports whether records of the kind can take a slice from an owner that did not release it.
 func isLoss(kind ledger.Kind) bool {
 	return kind == ledger.KindEnd || kind == ledger.KindLeave || kind == ledger.KindReleased
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -18,6 +18,9 @@
 	membershipInterval = time.Second
 	// staleWitnessAfter is how long a witness may give no answer before it is replaced.
 	staleWitnessAfter = 3 * time.Second
+	// avoidWitnessFor is how long such a witness is not chosen again. A replaced witness is asked no more, so that
+	// nothing shows whether it answers; without this time it would be chosen again at once.
+	avoidWitnessFor = 30 * time.Second
 
 	purposeJoin      = purpose("join")
 	purposeWitnesses = purpose("witnesses")
@@ -219,15 +222,28 @@
 	}}, base, next, now)
 }
 
-// staleWitnesses returns the witnesses that have given no answer for a while.
+// staleWitnesses returns the witnesses to avoid: those that have given no answer for a while, now or recently.
 func (e *Engine) staleWitnesses(now time.Time) map[ledger.Incarnation]bool {
 	t := e.leases
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	stale := map[ledger.Incarnation]bool{}
+	avoid := map[ledger.Incarnation]bool{}
 	if t.holder == nil {
-		return stale
+		return avoid
 	}
+	t.noteStale(now)
+	for w, until := range t.avoidUntil {
+		if now.After(until) {
+			delete(t.avoidUntil, w)
+			continue
+		}
+		avoid[w] = true
+	}
+	return avoid
+}
+
+// noteStale keeps track of witnesses that give no answer. The caller holds mu.
+func (t *leaseTable) noteStale(now time.Time) {
 	silent := t.holder.AppendStale(nil, now)
 	for _, w := range silent {
 		if t.staleSince[w].IsZero() {
@@ -239,10 +255,9 @@
 		case !contains(silent, w):
 			delete(t.staleSince, w)
 		case now.Sub(since) >= staleWitnessAfter:
-			stale[w] = true
+			t.avoidUntil[w] = now.Add(avoidWitnessFor)
 		}
 	}
-	return stale
 }
 
 func contains(list []ledger.Incarnation, i ledger.Incarnation) bool {
