Keep one fake of the log

Cause: fake.Log and fake.MemoryLog stood in for the same log with different faults, and MemoryLog kept records without encoding them.

Change: fake.Log takes over the ordered append faults and the rival record; heatherreelctl's scripts use it. A read admits, looks and waits in one loop, without the expired flag. The package comment is in doc.go only.

--- a/cmd/heatherreelctl/main_test.go
+++ b/cmd/heatherreelctl/main_test.go
@@ -33,7 +33,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) error {
-			e.Values[logKey{}] = fake.NewMemoryLog()
+			e.Values[logKey{}] = fake.NewLog()
 			e.Setenv("HEATHERREEL_LOG", "fake")
 			e.Setenv("HEATHERREEL_AUTHOR", "ann")
 			e.Setenv("HEATHERREEL_NODE", startNode(e))
@@ -45,7 +45,7 @@
 
 // exits runs the tool in this process and requires the exit code: exits CODE ARGUMENT...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
-	log := ts.Value(logKey{}).(*fake.MemoryLog)
+	log := ts.Value(logKey{}).(*fake.Log)
 	t := &tool{
 		stdout: ts.Stdout(), stderr: ts.Stderr(), getenv: ts.Getenv,
 		readFile: func(path string) ([]byte, error) { return os.ReadFile(ts.MkAbs(path)) },
@@ -58,13 +58,14 @@
 
 // logCommand injects faults into the log or requires its length.
 func logCommand(ts *testscript.TestScript, _ bool, args []string) {
-	log := ts.Value(logKey{}).(*fake.MemoryLog)
+	log := ts.Value(logKey{}).(*fake.Log)
 	switch args[0] {
 	case "rival":
 		base, err := strconv.ParseUint(args[1], 10, 64)
 		ts.Check(err)
-		log.OvertakeNext(&ledger.Record{Kind: ledger.KindConfiguration, ID: "rival", Configuration: &ledger.Configuration{
-			Base: ledger.Offset(base), Document: ts.ReadFile(args[2]), Author: "bob", Note: "take west-a out"}})
+		ts.Check(log.OvertakeNext(&ledger.Record{Kind: ledger.KindConfiguration, ID: "rival",
+			Configuration: &ledger.Configuration{
+				Base: ledger.Offset(base), Document: ts.ReadFile(args[2]), Author: "bob", Note: "take west-a out"}}))
 	case "assign":
 		_, err := log.Append(context.Background(), &ledger.Record{Kind: ledger.KindAssign, ID: "assign",
 			Assign: &ledger.Assign{Group: keyspace.Group{Service: args[1]}, Count: 256}})
@@ -76,11 +77,11 @@
 	case "refuse":
 		log.FailNext(fake.RefuseConnection)
 	case "down":
-		log.SetDown(true)
+		log.SetFaults(fake.LogFaults{Down: true})
 	case "up":
-		log.SetDown(false)
+		log.SetFaults(fake.LogFaults{})
 	case "holds":
-		if got := fmt.Sprint(len(log.Records())); got != args[1] {
+		if got := fmt.Sprint(log.Len()); got != args[1] {
 			ts.Fatalf("the log holds %s records, want %s", got, args[1])
 		}
 	default:
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -1,4 +1,3 @@
-// Package fake holds in-process stand-ins for the outside systems, with faults that tests switch on.
 package fake
 
 import (
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -15,7 +15,7 @@
 type LogFaults struct {
 	// Down refuses every call without effect.
 	Down bool
-	// Delay is added to every call before it takes effect.
+	// Delay is added to every call before it takes effect, and again when a waiting read wakes up.
 	Delay time.Duration
 	// LostReplies is the number of next appends that take effect but answer with an error.
 	LostReplies int
@@ -23,6 +23,21 @@
 	Silent bool
 }
 
+// AppendFault is what happens to one append.
+type AppendFault uint8
+
+// Faults of an append.
+const (
+	// NoFault appends and answers.
+	NoFault AppendFault = iota
+	// LoseReply appends but answers with problem.Unavailable.
+	LoseReply
+	// LoseRequest appends nothing and answers with problem.Unavailable.
+	LoseRequest
+	// RefuseConnection appends nothing and answers with problem.NotSent.
+	RefuseConnection
+)
+
 // Log is a small stand-in of one stream of the platform's log, kept in memory. Offsets start at 1.
 //
 // mu guards the other fields; it has rank lockorder.Queue, since a Log is called under no other lock.
@@ -32,6 +47,10 @@
 	earliest ledger.Offset
 	faults   LogFaults
 	appends  int
+	// appendFaults are the faults of the next appends, in order. They come before faults.LostReplies.
+	appendFaults []AppendFault
+	// rivals are stored immediately before the next append.
+	rivals [][]byte
 	// changed is closed and replaced when a record is added or the faults change.
 	changed chan struct{}
 }
@@ -58,6 +77,26 @@
 	return l.faults
 }
 
+// FailNext adds the faults of the next appends, in order.
+func (l *Log) FailNext(faults ...AppendFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendFaults = append(l.appendFaults, faults...)
+}
+
+// OvertakeNext stores record immediately before the next append that reaches the log. It returns an error if record
+// cannot be encoded.
+func (l *Log) OvertakeNext(record *ledger.Record) error {
+	data, err := platformlog.Encode(record)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rivals = append(l.rivals, data)
+	return nil
+}
+
 // Forget drops all records before offset, as the log's retention does.
 func (l *Log) Forget(before ledger.Offset) {
 	l.mu.Lock()
@@ -96,33 +135,49 @@
 	l.changed = make(chan struct{})
 }
 
+// Errors of the log's answers.
+var (
+	errDown = problem.New(problem.NotSent, "wait until the log is back", "the log is down")
+	errLost = problem.New(problem.Unavailable, "read the stream to learn the outcome", "the reply was lost")
+)
+
+// unavailable wraps the end of a context as the outcome that a client sees.
+func unavailable(err error) error {
+	return problem.New(problem.Unavailable, "read the stream to learn the outcome", "the log did not answer: %w", err)
+}
+
 // admit applies the faults before a call takes effect.
 func (l *Log) admit(ctx context.Context) error {
-	f := l.Faults()
-	if f.Delay > 0 {
-		if err := pause(ctx, f.Delay); err != nil {
-			return unavailable(err)
-		}
+	if err := pause(ctx, l.Faults().Delay); err != nil {
+		return unavailable(err)
 	}
-	for f.Silent {
-		if err := l.wait(ctx, nil); err != nil {
-			return unavailable(err)
+	faults, changed := l.watchFaults()
+	for faults.Silent {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return unavailable(ctx.Err())
 		}
-		f = l.Faults()
+		faults, changed = l.watchFaults()
 	}
-	if f.Down {
-		return problem.New(problem.NotSent, "wait until the log is back", "the log is down")
+	if faults.Down {
+		return errDown
 	}
 	return nil
 }
 
-// unavailable wraps the end of a context as the outcome that a client sees.
-func unavailable(err error) error {
-	return problem.New(problem.Unavailable, "read the stream to learn the outcome", "the log did not answer: %w", err)
+// watchFaults returns the faults in force and a channel that is closed when they may have changed.
+func (l *Log) watchFaults() (LogFaults, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults, l.changed
 }
 
 // pause waits for the delay or the end of ctx.
 func pause(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return nil
+	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -133,20 +188,6 @@
 	}
 }
 
-// wait blocks until something changed, the timer fired, or ctx ended.
-func (l *Log) wait(ctx context.Context, timer <-chan time.Time) error {
-	l.mu.Lock()
-	changed := l.changed
-	l.mu.Unlock()
-	select {
-	case <-changed:
-	case <-timer:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	return nil
-}
-
 // Append encodes and stores the record; see platformlog.Log.
 func (l *Log) Append(ctx context.Context, record *ledger.Record) (ledger.Offset, error) {
 	data, err := platformlog.Encode(record)
@@ -163,15 +204,44 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	offset := l.next()
-	l.records = append(l.records, slices.Clone(data))
+	for _, rival := range l.rivals {
+		l.store(rival)
+	}
+	l.rivals = nil
+	switch l.nextFault() {
+	case LoseRequest:
+		return 0, errLost
+	case RefuseConnection:
+		return 0, errDown
+	case LoseReply:
+		l.store(data)
+		l.appends++
+		return 0, errLost
+	}
 	l.appends++
-	l.notify()
+	return l.store(data), nil
+}
+
+// nextFault takes the fault of the append in progress. The caller holds mu.
+func (l *Log) nextFault() AppendFault {
+	if len(l.appendFaults) > 0 {
+		fault := l.appendFaults[0]
+		l.appendFaults = l.appendFaults[1:]
+		return fault
+	}
 	if l.faults.LostReplies > 0 {
 		l.faults.LostReplies--
-		return 0, problem.New(problem.Unavailable, "read the stream to learn the outcome", "the reply was lost")
+		return LoseReply
 	}
-	return offset, nil
+	return NoFault
+}
+
+// store adds a record and returns its offset. The caller holds mu.
+func (l *Log) store(data []byte) ledger.Offset {
+	offset := l.next()
+	l.records = append(l.records, slices.Clone(data))
+	l.notify()
+	return offset
 }
 
 // Read returns decoded records; see platformlog.Log.
@@ -203,51 +273,30 @@
 func (l *Log) ReadBytes(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (RawPage, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	expired := false
 	for {
 		if err := l.admit(ctx); err != nil {
 			return RawPage{}, err
 		}
-		page, err := l.page(from, max)
-		if err != nil || len(page.Records) > 0 || expired {
+		page, changed, err := l.page(from, max)
+		if err != nil || len(page.Records) > 0 {
 			return page, err
 		}
 		select {
+		case <-changed:
 		case <-timer.C:
-			expired = true
-			continue
-		default:
+			return page, nil
+		case <-ctx.Done():
+			return RawPage{}, unavailable(ctx.Err())
 		}
-		if err := l.waitForRecord(ctx, from, timer.C, &expired); err != nil {
-			return RawPage{}, unavailable(err)
-		}
-	}
-}
-
-// waitForRecord blocks until the record at from may exist, the timer fired, the faults changed, or ctx ended.
-func (l *Log) waitForRecord(ctx context.Context, from ledger.Offset, timer <-chan time.Time, expired *bool) error {
-	l.mu.Lock()
-	changed, exists := l.changed, from < l.next()
-	l.mu.Unlock()
-	if exists {
-		return nil
-	}
-	select {
-	case <-changed:
-	case <-timer:
-		*expired = true
-	case <-ctx.Done():
-		return ctx.Err()
 	}
-	return nil
 }
 
-// page returns what is stored from offset from on.
-func (l *Log) page(from ledger.Offset, max int) (RawPage, error) {
+// page returns what is stored from offset from on, and a channel that is closed at the next change.
+func (l *Log) page(from ledger.Offset, max int) (RawPage, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if from < l.earliest {
-		return RawPage{Earliest: l.earliest}, problem.New(problem.Forgotten,
+		return RawPage{Earliest: l.earliest}, nil, problem.New(problem.Forgotten,
 			"start from a checkpoint or a snapshot of another node",
 			"offset %d is older than the earliest kept offset %d", from, l.earliest)
 	}
@@ -256,5 +305,5 @@
 		page.Records = append(page.Records, l.records[offset-1])
 		page.Next = offset + 1
 	}
-	return page, nil
+	return page, l.changed, nil
 }
