--- a/internal/httpwire/transport_test.go
+++ b/internal/httpwire/transport_test.go
@@ -177,9 +177,10 @@
 
 // Guards against delivering a late answer to the next request, and against waiting for a silent peer.
 func TestConnectionThatMissesDeadlineIsNotReused(t *testing.T) {
+	missed := make(chan struct{})
 	s := newRawServer(t, func(n int, c net.Conn) bool {
 		if n == 1 {
-			time.Sleep(60 * time.Millisecond)
+			<-missed
 		}
 		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"))
 		return true
@@ -188,6 +189,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	_, err := transport.Do(ctx, call("GET", s.address(), nil))
+	close(missed)
 	if !errors.Is(err, problem.Unavailable) || !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("error %v, want unavailable by deadline", err)
 	}
