--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -49,3 +50,28 @@
 		}
 	}
 }
+
+// Guards against an operators' page that sends its reader to a metric that does not exist.
+func TestOperatorsPageNamesExistingMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	families, err := newTestMetrics(t).registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var existing []string
+	for _, f := range families {
+		existing = append(existing, f.GetName())
+	}
+	named := regexp.MustCompile(namespace+"_[a-z][a-z_]*").FindAllString(string(page), -1)
+	if len(named) == 0 {
+		t.Error("docs/operators.md names no metric")
+	}
+	for _, name := range named {
+		if !slices.Contains(existing, name) {
+			t.Errorf("docs/operators.md names the metric %s, which does not exist", name)
+		}
+	}
+}
