--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -39,6 +39,8 @@
 	switch {
 	case service == "absent":
 		return Limits{}, problem.New(problem.UnknownService, "configure it", "no such service")
+	case tenant == "":
+		return Limits{}, problem.New(problem.Malformed, "send it", "no tenant")
 	case tenant == "absent":
 		return Limits{}, problem.New(problem.UnknownTenant, "configure it", "no such tenant")
 	case service == "early":
--- a/internal/caller/decode.go
+++ b/internal/caller/decode.go
@@ -71,8 +71,8 @@
 	if err != nil {
 		return out, err
 	}
-	if tenant == "" || len(tenant) > maxNameBytes {
-		return out, malformed("send the header "+httpwire.HeaderTenant, "the tenant is missing or over %d bytes", maxNameBytes)
+	if len(tenant) > maxNameBytes {
+		return out, malformed("name a configured tenant in the header "+httpwire.HeaderTenant, "the tenant is over %d bytes", maxNameBytes)
 	}
 	return request.Request{Service: service, Tenant: tenant, Key: key, Method: r.Method}, nil
 }
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -26,8 +26,9 @@
 
 // Service answers requests.
 type Service interface {
-	// Limits returns the limits of a service and tenant. Errors are problem.UnknownService and
-	// problem.UnknownTenant; any other error means that no configuration is in force.
+	// Limits returns the limits of a service and tenant. The tenant is empty if the request names none; that is a
+	// problem.Malformed error if the configuration names tenants. Other errors are problem.UnknownService and
+	// problem.UnknownTenant; any further one means that no configuration is in force.
 	Limits(service, tenant string) (Limits, error)
 	// Serve answers r. The context ends when the caller closes its connection.
 	Serve(ctx context.Context, r request.Request) request.Answer
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -221,7 +221,7 @@
 	err := errors.Join(d.leases.Close(), d.peers.Close(), d.tracing.Shutdown(context.Background()),
 		d.metrics.Shutdown(context.Background()))
 	if err != nil {
-		d.events.Emit(eventlog.PeerConnectionFailed, eventlog.Cause(err))
+		d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
 	}
 	d.log.Close()
 	d.backend.Close()
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -9,6 +9,7 @@
 	"heatherreel/internal/caller"
 	"heatherreel/internal/config"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/keyspace"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/node"
@@ -38,6 +39,8 @@
 		case !c.HasService(service):
 			err = problem.New(problem.UnknownService, "use a service of the configuration, or have it published",
 				"the configuration does not name the service")
+		case tenant == "" && !c.HasTenant(""):
+			err = problem.New(problem.Malformed, "send the header "+httpwire.HeaderTenant, "the tenant is missing")
 		case !c.HasTenant(tenant):
 			err = problem.New(problem.UnknownTenant, "use a tenant of the configuration, or have it published",
 				"the configuration does not name the tenant")
--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -156,9 +156,7 @@
 	if t.witness != nil {
 		t.witness.Forget(i)
 	}
-	if claim := t.claims[i]; claim != nil {
-		claim.HolderEnded()
-	}
+	delete(t.claims, i)
 	for _, claim := range t.claims {
 		claim.WitnessEnded(i, e)
 	}
--- a/internal/engine/leases.go
+++ b/internal/engine/leases.go
@@ -174,6 +174,7 @@
 	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
 		successors = placement.PlanFailover(s, holder, suspected, policies(s, c))
 	})
+	e.deps.Events.Emit(eventlog.FailoverPlanned, eventlog.Peer(holder), eventlog.Count("slices", len(successors)))
 	record := &ledger.Record{Kind: ledger.KindEnd, ID: newRecordID(), End: &ledger.End{
 		Incarnation: holder,
 		SetVersion:  version,
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -176,6 +176,9 @@
 		},
 		done: func(offset ledger.Offset, rejection ledger.Rejection) {
 			e.countOutcome(record.Kind, offset, rejection)
+			if rejection == ledger.Accepted && record.Kind == ledger.KindWitnesses {
+				e.deps.Events.Emit(eventlog.WitnessSetChanged, eventlog.Witnesses(members))
+			}
 			e.setDecided(record.ID, rejection)
 		},
 	})
@@ -184,8 +187,9 @@
 // setDecided drops a set that did not come into force. One that did was adopted when its record was replayed.
 func (e *Engine) setDecided(recordID string, rejection ledger.Rejection) {
 	if rejection == ledger.Accepted {
-		e.deps.Events.Emit(eventlog.WitnessSetChanged)
 		e.leaseStep.Fire()
+		// A renewal through the log moved the end of the lease, which the grants carry.
+		e.granting.Fire()
 		return
 	}
 	e.leases.mu.Lock()
--- a/internal/engine/ownership.go
+++ b/internal/engine/ownership.go
@@ -183,6 +183,9 @@
 		outdated: func(s *ledger.State) bool { return s.Members[self] == nil },
 		done: func(offset ledger.Offset, rejection ledger.Rejection) {
 			e.countOutcome(record.Kind, offset, rejection)
+			if rejection == ledger.Accepted {
+				e.reportSettled(list)
+			}
 			// Slices that changed owner meanwhile stay unsettled under a fence that no longer matters.
 			e.serving.settledRead(list)
 			e.ownership.Fire()
@@ -190,6 +193,13 @@
 	})
 }
 
+// reportSettled emits the slices that this node serves alone from now on.
+func (e *Engine) reportSettled(list []ledger.SliceFence) {
+	for _, f := range list {
+		e.deps.Events.Emit(eventlog.SliceSettled, eventlog.Slice(f.Slice), eventlog.Fence(f.Fence))
+	}
+}
+
 // proposeReleased states in the log that this node released slices whose new owner did not settle them.
 func (e *Engine) proposeReleased() {
 	self := e.incarnation()
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -24,6 +24,9 @@
 	EventsSuppressed = define(Event{Number: 108, Name: "events_suppressed", Level: zerolog.WarnLevel,
 		Text:   "events of one kind were left out by its rate limit",
 		Remedy: "read the metrics for the full number"})
+	CloseFailed = define(Event{Number: 109, Name: "close_failed", Level: zerolog.WarnLevel,
+		Text:   "a socket or an exporter reported an error while the node stopped; spans may be missing",
+		Remedy: "check the trace output"})
 )
 
 // Events of the platform's log and the replay of its records.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -48,7 +48,8 @@
 var reasons = []request.Reason{"", request.NoOwner, request.NotOwner, request.LeaseLapsed, request.Moving,
 	request.NoHomeOwner, request.WrongRegion, request.QueueFull, request.DeadlineTooClose, request.Draining,
 	request.NotConfigured, request.BackendRefused, request.BackendUnreachable, request.OwnerUnreachable,
-	request.ConnectionLost, request.DeadlineExceeded, request.MayHaveRun}
+	request.ConnectionLost, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
+	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge}
 
 // closedReason returns the reason, or otherValue for one that is not in the closed set.
 func closedReason(r request.Reason) request.Reason {
