--- a/internal/backendserver/execute.go
+++ b/internal/backendserver/execute.go
@@ -29,7 +29,7 @@
 		Method:    r.Method,
 		Address:   address,
 		Path:      KeysPath + httpwire.EscapeKey(r.Key),
-		Header:    executeHeader(slice, fence, remaining, r),
+		Header:    executeHeader(slice, fence, deadline, remaining, r),
 		Body:      r.Body,
 		MaxAnswer: c.maxAnswer,
 	})
@@ -39,12 +39,17 @@
 	return decodeAnswer(r, response)
 }
 
-// executeHeader returns the headers of a request. remaining is in milliseconds.
-func executeHeader(slice keyspace.SliceID, fence ledger.Offset, remaining int64, r request.Request) http.Header {
+// executeHeader returns the headers of a request. remaining is in milliseconds. The deadline is stated as wall clock time
+// as well, which node and backend server share: a node that is paused before it writes the request would otherwise grant
+// it the whole remaining time again when it resumes, beside a later owner of the slice.
+func executeHeader(
+	slice keyspace.SliceID, fence ledger.Offset, deadline time.Time, remaining int64, r request.Request,
+) http.Header {
 	h := http.Header{}
 	h.Set(httpwire.HeaderFence, strconv.FormatUint(uint64(fence), 10))
 	h.Set(httpwire.HeaderSlice, slice.String())
 	h.Set(httpwire.HeaderDeadline, strconv.FormatInt(remaining, 10))
+	h.Set(httpwire.HeaderNotAfter, strconv.FormatInt(deadline.UnixMilli(), 10))
 	h.Set(httpwire.HeaderTenant, r.Tenant)
 	h.Set(httpwire.HeaderClass, r.Class.String())
 	setUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -61,9 +61,20 @@
 }
 
 // await blocks the handler until the call is finished. It waits for the answer even after the caller has gone, because
-// the jobs of the call observe the context themselves and always finish it.
-func (c *call) await() request.Answer {
-	return <-c.result
+// the jobs of the call observe the context themselves and finish it. Only closed, the end of the engine, stops the jobs;
+// then nothing is known about the request.
+func (c *call) await(closed <-chan struct{}) request.Answer {
+	select {
+	case answer := <-c.result:
+		return answer
+	case <-closed:
+	}
+	select {
+	case answer := <-c.result:
+		return answer
+	default:
+		return request.Uncertain(request.ConnectionLost, "repeat the request with the same id at another node")
+	}
 }
 
 // expired reports whether nobody waits for the answer any more.
--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -35,7 +35,9 @@
 	tracing *telemetry.Tracing
 	// stores holds the values of each service, which its backend servers share.
 	stores map[string]*fake.Store
-	events *eventBuffer
+	// serviceTime is how long a backend server takes for one request.
+	serviceTime time.Duration
+	events      *eventBuffer
 
 	mu       sync.Mutex
 	nodes    map[string]*fleetNode
@@ -94,7 +96,7 @@
 	f := &fleet{
 		t: t, network: fake.NewNetwork(fake.KatodaLatencies, "emea-west"), log: fake.NewLog(),
 		metrics: metrics, tracing: tracing, stores: map[string]*fake.Store{}, events: &eventBuffer{},
-		nodes: map[string]*fleetNode{}, loads: map[string]*load{},
+		nodes: map[string]*fleetNode{}, loads: map[string]*load{}, serviceTime: 2 * time.Millisecond,
 	}
 	t.Cleanup(f.close)
 	return f
@@ -170,7 +172,7 @@
 	n := &fleetNode{Node: spec, host: f.network.AddHost(spec.Name, spec.DataCentre, region)}
 	n.backend = fake.NewBackendServer(fake.BackendOptions{
 		Service: spec.Service, Incarnation: fmt.Sprint(time.Now().UnixNano()), Slots: 10, Connections: 130, Weight: 100,
-		ChecksGrants: f.checksGrants(), ServiceTime: 2 * time.Millisecond, Store: f.stores[spec.Service],
+		ChecksGrants: f.checksGrants(), ServiceTime: f.serviceTime, Store: f.stores[spec.Service],
 	})
 	n.engine = f.newEngine(n, region)
 	n.host.Attach(n.engine)
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -84,7 +84,7 @@
 	if e.ingressPool.Submit(func() { e.firstAttempt(c) }) != nil {
 		c.finish(e.queueFull(e.ingressPool.Name()))
 	}
-	answer := c.await()
+	answer := c.await(e.ctx.Done())
 	span.Result(answer.Outcome, answer.Reason)
 	e.reportAnswer(answer)
 	e.deps.Metrics.Request(telemetry.Ingress, r.Service, answer.Outcome, answer.Reason, time.Since(started))
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -209,11 +209,20 @@
 		id:       r.Header.Get(httpwire.HeaderRequestID),
 		slice:    r.Header.Get(httpwire.HeaderSlice),
 		fence:    fence,
-		deadline: time.Duration(ms) * time.Millisecond,
+		deadline: min(time.Duration(ms)*time.Millisecond, untilUnixMS(r.Header.Get(httpwire.HeaderNotAfter))),
 		body:     body,
 	}, true
 }
 
+// untilUnixMS returns the time left until a wall clock time in milliseconds; a long time if none is stated.
+func untilUnixMS(text string) time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return time.Hour
+	}
+	return time.Until(time.UnixMilli(ms))
+}
+
 // refuse states that the request did not run.
 func refuse(w http.ResponseWriter, status int, reason string) {
 	w.Header().Set(httpwire.HeaderRefused, reason)
--- a/internal/fake/backend_store.go
+++ b/internal/fake/backend_store.go
@@ -42,6 +42,8 @@
 	fences     map[string]uint64
 	executions map[string]int
 	total      int
+	// regressions counts the calls that ran under a lower fence than one that ran before for the same slice.
+	regressions int
 }
 
 // NewStore returns an empty store.
@@ -56,11 +58,15 @@
 	if checksFence && c.fence < s.fences[c.slice] {
 		return result{refused: true}
 	}
+	regressed := c.fence < s.fences[c.slice]
 	s.fences[c.slice] = max(c.fence, s.fences[c.slice])
 	out := s.change(c)
 	if out.status == http.StatusMethodNotAllowed {
 		return out
 	}
+	if regressed {
+		s.regressions++
+	}
 	s.total++
 	if c.id != "" {
 		s.executions[c.id]++
@@ -113,6 +119,13 @@
 	return s.total
 }
 
+// Regressions returns how many calls ran after a call of a later owner of the same slice.
+func (s *Store) Regressions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.regressions
+}
+
 // Identified returns how many requests with an id ran.
 func (s *Store) Identified() int {
 	s.mu.Lock()
--- a/internal/fake/direct.go
+++ b/internal/fake/direct.go
@@ -24,12 +24,16 @@
 	Server *BackendServer
 }
 
+// sendDelay is the time between the node's last check and the write of a request.
+const sendDelay = 2 * time.Millisecond
+
 // Execute sends a request as backendserver.Client does.
 func (d Direct) Execute(
 	ctx context.Context, _ string, slice keyspace.SliceID, fence ledger.Offset, r request.Request,
 ) request.Answer {
 	remaining := time.Until(r.Deadline)
-	if !d.Host.Pass() {
+	// The time between the last check and the write is made long enough for a pause to fall into it.
+	if pause(ctx, sendDelay) != nil || !d.Host.Pass() {
 		return request.Uncertain(request.ConnectionLost, "repeat the request")
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(remaining, 0))
@@ -38,6 +42,7 @@
 	q.Header.Set(httpwire.HeaderFence, strconv.FormatUint(uint64(fence), 10))
 	q.Header.Set(httpwire.HeaderSlice, slice.String())
 	q.Header.Set(httpwire.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
+	q.Header.Set(httpwire.HeaderNotAfter, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	q.Header.Set(httpwire.HeaderTenant, r.Tenant)
 	q.Header.Set(httpwire.HeaderRequestID, r.ID)
 	reply, ok := d.serve(q)
--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -14,6 +14,7 @@
 	HeaderRequestID   = "Heatherreel-Request-Id"
 	HeaderIdempotent  = "Heatherreel-Idempotent"
 	HeaderDeadline    = "Heatherreel-Deadline-Ms"
+	HeaderNotAfter    = "Heatherreel-Not-After-Unix-Ms"
 	HeaderClass       = "Heatherreel-Class"
 	HeaderOutcome     = "Heatherreel-Outcome"
 	HeaderReason      = "Heatherreel-Reason"
