Pack checkpoints and replay streams whose oldest records are gone

A checkpoint record of 840 members carried 0.7 MB of JSON, which every node reads. A reader that lacked records could take over a checkpoint that leaves a gap, and moved its offset past records that it had not read.

An encoded state is checked before it is adopted: nothing in it may name offsets after its own, or owners that are not members.

A checkpoint that covers what a reader has replayed is now accepted and noted, as the table of records says, if it covers more than the last one. The case of TestRejections that expected a rejection for every such checkpoint became TestCheckpointIsNotedByReaders, which also checks that nothing but the note changes.

--- /dev/null
+++ b/internal/ledger/checkpoint_test.go
@@ -0,0 +1,201 @@
+package ledger
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/problem"
+)
+
+// recoded returns the record as a reader of the log gets it.
+func recoded(t rapid.TB, r *Record) *Record {
+	t.Helper()
+	data, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read Record
+	if err := json.Unmarshal(data, &read); err != nil {
+		t.Fatal(err)
+	}
+	return &read
+}
+
+// checkpointOf returns the record of a checkpoint of the state, as a reader gets it.
+func checkpointOf(t rapid.TB, s *State, atUnixMS int64) *Record {
+	t.Helper()
+	taken := &Checkpoint{Offset: s.Offset, AtUnixMS: atUnixMS, State: s.Clone()}
+	return recoded(t, &Record{Kind: KindCheckpoint, ID: "c", Checkpoint: taken})
+}
+
+// packed returns a checkpoint record whose packed state is the given text.
+func packed(offset Offset, text []byte) *Record {
+	var data bytes.Buffer
+	w, _ := flate.NewWriter(&data, flate.BestCompression)
+	_, _ = w.Write(text)
+	_ = w.Close()
+	return &Record{Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: offset, packed: data.Bytes()}}
+}
+
+// TestCheckpointIsNotedByReaders guards against a checkpoint that changes the state of a reader that needs none, and
+// against rival checkpoints of which the older one counts.
+func TestCheckpointIsNotedByReaders(t *testing.T) {
+	s := prepared(t)
+	late, early := checkpointOf(t, s, 7000), checkpointOf(t, prepared(t), 6000)
+	early.Checkpoint.Offset = 5
+	before := encode(t, s)
+	if got := s.Apply(7, late); got != Accepted {
+		t.Fatal(got)
+	}
+	if want := (LastCheckpoint{Record: 7, Covers: 6, AtUnixMS: 7000}); *s.LastCheckpoint != want {
+		t.Fatalf("noted %+v, want %+v", *s.LastCheckpoint, want)
+	}
+	for _, r := range []*Record{early, late} {
+		if got := s.Apply(s.Offset+1, r); got != OutdatedSnapshot || s.LastCheckpoint.Record != 7 {
+			t.Fatalf("a rival that covers no more: %q, noted %+v", got, s.LastCheckpoint)
+		}
+	}
+	s.LastCheckpoint, s.Offset = nil, 6
+	if after := encode(t, s); after != before {
+		t.Fatalf("the checkpoint changed the state:\n%s\n%s", before, after)
+	}
+}
+
+// TestFaultyCheckpointIsNotAdopted guards against a late reader that takes over a state that replay cannot have
+// produced, that exhausts its memory, or that leaves a gap before the records it can read.
+func TestFaultyCheckpointIsNotAdopted(t *testing.T) {
+	good := prepared(t)
+	changed := func(change func(s *State)) *Record {
+		s := prepared(t)
+		change(s)
+		return checkpointOf(t, s, 0)
+	}
+	otherOffset, future, older := checkpointOf(t, good, 0), checkpointOf(t, good, 0), checkpointOf(t, good, 0)
+	otherOffset.Checkpoint.Offset, future.Checkpoint.Offset = 7, 30
+	older.Checkpoint.Offset = 3
+	for name, r := range map[string]*Record{
+		"no state":                  {Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: 6}},
+		"not packed":                {Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: 6, packed: []byte("{}")}},
+		"not a state":               packed(6, []byte("[1, 2")),
+		"null member":               packed(6, []byte(`{"offset":6,"members":[null]}`)),
+		"larger than the bound":     packed(6, bytes.Repeat([]byte(" "), maxStateSize+1)),
+		"another offset":            otherOffset,
+		"the future":                future,
+		"older than the kept":       older,
+		"owner that is not member":  changed(func(s *State) { s.Groups[orders].Slices[0].Owner = 5 }),
+		"source that is not member": changed(func(s *State) { s.Groups[orders].Slices[0].Sources = []Incarnation{5} }),
+		"fence of the future":       changed(func(s *State) { s.Groups[orders].Slices[0].Fence = 9 }),
+		"revision of the future":    changed(func(s *State) { s.Configuration.Revision = 9 }),
+		"member of the future":      changed(func(s *State) { s.Members[9] = &Member{Incarnation: 9} }),
+		"witness listed twice":      changed(func(s *State) { s.Members[3].WitnessSet.Members = []Incarnation{2, 2} }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			late := NewReplay(7)
+			before := encode(t, late.State())
+			if _, restored := late.Add(20, r); restored || late.Complete() {
+				t.Fatal("adopted")
+			}
+			if after := encode(t, late.State()); after != before {
+				t.Fatalf("the state changed:\n%s\n%s", before, after)
+			}
+			if got, restored := late.Add(21, checkpointOf(t, good, 0)); !restored {
+				t.Fatalf("the good checkpoint after it was not adopted: %q", got)
+			}
+		})
+	}
+}
+
+// TestCheckpointOverTheBoundIsNotWritten guards against a checkpoint that no reader would unpack.
+func TestCheckpointOverTheBoundIsNotWritten(t *testing.T) {
+	s := NewState()
+	s.Apply(1, &Record{Kind: KindConfiguration, Configuration: &Configuration{Document: strings.Repeat("x", maxStateSize)}})
+	if _, err := json.Marshal(&Checkpoint{Offset: 1, State: s}); !errors.Is(err, problem.TooLarge) {
+		t.Fatalf("err = %v, want %s", err, string(problem.TooLarge))
+	}
+}
+
+// TestMissingRecordsKeepTheOffset guards against a reader that, with records missing, counts malformed bytes and
+// outdated checkpoints as read, so that it later takes the missing records for read too.
+func TestMissingRecordsKeepTheOffset(t *testing.T) {
+	r := NewReplay(1)
+	for i := range Offset(3) {
+		r.Add(i+1, &Record{Kind: KindJoin, ID: string(rune('a' + i)), Join: &Join{}})
+	}
+	outdated := checkpointOf(t, r.State(), 0)
+	r.Kept(10)
+	for i, record := range []*Record{nil, outdated, {Kind: KindLeave, ID: "l", Leave: &Leave{Incarnation: 1}}} {
+		if r.Add(Offset(10+i), record); r.Complete() || r.State().Offset != 3 || len(r.State().Members) != 3 {
+			t.Fatalf("after record %d: complete %t, state %s", 10+i, r.Complete(), encode(t, r.State()))
+		}
+	}
+	stale, fresh := prepared(t), prepared(t)
+	stale.Offset, fresh.Offset = 8, 9
+	if r.Adopt(stale) || !r.Adopt(fresh) || !r.Complete() {
+		t.Fatal("adopted a snapshot that leaves a gap, or refused one that leaves none")
+	}
+}
+
+// TestLateReaderEndsInTheSameState guards against records that are lost or applied twice when the log has forgotten its
+// oldest records, for any history, any positions of checkpoints and any progress of retention while the reader reads.
+func TestLateReaderEndsInTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log, covering := history(t)
+		first := NewReplay(1)
+		for i, r := range log {
+			first.Add(Offset(i+1), r)
+		}
+		earliest := Offset(rapid.IntRange(1, int(covering)+1).Draw(t, "earliest"))
+		late := NewReplay(earliest)
+		for next := earliest; int(next) <= len(log); {
+			if rapid.IntRange(0, 9).Draw(t, "forgets") == 0 {
+				earliest = Offset(rapid.IntRange(int(earliest), int(covering)+1).Draw(t, "next earliest"))
+				late.Kept(earliest)
+				next = max(next, earliest)
+				continue
+			}
+			_, restored := late.Add(next, log[next-1])
+			next++
+			if restored {
+				next = late.State().Offset + 1
+			}
+		}
+		if !late.Complete() {
+			t.Fatal("no checkpoint was adopted")
+		}
+		if a, b := encode(t, first.State()), encode(t, late.State()); a != b {
+			t.Fatalf("the late reader differs:\n%s\n%s", a, b)
+		}
+	})
+}
+
+// history draws records with checkpoints of older states among them, some of them malformed, and returns them with the
+// highest offset that some checkpoint covers.
+func history(t *rapid.T) (log []*Record, covering Offset) {
+	state := NewState()
+	views := []*State{state.Clone()}
+	next := 0
+	for len(log) < 40 {
+		view := rapid.SampledFrom(views[max(0, len(views)-4):]).Draw(t, "view")
+		var r *Record
+		if rapid.IntRange(0, 9).Draw(t, "malformed") > 0 {
+			r = recoded(t, (&writer{t: t, view: view, next: &next}).record())
+		}
+		if len(log) == 30 {
+			r, covering = checkpointOf(t, state, 0), state.Offset
+		}
+		log = append(log, r)
+		if r == nil {
+			state.Skip(Offset(len(log)))
+		} else {
+			state.Apply(Offset(len(log)), r)
+		}
+		views = append(views, state.Clone())
+	}
+	return log, covering
+}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -188,9 +188,3 @@
 	Author   string `json:"author"`
 	Note     string `json:"note"`
 }
-
-// Checkpoint carries the whole state replayed up to and including Offset.
-type Checkpoint struct {
-	Offset Offset `json:"offset"`
-	State  *State `json:"state"`
-}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -88,6 +88,8 @@
 	WitnessSetInUse  Rejection = "witness_set_in_use"
 	OutsideOfGroup   Rejection = "outside_of_group"
 	OutdatedSnapshot Rejection = "outdated_snapshot"
+	// RecordsMissing means that the reader lacks earlier records, so that it cannot tell whether this one took effect.
+	RecordsMissing Rejection = "records_missing"
 )
 
 // State is the replayed log. It is not safe for concurrent use; its owner guards it.
@@ -100,6 +102,8 @@
 	Configuration *Revision
 	// History holds past revisions, oldest first, at most maxHistory.
 	History []Revision
+	// LastCheckpoint is the last checkpoint record that took effect; nil before the first.
+	LastCheckpoint *LastCheckpoint
 
 	recentJoins []string
 }
@@ -113,9 +117,10 @@
 }
 
 // Apply replays the record at offset and returns why it did not take effect, or Accepted.
-// Offsets must grow; a record at or before s.Offset is a Duplicate. The caller must not leave out records, except by
-// applying a checkpoint. After an accepted checkpoint s.Offset is the offset that the checkpoint covers, which lies
-// before the checkpoint's own offset: the caller reads on from s.Offset+1.
+// Offsets must grow; a record at or before s.Offset is a Duplicate. The caller must not leave out records, except
+// before a checkpoint that covers them; Replay sees to that. A checkpoint of a later state than s replaces s. s.Offset
+// is then the offset that the checkpoint covers, which lies before the checkpoint's own offset: the caller reads on
+// from s.Offset+1.
 func (s *State) Apply(offset Offset, r *Record) Rejection {
 	if offset <= s.Offset {
 		return Duplicate
@@ -535,22 +540,6 @@
 	return s.Configuration.Revision
 }
 
-// applyCheckpoint adopts a checkpoint only into a state that has not replayed up to where the checkpoint reaches.
-// A reader that replayed the log up to here already has what the checkpoint says. It sets s.Offset itself: the records
-// between what the checkpoint covers and its own offset are not part of it.
-func (s *State) applyCheckpoint(offset Offset, c *Checkpoint) Rejection {
-	if c.State == nil || c.State.Offset != c.Offset || c.Offset >= offset {
-		s.Offset = offset
-		return MalformedRecord
-	}
-	if c.Offset <= s.Offset {
-		s.Offset = offset
-		return OutdatedSnapshot
-	}
-	*s = *c.State.Clone()
-	return Accepted
-}
-
 // Owned returns the slices that the incarnation owns, in order.
 func (s *State) Owned(i Incarnation) []SliceFence {
 	var owned []SliceFence
@@ -592,6 +581,10 @@
 		revision := *s.Configuration
 		c.Configuration = &revision
 	}
+	if s.LastCheckpoint != nil {
+		last := *s.LastCheckpoint
+		c.LastCheckpoint = &last
+	}
 	c.History = slices.Clone(s.History)
 	c.recentJoins = slices.Clone(s.recentJoins)
 	return c
@@ -604,18 +597,20 @@
 
 // encodedState is the JSON form of a State: ordered lists, so that equal states encode equally.
 type encodedState struct {
-	Offset        Offset     `json:"offset"`
-	Members       []*Member  `json:"members"`
-	Groups        []*Group   `json:"groups"`
-	Configuration *Revision  `json:"configuration,omitempty"`
-	History       []Revision `json:"history,omitempty"`
-	RecentJoins   []string   `json:"recent_joins,omitempty"`
+	Offset        Offset          `json:"offset"`
+	Members       []*Member       `json:"members"`
+	Groups        []*Group        `json:"groups"`
+	Configuration *Revision       `json:"configuration,omitempty"`
+	History       []Revision      `json:"history,omitempty"`
+	Checkpoint    *LastCheckpoint `json:"last_checkpoint,omitempty"`
+	RecentJoins   []string        `json:"recent_joins,omitempty"`
 }
 
 // MarshalJSON encodes the state; equal states give equal bytes.
 func (s *State) MarshalJSON() ([]byte, error) {
 	e := encodedState{
-		Offset: s.Offset, Configuration: s.Configuration, History: s.History, RecentJoins: s.recentJoins,
+		Offset: s.Offset, Configuration: s.Configuration, History: s.History, Checkpoint: s.LastCheckpoint,
+		RecentJoins: s.recentJoins,
 	}
 	for _, m := range s.Members {
 		e.Members = append(e.Members, m)
@@ -636,6 +631,7 @@
 	}
 	*s = *NewState()
 	s.Offset, s.Configuration, s.History, s.recentJoins = e.Offset, e.Configuration, e.History, e.RecentJoins
+	s.LastCheckpoint = e.Checkpoint
 	for _, m := range e.Members {
 		if m == nil {
 			return errIncomplete
@@ -648,5 +644,8 @@
 		}
 		s.Groups[g.ID] = g
 	}
+	if !s.consistent() {
+		return errInconsistent
+	}
 	return nil
 }
--- a/internal/operator/publication/publication.go
+++ b/internal/operator/publication/publication.go
@@ -8,16 +8,11 @@
 	"heatherreel/internal/problem"
 )
 
-// firstOffset is the offset of the first record of a stream.
-const firstOffset ledger.Offset = 1
-
-// Replay builds a ledger state from a stream whose oldest records may be gone. The state is complete when it began
-// with the first record or adopted a checkpoint that covers everything before the earliest kept one.
+// Replay is a ledger.Replay that needs no second reading of the records between what a checkpoint covers and its own
+// offset: it holds them back until then.
 type Replay struct {
-	state    *ledger.State
-	earliest ledger.Offset
-	complete bool
-	// held are the entries since earliest until the first checkpoint that completes the state.
+	inner *ledger.Replay
+	// held are the entries since the earliest one until the first checkpoint that completes the state.
 	held []entry
 }
 
@@ -28,50 +23,28 @@
 }
 
 // NewReplay returns a replay that begins at the earliest kept offset.
-func NewReplay(earliest ledger.Offset) *Replay {
-	return &Replay{state: ledger.NewState(), earliest: earliest, complete: earliest <= firstOffset}
-}
+func NewReplay(earliest ledger.Offset) *Replay { return &Replay{inner: ledger.NewReplay(earliest)} }
 
 // Complete reports whether the state holds everything up to the last added entry.
-func (r *Replay) Complete() bool { return r.complete }
+func (r *Replay) Complete() bool { return r.inner.Complete() }
 
 // State returns the replayed state; it is meaningful only if Complete.
-func (r *Replay) State() *ledger.State { return r.state }
+func (r *Replay) State() *ledger.State { return r.inner.State() }
 
 // Add replays the entry at offset; record is nil for malformed bytes. Offsets must grow.
-func (r *Replay) Add(offset ledger.Offset, record *ledger.Record) ledger.Rejection {
-	if r.complete {
-		return r.apply(entry{offset, record})
+func (r *Replay) Add(offset ledger.Offset, record *ledger.Record) {
+	_, restored := r.inner.Add(offset, record)
+	if !r.Complete() || restored {
+		r.held = append(r.held, entry{offset, record})
 	}
-	r.held = append(r.held, entry{offset, record})
-	if !r.completes(record) {
-		return ledger.Accepted
+	if !restored {
+		return
 	}
-	// State.Apply would advance the state to the offset of the record and so drop the entries after the checkpoint's.
-	r.state = record.Checkpoint.State.Clone()
-	r.state.Offset = record.Checkpoint.Offset
-	r.complete = true
 	for _, e := range r.held {
-		r.apply(e)
+		// Those that the checkpoint covers are duplicates.
+		r.inner.Add(e.offset, e.record)
 	}
 	r.held = nil
-	return ledger.Accepted
-}
-
-// completes reports whether the record is a checkpoint of everything before the earliest kept offset. A checkpoint
-// of an older state would leave a gap.
-func (r *Replay) completes(record *ledger.Record) bool {
-	return record != nil && record.Kind == ledger.KindCheckpoint && record.Checkpoint != nil &&
-		record.Checkpoint.State != nil && record.Checkpoint.Offset+1 >= r.earliest
-}
-
-// apply replays one entry; those that a checkpoint already covers are duplicates.
-func (r *Replay) apply(e entry) ledger.Rejection {
-	if e.record == nil {
-		r.state.Skip(e.offset)
-		return ledger.MalformedRecord
-	}
-	return r.state.Apply(e.offset, e.record)
 }
 
 // Verdict says what is known about a publication.
