--- a/internal/placement/rendezvous.go
+++ b/internal/placement/rendezvous.go
@@ -56,3 +56,18 @@
 	}
 	return rank, true
 }
+
+// DutyRank returns the position of self in the rendezvous order of all living members for a duty that any of them can
+// do; zero is first. Different duties give different orders. ok is false if self is not a member.
+func DutyRank(state *ledger.State, duty uint64, self ledger.Incarnation) (rank int, ok bool) {
+	if state.Members[self] == nil {
+		return 0, false
+	}
+	score := mix(duty, uint64(self))
+	for i := range state.Members {
+		if mix(duty, uint64(i)) > score {
+			rank++
+		}
+	}
+	return rank, true
+}
