Write checkpoints, and keep to the log's order when records are missing

Nodes wrote no checkpoints, so that the state was lost with the retention time of the log. Reading the reader for this showed faults of a node that falls behind the retention time: - Malformed bytes and refused checkpoints moved its offset past records that it had not read; it then took these for read, and refused later checkpoints. - It adopted a checkpoint that leaves a gap before the kept records. - It took its own records that it could not judge for rejected. A holder then dropped a proposed witness set that may be in force, and could own without the majority of that set. - An incarnation whose end lay in the forgotten records never joined again. - Losses in the forgotten records were not waited for: a new owner beside a backend server that does not check grants served without the in-flight bound. - Ended holders stayed in the witness table; the lease job then ran every 10 ms.

A job on the control pool now writes checkpoints through the proposals; its delays count from when the member saw the checkpoint due, so that members do not write all at once after an outage. The ledger table uses ledger.Replay.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,8 +108,8 @@
 			Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region, Addresses: s.Advertised(),
 		},
 		Ingress: s.Ingress, Owner: s.Owner, Lease: s.Lease, Ledger: s.Ledger,
-		RequestIDSkew: s.RequestIDSkew,
-		Timing:        timing,
+		RequestIDSkew: s.RequestIDSkew, LogRetention: s.LogRetention, PeerAddresses: s.PeerAddresses,
+		Timing: timing,
 	}, engine.Dependencies{
 		Log: d.log, Peers: d.peers, Leases: d.leases, Backend: d.backend,
 		Events: d.events, Metrics: d.metrics, Tracing: d.tracing,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,9 +52,10 @@
 	releaseWaiters *releaseWaiters
 	plans          *plans
 	forwards       *forwards
+	checkpoints    *checkpoints
 
 	// Triggers of the control jobs.
-	ownership, granting, releases, membership, planning, leaseStep, backendWatch, expiry *worker.Trigger
+	ownership, granting, releases, membership, planning, checkpointing, leaseStep, backendWatch, expiry *worker.Trigger
 
 	// readers counts the blocking readers.
 	readers  sync.WaitGroup
@@ -91,6 +92,7 @@
 		releaseWaiters: newReleaseWaiters(),
 		plans:          newPlans(),
 		forwards:       newForwards(max(1, o.Ingress.Workers/forwardShare)),
+		checkpoints:    newCheckpoints(o.LogRetention),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.waiting = newWaiting(e.ingressPool)
@@ -99,6 +101,7 @@
 	e.releases = worker.NewTrigger(e.controlPool, e.checkReleases)
 	e.membership = worker.NewTrigger(e.controlPool, e.stepMembership)
 	e.planning = worker.NewTrigger(e.controlPool, e.stepPlanning)
+	e.checkpointing = worker.NewTrigger(e.controlPool, e.stepCheckpoint)
 	e.leaseStep = worker.NewTrigger(e.leasePool, e.stepLeases)
 	e.backendWatch = worker.NewTrigger(e.controlPool, e.watchBackend)
 	e.expiry = worker.NewTrigger(e.ownerPool, e.expireCalls)
@@ -228,7 +231,8 @@
 	e.stopping.Store(true)
 	e.cancel()
 	for _, t := range []*worker.Trigger{
-		e.ownership, e.granting, e.releases, e.membership, e.planning, e.leaseStep, e.backendWatch, e.expiry,
+		e.ownership, e.granting, e.releases, e.membership, e.planning, e.checkpointing, e.leaseStep, e.backendWatch,
+		e.expiry,
 	} {
 		t.Stop()
 	}
--- a/internal/engine/ledger_table.go
+++ b/internal/engine/ledger_table.go
@@ -17,14 +17,14 @@
 // mu guards all fields; it has rank lockorder.Ledger. A *ledger.Member read under mu may be kept, since the ledger
 // replaces members in place of changing them.
 type ledgerTable struct {
-	mu     *lockorder.RWMutex
+	mu *lockorder.RWMutex
+	// replay knows whether records are missing; state is its state.
+	replay *ledger.Replay
 	state  *ledger.State
 	config *config.Configuration
 	// decoded is the revision that config was decoded from. It differs from the revision of state if the latest
 	// document cannot be decoded by this version.
 	decoded ledger.Offset
-	// synced is false while the records before the earliest kept one are missing and no checkpoint was found.
-	synced bool
 	// heard is when the log last answered.
 	heard time.Time
 	// highest is the highest offset that another node stated.
@@ -33,14 +33,18 @@
 	lossTimes map[ledger.Offset]time.Time
 	// lossOrder lists the keys of lossTimes, oldest first.
 	lossOrder []ledger.Offset
+	// checkpointRead is when this node read the last checkpoint; before the first, when it began to read.
+	checkpointRead time.Time
 }
 
 func newLedgerTable() *ledgerTable {
+	replay := ledger.NewReplay(0)
 	return &ledgerTable{
-		mu:        lockorder.NewRW(lockorder.Ledger),
-		state:     ledger.NewState(),
-		synced:    true,
-		lossTimes: map[ledger.Offset]time.Time{},
+		mu:             lockorder.NewRW(lockorder.Ledger),
+		replay:         replay,
+		state:          replay.State(),
+		lossTimes:      map[ledger.Offset]time.Time{},
+		checkpointRead: time.Now(),
 	}
 }
 
@@ -81,6 +85,9 @@
 	restored bool
 }
 
+// unread reports whether the effect of the record is not known, since earlier records are missing.
+func (a applied) unread() bool { return a.record == nil || a.rejection == ledger.RecordsMissing }
+
 // took reports whether the record took effect and has the kind.
 func (a applied) took(kind ledger.Kind) bool {
 	return a.rejection == ledger.Accepted && a.record.Kind == kind
@@ -90,23 +97,18 @@
 func (t *ledgerTable) apply(entry platformlog.Entry, now time.Time) applied {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if entry.Record == nil {
-		t.state.Skip(entry.Offset)
-		return applied{offset: entry.Offset, rejection: ledger.MalformedRecord}
-	}
-	isCheckpoint := entry.Record.Kind == ledger.KindCheckpoint
-	if !t.synced && !isCheckpoint {
-		return applied{offset: entry.Offset, record: entry.Record, rejection: ledger.OutdatedSnapshot}
+	before, last := t.state.Offset, t.state.LastCheckpoint
+	rejection, restored := t.replay.Add(entry.Offset, entry.Record)
+	if restored {
+		t.noteUnreadLosses(before, now)
 	}
-	rejection := t.state.Apply(entry.Offset, entry.Record)
-	a := applied{offset: entry.Offset, record: entry.Record, rejection: rejection}
-	if isCheckpoint && rejection == ledger.Accepted {
-		a.restored, t.synced = true, true
+	if t.state.LastCheckpoint != last {
+		t.checkpointRead = now
 	}
 	if rejection == ledger.Accepted && isLoss(entry.Record.Kind) {
 		t.noteLoss(entry.Offset, now)
 	}
-	return a
+	return applied{offset: entry.Offset, record: entry.Record, rejection: rejection, restored: restored}
 }
 
 // isLoss reports whether records of the kind can take a slice from an owner that did not release it.
@@ -124,13 +126,6 @@
 	}
 }
 
-// forgotten notes that the log no longer keeps the next record: only a checkpoint can be replayed now.
-func (t *ledgerTable) forgotten() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.synced = false
-}
-
 // adoptConfiguration decodes the current revision if it is new. It returns the revision in force, whether it changed,
 // and the error of a document that this version cannot decode; the previous one stays in force then.
 func (t *ledgerTable) adoptConfiguration() (revision ledger.Offset, changed bool, err error) {
@@ -172,17 +167,20 @@
 type currency struct {
 	offset, highest ledger.Offset
 	silence         time.Duration
-	synced          bool
+	// complete is false while records are missing that the log has forgotten.
+	complete bool
 }
 
 // current reports whether the node knows that it has read what others have, and that the log answers.
 func (c currency) current() bool {
-	return c.synced && c.offset >= c.highest && c.silence < outdatedAfter
+	return c.complete && c.offset >= c.highest && c.silence < outdatedAfter
 }
 
 // currency returns how far the view can be trusted.
 func (t *ledgerTable) currency(now time.Time) currency {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return currency{offset: t.state.Offset, highest: t.highest, silence: now.Sub(t.heard), synced: t.synced}
+	return currency{
+		offset: t.state.Offset, highest: t.highest, silence: now.Sub(t.heard), complete: t.replay.Complete(),
+	}
 }
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -48,7 +48,7 @@
 	var witnesses []ledger.Incarnation
 	ready := false
 	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
-		ready = e.ledger.synced && c != nil
+		ready = e.ledger.replay.Complete() && c != nil && !e.logDown.Load()
 		witnesses = placement.ChooseWitnesses(s, e.placementSelf(0), nil)
 	})
 	if !ready {
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -31,6 +31,10 @@
 	Ingress, Owner, Lease, Ledger settings.PoolSize
 	// RequestIDSkew is how far the clock of a caller may differ from the node's.
 	RequestIDSkew time.Duration
+	// LogRetention is how long the log keeps records; zero stands for settings.DefaultLogRetention.
+	LogRetention time.Duration
+	// PeerAddresses are drpc addresses of other nodes, for a start while the log is down.
+	PeerAddresses []string
 	// Timing holds the durations of the lease protocol; all nodes of a fleet use equal values.
 	Timing lease.Parameters
 }
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -9,6 +9,7 @@
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/platformlog"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/worker"
 )
 
 // Timing of the log reader.
@@ -25,20 +26,29 @@
 )
 
 // readLog reads the log until ctx ends. It is the one blocking reader of the log; replaying runs on the ledger pool.
+// It also fetches the snapshots of other nodes, because it alone decides from which offset to read.
 func (e *Engine) readLog(ctx context.Context) {
 	defer e.readers.Done()
 	next := ledger.Offset(1)
 	pauseFor := minReadPause
+	var asks snapshotAsks
 	for ctx.Err() == nil {
 		page, err := e.deps.Log.Read(ctx, next, pageRecords, pollWait)
 		switch {
 		case err == nil:
 			pauseFor = minReadPause
 			next = e.replayOnPool(ctx, page, next)
+			if len(page.Entries) < pageRecords && e.ledger.recordsMissing() {
+				// The kept records end here, and none of them is a checkpoint that this node can use.
+				next = e.fetchSnapshot(ctx, &asks, next)
+			}
 		case errors.Is(err, problem.Forgotten):
 			next = e.skipForgotten(next, page.Earliest)
 		default:
 			e.logFailed(ctx, err)
+			if e.needsPeers() {
+				next = e.fetchSnapshot(ctx, &asks, next)
+			}
 			pause(ctx, pauseFor)
 			pauseFor = min(2*pauseFor, maxReadPause)
 		}
@@ -48,25 +58,36 @@
 // skipForgotten continues at the earliest kept record, where only a checkpoint can be replayed.
 func (e *Engine) skipForgotten(next, earliest ledger.Offset) ledger.Offset {
 	e.deps.Events.Emit(eventlog.BehindRetention, eventlog.Offset(next))
-	e.ledger.forgotten()
+	e.ledger.kept(earliest)
 	return max(earliest, next+1)
 }
 
 // replayOnPool replays a page on the ledger pool and returns the offset to read next.
 func (e *Engine) replayOnPool(ctx context.Context, page platformlog.Page, next ledger.Offset) ledger.Offset {
-	result := make(chan ledger.Offset, 1)
-	for e.ledgerPool.Submit(func() { result <- e.replay(page) }) != nil {
+	e.runOnLedgerPool(ctx, func() { next = e.replay(page) })
+	return next
+}
+
+// runOnLedgerPool runs the job on the ledger pool and waits for it. With ctx ended it may not run.
+func (e *Engine) runOnLedgerPool(ctx context.Context, job worker.Job) {
+	done := make(chan struct{})
+	signalled := func() {
+		job()
+		close(done)
+	}
+	for e.ledgerPool.Submit(signalled) != nil {
 		if !pause(ctx, minReadPause) {
-			return next
+			return
 		}
 	}
-	return <-result
+	<-done
 }
 
 // replay applies the records of a page and starts what follows from them. It returns the offset to read next.
 func (e *Engine) replay(page platformlog.Page) ledger.Offset {
 	now := time.Now()
 	e.logAnswered(now)
+	e.ledger.kept(page.Earliest)
 	next := page.Next
 	for _, entry := range page.Entries {
 		a := e.ledger.apply(entry, now)
@@ -86,13 +107,16 @@
 // recordReplayed takes in one record in the order of the log.
 func (e *Engine) recordReplayed(a applied, now time.Time) {
 	e.reportRecord(a)
-	if a.record == nil {
+	if a.restored {
+		e.stateReplaced(now)
 		return
 	}
-	e.leases.recordReplayed(a, now)
-	if a.restored {
-		e.relearnLeases(now)
+	if a.unread() {
+		// A proposal whose record this is stays open: a holder that took the rejection for that of the log would drop
+		// a witness set that may be in force.
+		return
 	}
+	e.leases.recordReplayed(a, now)
 	e.followWitnesses(a, now)
 	e.proposals.replayed(a)
 	if a.took(ledger.KindEnd) && a.record.End.Incarnation == e.incarnation() {
@@ -109,6 +133,7 @@
 	e.ownership.Fire()
 	e.membership.Fire()
 	e.planning.Fire()
+	e.checkpointing.Fire()
 	e.waiting.resume(e.ledger.offset())
 }
 
@@ -134,9 +159,6 @@
 	case ledger.UnknownKind:
 		e.deps.Events.Emit(eventlog.RecordKindUnknown, eventlog.Offset(a.offset), eventlog.RecordKind(a.record.Kind))
 	}
-	if a.restored {
-		e.deps.Events.Emit(eventlog.SnapshotLoaded, eventlog.Offset(e.ledger.offset()))
-	}
 }
 
 // logAnswered notes that the log is reachable.
@@ -144,6 +166,8 @@
 	e.ledger.heardFromLog(now)
 	if e.logDown.CompareAndSwap(true, false) {
 		e.deps.Events.Emit(eventlog.LogReachable)
+		// All members look at the same time, so that the delays between them hold.
+		e.checkpointing.Fire()
 	}
 }
 
--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -32,6 +32,9 @@
 	c := e.ledger.currency(time.Now())
 	p := operator.Position{Offset: c.offset, Known: max(c.offset, c.highest), Currency: operator.Current}
 	switch {
+	case !c.complete:
+		// The log has forgotten records that this node lacks, so that no offset tells what it misses.
+		p.Currency = operator.CurrencyUnknown
 	case c.highest > c.offset:
 		p.Currency = operator.Behind
 	case !c.current():
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -57,6 +57,15 @@
 // Forget drops a holder that ended or left.
 func (w *Witness) Forget(holder ledger.Incarnation) { delete(w.holders, holder) }
 
+// Retain drops the holders for which keep returns false. It is for a state that was not replayed record by record.
+func (w *Witness) Retain(keep func(ledger.Incarnation) bool) {
+	for holder := range w.holders {
+		if !keep(holder) {
+			delete(w.holders, holder)
+		}
+	}
+}
+
 // Stop makes the witness refuse every renewal from now on. A node calls it before it appends its own leave record, so
 // that claimants may count it as ended.
 func (w *Witness) Stop() { w.stopped = true }
--- a/internal/ledger/checkpoint_test.go
+++ b/internal/ledger/checkpoint_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"errors"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -37,7 +38,7 @@
 // packed returns a checkpoint record whose packed state is the given text.
 func packed(offset Offset, text []byte) *Record {
 	var data bytes.Buffer
-	w, _ := flate.NewWriter(&data, flate.BestCompression)
+	w, _ := flate.NewWriter(&data, flate.BestSpeed)
 	_, _ = w.Write(text)
 	_ = w.Close()
 	return &Record{Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: offset, packed: data.Bytes()}}
@@ -84,7 +85,7 @@
 		"not packed":                {Kind: KindCheckpoint, Checkpoint: &Checkpoint{Offset: 6, packed: []byte("{}")}},
 		"not a state":               packed(6, []byte("[1, 2")),
 		"null member":               packed(6, []byte(`{"offset":6,"members":[null]}`)),
-		"larger than the bound":     packed(6, bytes.Repeat([]byte(" "), maxStateSize+1)),
+		"larger than the bound":     packed(6, append([]byte(encode(t, good)), bytes.Repeat([]byte(" "), maxStateSize)...)),
 		"another offset":            otherOffset,
 		"the future":                future,
 		"older than the kept":       older,
@@ -111,6 +112,22 @@
 	}
 }
 
+// TestUnpackingStopsAtTheBound guards against a small record that exhausts the memory of every late reader.
+func TestUnpackingStopsAtTheBound(t *testing.T) {
+	const bombSize, mostAllocated = 4 * maxStateSize, 6 * maxStateSize
+	bomb := packed(6, bytes.Repeat([]byte(" "), bombSize))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := bomb.Checkpoint.Unpack()
+	runtime.ReadMemStats(&after)
+	if !errors.Is(err, problem.TooLarge) {
+		t.Errorf("err = %v, want %s", err, string(problem.TooLarge))
+	}
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > mostAllocated {
+		t.Errorf("a record of %d bytes made the reader allocate %d", len(bomb.Checkpoint.packed), allocated)
+	}
+}
+
 // TestCheckpointOverTheBoundIsNotWritten guards against a checkpoint that no reader would unpack.
 func TestCheckpointOverTheBoundIsNotWritten(t *testing.T) {
 	s := NewState()
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,6 +19,7 @@
 	kindName     = "name"
 	kindIP       = "IP"
 	kindAddress  = "IP:port"
+	kindPeers    = "IP:port,..."
 	kindURL      = "URL"
 	kindCount    = "count"
 	kindDuration = "duration"
@@ -63,6 +65,14 @@
 		"give http://IP:port with an IP number and nothing after the port", applyLogURL},
 	{"log-stream", kindName, DefaultLogStream, "stream of the log that holds the records of this fleet", remedyName,
 		nameInto(func(s *Settings) *string { return &s.LogStream })},
+	{"log-retention", kindDuration, DefaultLogRetention.String(),
+		"how long the log keeps records; a quarter of it is the longest time between checkpoints",
+		"give a duration from " + MinLogRetention.String() + " to " + MaxLogRetention.String() + ", such as 24h",
+		durationBetween(MinLogRetention, MaxLogRetention, func(s *Settings) *time.Duration { return &s.LogRetention })},
+	{"peer-addresses", kindPeers, PeersNone,
+		"drpc addresses of other nodes, from which a node that starts while the log is down takes its state",
+		"give none, or up to " + strconv.Itoa(MaxPeerAddresses) + " IP numbers with ports, separated by commas",
+		applyPeerAddresses},
 	{"ingress-workers", kindCount, strconv.Itoa(DefaultIngressWorkers),
 		"workers for requests of callers; each waits while a remote owner runs its request", remedyWorkers,
 		countInto(MaxWorkers, func(s *Settings) *int { return &s.Ingress.Workers })},
@@ -154,6 +164,29 @@
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), nil
 }
 
+// applyPeerAddresses parses a list of addresses of other nodes.
+func applyPeerAddresses(s *Settings, text string) error {
+	s.PeerAddresses = nil
+	if text == PeersNone {
+		return nil
+	}
+	list := strings.Split(text, ",")
+	if len(list) > MaxPeerAddresses {
+		return fmt.Errorf("lists %d addresses", len(list))
+	}
+	for _, one := range list {
+		address, err := parseAddress(strings.TrimSpace(one))
+		if err != nil {
+			return err
+		}
+		if address.Addr().IsUnspecified() {
+			return fmt.Errorf("%s is not the address of one node", address)
+		}
+		s.PeerAddresses = append(s.PeerAddresses, address.String())
+	}
+	return nil
+}
+
 // applyLogURL parses the URL of the log. The error leaves out the text, which could hold a password.
 func applyLogURL(s *Settings, text string) error {
 	u, err := url.Parse(text)
@@ -191,12 +224,19 @@
 
 // durationInto returns an apply function for a duration over 0 and up to most.
 func durationInto(most time.Duration, field func(*Settings) *time.Duration) func(*Settings, string) error {
+	return durationBetween(1, most, field)
+}
+
+// durationBetween returns an apply function for a duration from least to most.
+func durationBetween(
+	least, most time.Duration, field func(*Settings) *time.Duration,
+) func(*Settings, string) error {
 	return func(s *Settings, text string) error {
 		d, err := time.ParseDuration(text)
 		if err != nil {
 			return fmt.Errorf("%q is not a duration with a unit", text)
 		}
-		if d <= 0 || d > most {
+		if d < least || d > most {
 			return fmt.Errorf("%s is out of range", d)
 		}
 		*field(s) = d
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,10 @@
 	LogURL *url.URL
 	// LogStream is the stream that holds the records of this fleet.
 	LogStream string
+	// LogRetention is how long the log keeps records.
+	LogRetention time.Duration
+	// PeerAddresses are drpc addresses of other nodes; empty for none.
+	PeerAddresses []string
 
 	// Ingress, Owner, Lease and Ledger are the sizes of the worker pools.
 	Ingress PoolSize
@@ -83,6 +87,22 @@
 // DefaultLogStream is the stream of a platform that runs one fleet.
 const DefaultLogStream = "heatherreel"
 
+// DefaultLogRetention is the retention time of the platform's log unless it is set.
+const DefaultLogRetention = 24 * time.Hour
+
+// Limits of the retention time. With less, a checkpoint would be due every few seconds, and the packed checkpoint of a
+// large fleet would exceed the 5 KB/s of control traffic. More than a year is taken for a wrong unit.
+const (
+	MinLogRetention = 10 * time.Minute
+	MaxLogRetention = 365 * 24 * time.Hour
+)
+
+// PeersNone is the value of the setting peer-addresses that names no node.
+const PeersNone = "none"
+
+// MaxPeerAddresses bounds the list of peers; a few in different data centres are enough.
+const MaxPeerAddresses = 32
+
 // Default pool sizes, in workers and queued jobs. A node of the target size receives about 5,600 requests a second.
 // At 9 ms each, 50 run at once; the ingress pool allows several times that, because its workers wait for remote
 // owners.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -54,6 +55,17 @@
 	}
 }
 
+// Guards against peers that are lost on their way from the list.
+func TestPeerAddresses(t *testing.T) {
+	s, err := loadArgs(t, nil, "--peer-addresses=10.0.0.6:7401, [2001:db8::5]:7401")
+	if err != nil || !slices.Equal(s.PeerAddresses, []string{"10.0.0.6:7401", "[2001:db8::5]:7401"}) {
+		t.Errorf("peers = %q, %v", s.PeerAddresses, err)
+	}
+	if s, err = loadArgs(t, nil); err != nil || len(s.PeerAddresses) != 0 {
+		t.Errorf("without the setting: peers = %q, %v", s.PeerAddresses, err)
+	}
+}
+
 // Guards against faulty values that are accepted, or refused without flag, variable and remedy.
 func TestFaultsNameFlagVariableAndRemedy(t *testing.T) {
 	for _, arg := range []string{
@@ -63,7 +75,8 @@
 		"log-url=http://log:9000", "log-url=https://10.0.0.1:9000", "log-url=http://10.0.0.1", "log-url=http://10.0.0.1:9000/v1",
 		"log-url=http://0.0.0.0:9000", "log-stream=a b", "ingress-workers=0", "ingress-queue=-1", "owner-workers=many",
 		"ledger-queue=65537", "request-id-skew=5", "request-id-skew=31s", "shutdown-timeout=0s", "log-level=loud",
-		"trace-output=spans.json", "trace-ratio=1.1", "trace-ratio=NaN",
+		"log-retention=9m", "log-retention=9000h", "peer-addresses=host-1:7401", "peer-addresses=10.0.0.6:7401,",
+		"peer-addresses=0.0.0.0:7401", "trace-output=spans.json", "trace-ratio=1.1", "trace-ratio=NaN",
 	} {
 		t.Run(arg, func(t *testing.T) {
 			_, err := loadArgs(t, nil, "--"+arg)
