Count the control traffic of leases and log with headers

heatherreel_control_bytes_total existed but nothing fed it, so that the budget of 5 KB/s for a node could not be checked on a running node. The counter is now read at each scrape from the byte counts of the lease socket and of the connections to the log; a recorded counter would cost a call for each datagram.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,7 +114,20 @@
 		Log: d.log, Peers: d.peers, Leases: d.leases, Backend: d.backend,
 		Events: d.events, Metrics: d.metrics, Tracing: d.tracing,
 	})
-	return d, d.metrics.Watch(d.engine.Gauges)
+	return d, d.metrics.Watch(d.snapshot)
+}
+
+// snapshot returns the state that the metrics show.
+func (d *daemon) snapshot() telemetry.Snapshot {
+	s := d.engine.Gauges()
+	leases, log := d.leases.Traffic(), d.log.Traffic()
+	s.Control = []telemetry.ControlBytes{
+		{Transport: telemetry.LeaseDatagrams, Direction: telemetry.In, Bytes: leases.Received.Load()},
+		{Transport: telemetry.LeaseDatagrams, Direction: telemetry.Out, Bytes: leases.Sent.Load()},
+		{Transport: telemetry.LogCalls, Direction: telemetry.In, Bytes: log.Received.Load()},
+		{Transport: telemetry.LogCalls, Direction: telemetry.Out, Bytes: log.Sent.Load()},
+	}
+	return s
 }
 
 // listen opens the listeners and serves the peers until serving ends.
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -48,27 +48,39 @@
 
 // Client is a Log over HTTP. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	traffic Traffic
 }
 
 var _ Log = (*Client)(nil)
 
 // NewClient returns a client of the stream at the log with the base URL, for example http://127.0.0.1:9000.
 func NewClient(baseURL, stream string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{base: fmt.Sprintf("%s/v1/streams/%s/records", baseURL, url.PathEscape(stream))}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         c.dial,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{
-		base: fmt.Sprintf("%s/v1/streams/%s/records", baseURL, url.PathEscape(stream)),
-		http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+	c.http = &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	return c
+}
+
+// dial opens a connection whose traffic is counted.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
 	}
+	return &countedConn{Conn: conn, traffic: &c.traffic}, nil
 }
 
+// Traffic returns the counters of all connections of the client.
+func (c *Client) Traffic() *Traffic { return &c.traffic }
+
 // refuseRedirect keeps the client from sending records to another address.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -105,3 +105,22 @@
 		t.Fatalf("err = %v, want %s", err, string(problem.NotSent))
 	}
 }
+
+// Guards against log traffic that is missing from the control bytes of a node, or counted without headers.
+func TestTrafficCountsBothDirections(t *testing.T) {
+	_, client := start(t)
+	if _, err := client.Append(context.Background(), leave("a")); err != nil {
+		t.Fatal(err)
+	}
+	sent, received := client.Traffic().Sent.Load(), client.Traffic().Received.Load()
+	// The smallest call has a request line and a status line of over 100 bytes and four segments of 52 bytes.
+	if sent < 200 || sent > 1000 || received < 200 || received > 1000 {
+		t.Fatalf("one append: %d bytes sent, %d received", sent, received)
+	}
+	if _, err := client.Read(context.Background(), 1, 10, 0); err != nil {
+		t.Fatal(err)
+	}
+	if now := client.Traffic().Received.Load(); now <= received {
+		t.Fatalf("a read left the count at %d bytes", now)
+	}
+}
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -121,7 +121,6 @@
 	LogCalls
 	// BackendCalls is HTTP with the backend server, without requests.
 	BackendCalls
-	transportCount
 )
 
 // String returns the label value of t.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,9 +38,9 @@
 	provider *sdkmetric.MeterProvider
 	meter    metric.Meter
 
-	requests, forwarded, retries  metric.Int64Counter
-	duration                      metric.Float64Histogram
-	appends, claims, moves, bytes metric.Int64Counter
+	requests, forwarded, retries metric.Int64Counter
+	duration                     metric.Float64Histogram
+	appends, claims, moves       metric.Int64Counter
 
 	// services is replaced as a whole by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -48,7 +48,6 @@
 	appendOptions [appendOutcomeCount][]metric.AddOption
 	claimOptions  [claimStepCount][]metric.AddOption
 	moveOptions   [directionCount][]metric.AddOption
-	byteOptions   [transportCount][directionCount][]metric.AddOption
 }
 
 // NewMetrics returns metrics with a registry of their own.
@@ -77,19 +76,17 @@
 	counters := []struct {
 		instrument *metric.Int64Counter
 		name, text string
-		unit       string
 	}{
-		{&m.requests, "requests", "Answered requests by what the caller learned.", ""},
-		{&m.forwarded, "forwarded_requests", "Attempts sent to another node.", ""},
-		{&m.retries, "retries", "Attempts after the first of the same request.", ""},
-		{&m.appends, "log_appends", "Appends to the log by outcome.", ""},
-		{&m.claims, "claims", "Claims of this node against other incarnations by step.", ""},
-		{&m.moves, "moved_slices", "Slices that moved to this node (in) or away from it (out).", ""},
-		{&m.bytes, "control", "Control traffic without IP headers; the budget of a node is 5 KB/s.", "By"},
+		{&m.requests, "requests", "Answered requests by what the caller learned."},
+		{&m.forwarded, "forwarded_requests", "Attempts sent to another node."},
+		{&m.retries, "retries", "Attempts after the first of the same request."},
+		{&m.appends, "log_appends", "Appends to the log by outcome."},
+		{&m.claims, "claims", "Claims of this node against other incarnations by step."},
+		{&m.moves, "moved_slices", "Slices that moved to this node (in) or away from it (out)."},
 	}
 	for _, c := range counters {
 		var err error
-		*c.instrument, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.text), metric.WithUnit(c.unit))
+		*c.instrument, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.text))
 		if err != nil {
 			return err
 		}
@@ -112,10 +109,6 @@
 	}
 	for d := range directionCount {
 		m.moveOptions[d] = addOptions(attribute.String(labelDirection, d.String()))
-		for t := range transportCount {
-			m.byteOptions[t][d] = addOptions(attribute.String(labelTransport, t.String()),
-				attribute.String(labelDirection, d.String()))
-		}
 	}
 }
 
@@ -160,11 +153,6 @@
 	m.moves.Add(context.Background(), int64(slices), m.moveOptions[direction]...)
 }
 
-// ControlBytes counts bytes of control traffic.
-func (m *Metrics) ControlBytes(transport Transport, direction Direction, bytes int) {
-	m.bytes.Add(context.Background(), int64(bytes), m.byteOptions[transport][direction]...)
-}
-
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/observed.go
+++ b/internal/telemetry/observed.go
@@ -40,6 +40,15 @@
 	Pools            []PoolDepth
 	// OwnedSlices counts the slices that this node owns, for each service.
 	OwnedSlices []ServiceCount
+	// Control counts the control traffic since the node started.
+	Control []ControlBytes
+}
+
+// ControlBytes is the control traffic of one transport in one direction, headers included.
+type ControlBytes struct {
+	Transport Transport
+	Direction Direction
+	Bytes     uint64
 }
 
 // PoolDepth is the number of queued jobs of one worker pool.
@@ -59,6 +68,7 @@
 	lease, ledgerOffset, ledgerLag, members, revision metric.Int64ObservableGauge
 	running, retained, depth, owned                   metric.Int64ObservableGauge
 	leaseLeft, logSilence                             metric.Float64ObservableGauge
+	control                                           metric.Int64ObservableCounter
 }
 
 // Watch reads the gauges from source at each scrape. It is called once. source must be quick and safe for concurrent
@@ -113,7 +123,10 @@
 		}
 		all = append(all, *c.instrument)
 	}
-	return g, all, nil
+	var err error
+	g.control, err = m.meter.Int64ObservableCounter("control", metric.WithUnit("By"),
+		metric.WithDescription("Control traffic with IP, UDP and TCP headers; the budget of a node is 5 KB/s."))
+	return g, append(all, g.control), err
 }
 
 // observe reports one snapshot.
@@ -127,6 +140,10 @@
 	o.ObserveInt64(g.revision, int64(s.Revision))
 	o.ObserveInt64(g.running, int64(s.RunningRequests))
 	o.ObserveInt64(g.retained, int64(s.RetainedOutcomes))
+	for _, c := range s.Control {
+		o.ObserveInt64(g.control, int64(c.Bytes), metric.WithAttributes(
+			attribute.String(labelTransport, c.Transport.String()), attribute.String(labelDirection, c.Direction.String())))
+	}
 	for _, p := range s.Pools {
 		o.ObserveInt64(g.depth, int64(p.Depth), metric.WithAttributes(attribute.String(labelPool, p.Pool)))
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -35,10 +35,10 @@
 	m.Append(AppendAccepted)
 	m.Claim(ClaimWon)
 	m.Moved(In, 2)
-	m.ControlBytes(LeaseDatagrams, Out, 58)
 	err = m.Watch(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
+			Control:     []ControlBytes{{LeaseDatagrams, Out, 58}, {LogCalls, In, 1300}},
 			OwnedSlices: []ServiceCount{{"orders", 4}, {"secret-a", 1}, {"secret-b", 2}}}
 	})
 	if err != nil {
@@ -64,6 +64,7 @@
 		`heatherreel_requests_total{outcome="unknown",reason="other",role="owner",service="orders"} 1`,
 		`heatherreel_request_duration_seconds_bucket{role="ingress",service="orders",le="0.003"} 1`,
 		`heatherreel_control_bytes_total{direction="out",transport="lease_udp"} 58`,
+		`heatherreel_control_bytes_total{direction="in",transport="log_http"} 1300`,
 		`heatherreel_lease_left_seconds 0.5`,
 		`heatherreel_ledger_lag_records 2`,
 		`heatherreel_queue_depth{pool="ingress"} 7`,
