Join once at one start

A node could append two joins at one start. The membership job that ran between the replay of the join record and the adoption of the incarnation saw neither an open join nor an incarnation. The first incarnation stayed a member until its witnesses ended it, and could be given slices that nobody served meanwhile.

The purpose of a proposal now stays open until its outcome is adopted, and a join is outdated once the node has an incarnation, since the job may have read the state before. Closing the purpose after the whole of done was ruled out: jobs that done starts would find it still open and give up.

--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -65,12 +65,19 @@
 		Witnesses:  witnesses,
 	}}
 	e.propose(&proposal{
-		purpose:  purposeJoin,
-		record:   record,
-		outdated: func(s *ledger.State) bool { return !allAlive(s, witnesses) },
+		purpose: purposeJoin,
+		record:  record,
+		// The incarnation is checked again here: the job that proposes may have read it before an earlier join was
+		// adopted. A second join would leave an incarnation that owns slices and serves none.
+		outdated: func(s *ledger.State) bool { return e.incarnation() != 0 || !allAlive(s, witnesses) },
+		adopt: func(offset ledger.Offset, rejection ledger.Rejection) {
+			if rejection == ledger.Accepted {
+				e.adoptIncarnation(offset, record.Join, sent)
+			}
+		},
 		done: func(offset ledger.Offset, rejection ledger.Rejection) {
 			e.countOutcome(record.Kind, offset, rejection)
-			e.joinDecided(offset, rejection, record.Join, sent)
+			e.joinDecided(offset, rejection, record.Join)
 		},
 	})
 }
@@ -95,18 +102,21 @@
 	}
 }
 
-// joinDecided starts the lease of the new incarnation. It runs while the join record is replayed, before any later
+// adoptIncarnation starts the lease of the new incarnation. It runs while the join record is replayed, before any later
 // record.
-func (e *Engine) joinDecided(offset ledger.Offset, rejection ledger.Rejection, j *ledger.Join, sent time.Time) {
+func (e *Engine) adoptIncarnation(offset ledger.Offset, j *ledger.Join, sent time.Time) {
+	e.leases.join(ledger.Incarnation(offset), ledger.WitnessSet{Version: offset, Members: j.Witnesses}, sent)
+	e.relearnLeases(time.Now())
+}
+
+// joinDecided reports the outcome of a join record.
+func (e *Engine) joinDecided(offset ledger.Offset, rejection ledger.Rejection, j *ledger.Join) {
 	if rejection != ledger.Accepted {
 		e.deps.Events.Emit(eventlog.JoinRejected, eventlog.Rejection(rejection))
 		e.membership.FireAfter(joinRetry)
 		return
 	}
-	self := ledger.Incarnation(offset)
-	e.leases.join(self, ledger.WitnessSet{Version: offset, Members: j.Witnesses}, sent)
-	e.relearnLeases(time.Now())
-	e.deps.Events.Emit(eventlog.Joined, eventlog.Incarnation(self), eventlog.Witnesses(j.Witnesses))
+	e.deps.Events.Emit(eventlog.Joined, eventlog.Incarnation(ledger.Incarnation(offset)), eventlog.Witnesses(j.Witnesses))
 	e.leaseStep.Fire()
 }
 
--- /dev/null
+++ b/internal/engine/membership_test.go
@@ -0,0 +1,119 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"heatherreel/internal/backendserver"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/fake"
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/node"
+	"heatherreel/internal/platformlog"
+	"heatherreel/internal/request"
+	"heatherreel/internal/settings"
+	"heatherreel/internal/telemetry"
+)
+
+// alone is the world of an engine without peers.
+type alone struct{}
+
+func (alone) SendLease(string, node.LeaseMessage) error { return nil }
+
+func (alone) Forward(context.Context, string, node.Forwarded) (request.Answer, error) {
+	return request.Answer{}, nil
+}
+
+func (alone) Release(context.Context, string, node.ReleaseRequest) (node.ReleaseResult, error) {
+	return node.ReleaseResult{}, nil
+}
+
+func (alone) Snapshot(context.Context, string) (node.Snapshot, error) { return node.Snapshot{}, nil }
+
+func (alone) Execute(context.Context, string, keyspace.SliceID, ledger.Offset, request.Request) request.Answer {
+	return request.Answer{}
+}
+
+func (alone) Grant(context.Context, string, backendserver.Grants) error { return nil }
+
+func (alone) Drain(context.Context, string) error { return nil }
+
+// newAlone returns an engine that reads the log and is not started.
+func newAlone(t *testing.T, log platformlog.Log) *Engine {
+	t.Helper()
+	timing, err := lease.NewParameters(lease.DefaultTiming())
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tracing, err := telemetry.NewTracing(telemetry.OutputNone, 0, telemetry.Identity{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := settings.PoolSize{Workers: 2, Queue: 16}
+	return New(Options{
+		Self:    Self{Instance: "i-1", DataCentre: "a", Region: "r"},
+		Ingress: size, Owner: size, Lease: size, Ledger: size, Timing: timing,
+	}, Dependencies{
+		Log: log, Peers: alone{}, Leases: alone{}, Backend: alone{}, Events: eventlog.Discard(), Metrics: metrics,
+		Tracing: tracing,
+	})
+}
+
+// countJoins returns the number of join records in the log.
+func countJoins(t *testing.T, log *fake.Log) int {
+	t.Helper()
+	page, err := log.Read(t.Context(), 1, 1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	joins := 0
+	for _, e := range page.Entries {
+		if e.Record.Kind == ledger.KindJoin {
+			joins++
+		}
+	}
+	return joins
+}
+
+// Guards against a node that joins twice at one start: the first incarnation then owns slices that nobody serves
+// until its witnesses end it. The membership job ran between the replay of the join record and the adoption of the
+// incarnation, saw neither an open join nor an incarnation, and joined again.
+func TestJoinsOnce(t *testing.T) {
+	for range 100 {
+		log := fake.NewLog()
+		_, err := log.Append(t.Context(), &ledger.Record{Kind: ledger.KindConfiguration, ID: "c", Configuration: &ledger.Configuration{
+			Document: "regions:\n  r: {data_centres: [a]}\nservices: [s]\ndefaults: {home_regions: any}\n",
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := newAlone(t, log)
+		e.Start()
+		announcement := backendserver.Announcement{
+			Address: "127.0.0.1:1", Service: "s", Incarnation: "b", Slots: 1, Connections: 1, Weight: 100,
+		}
+		for e.Announce(t.Context(), announcement) != nil {
+			time.Sleep(time.Millisecond)
+		}
+		for deadline := time.Now().Add(10 * time.Second); e.incarnation() == 0; e.membership.Fire() {
+			if time.Now().After(deadline) {
+				t.Fatal("the engine did not join")
+			}
+			time.Sleep(50 * time.Microsecond)
+		}
+		// A second join would follow within one append.
+		time.Sleep(5 * time.Millisecond)
+		joins := countJoins(t, log)
+		e.Close()
+		if joins != 1 {
+			t.Fatalf("%d join records of one start", joins)
+		}
+	}
+}
--- a/internal/engine/proposals.go
+++ b/internal/engine/proposals.go
@@ -39,6 +39,9 @@
 	record  *ledger.Record
 	// outdated reports whether the record can no longer take effect. It is called under the ledger's read lock.
 	outdated func(s *ledger.State) bool
+	// adopt, if set, takes in the outcome while the purpose is still open, so that no job proposes the same again on what
+	// was known before. It is called once, with the arguments of done, and before it.
+	adopt func(offset ledger.Offset, rejection ledger.Rejection)
 	// done is called once: with what the log decided, or with ledger.StaleBase for an outdated record that was given up.
 	done  func(offset ledger.Offset, rejection ledger.Rejection)
 	retry *worker.Timer
@@ -80,8 +83,9 @@
 	return t.byPurpose[name] != nil
 }
 
-// close removes the proposal with the record id and returns it, or nil if it is not open.
-func (t *proposals) close(id string) *proposal {
+// take removes the proposal with the record id and returns it, or nil if its outcome is known already. Its purpose
+// stays open until release.
+func (t *proposals) take(id string) *proposal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.byID[id]
@@ -89,20 +93,35 @@
 		return nil
 	}
 	delete(t.byID, id)
-	delete(t.byPurpose, p.purpose)
 	if p.retry != nil {
 		p.retry.Stop()
 	}
 	return p
 }
 
-// replayed settles the proposal whose record was read from the log.
-func (t *proposals) replayed(a applied) {
-	if p := t.close(a.record.ID); p != nil {
-		p.done(a.offset, a.rejection)
+// release lets another proposal of the same purpose be opened.
+func (t *proposals) release(p *proposal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byPurpose, p.purpose)
+}
+
+// settle passes the outcome to the proposal with the record id, unless its outcome is known already.
+func (t *proposals) settle(id string, offset ledger.Offset, rejection ledger.Rejection) {
+	p := t.take(id)
+	if p == nil {
+		return
+	}
+	if p.adopt != nil {
+		p.adopt(offset, rejection)
 	}
+	t.release(p)
+	p.done(offset, rejection)
 }
 
+// replayed settles the proposal whose record was read from the log.
+func (t *proposals) replayed(a applied) { t.settle(a.record.ID, a.offset, a.rejection) }
+
 // newRecordID returns a unique record id.
 func newRecordID() string { return uuid.NewString() }
 
@@ -153,9 +172,7 @@
 	if !outdated {
 		return false
 	}
-	if closed := e.proposals.close(p.record.ID); closed != nil {
-		closed.done(offset, ledger.StaleBase)
-	}
+	e.proposals.settle(p.record.ID, offset, ledger.StaleBase)
 	return true
 }
 
