Add the program that measures what the system costs

make measure prints the cost of decisions, tables and messages at 53, 210 and 840 members, of one engine in a large fleet, and of a fleet of eight processes when idle, under requests and under losses, each with its baseline in the same run.

--- /dev/null
+++ b/cmd/heatherreel-measure/main.go
@@ -0,0 +1,129 @@
+// Command heatherreel-measure measures what the system costs and prints the figures as tables, each with the baseline
+// of the same run: decisions and tables at several fleet sizes, encoded messages, one node of a large fleet, and a
+// fleet of processes on loopback. docs/CAPACITY.md works out the target size from these figures.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// measureTimeout ends a run if a section hangs.
+const measureTimeout = 6 * time.Minute
+
+// options are the flags of the program.
+type options struct {
+	bin      string
+	basePort int
+	logs     string
+	seed     uint64
+	sections []string
+}
+
+// section is one group of tables.
+type section struct {
+	name string
+	run  func(context.Context, options) error
+}
+
+// sections lists all sections in the order in which they run.
+var sections = []section{
+	{"memory", measureMemory},
+	{"decisions", measureDecisions},
+	{"routing", measureRouting},
+	{"wire", measureWire},
+	{"events", measureEvents},
+	{"node", measureNode},
+	{"allocations", measureAllocations},
+	{"fleet", measureFleet},
+}
+
+func main() {
+	var o options
+	root := &cobra.Command{
+		Use:          "heatherreel-measure",
+		Short:        "Measure what the system costs",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			ctx, cancel := context.WithTimeout(ctx, measureTimeout)
+			defer cancel()
+			return run(ctx, o)
+		},
+	}
+	f := root.Flags()
+	f.StringVar(&o.bin, "bin", "bin", "directory of the programs")
+	f.IntVar(&o.basePort, "base-port", 21000, "first of about 100 TCP and UDP ports on 127.0.0.1")
+	f.StringVar(&o.logs, "logs", "", "directory for the output of the processes; a temporary one if empty")
+	f.Uint64Var(&o.seed, "seed", 20261204, "seed of record ids, keys and the choice of members")
+	f.StringSliceVar(&o.sections, "sections", nil, "sections to run, of: "+sectionNames()+"; all if empty")
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+// sectionNames lists the sections for the help text.
+func sectionNames() string {
+	var names []string
+	for _, s := range sections {
+		names = append(names, s.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// run runs the chosen sections.
+func run(ctx context.Context, o options) error {
+	began := time.Now()
+	printMachine()
+	for _, s := range sections {
+		if len(o.sections) > 0 && !slices.Contains(o.sections, s.name) {
+			continue
+		}
+		if err := s.run(ctx, o); err != nil {
+			return fmt.Errorf("section %s: %w", s.name, err)
+		}
+	}
+	fmt.Printf("\nload at the end %s; the run took %v\n", loadAverage(), time.Since(began).Round(time.Second))
+	return nil
+}
+
+// printMachine prints what the figures depend on.
+func printMachine() {
+	fmt.Printf("%s, %d CPUs (%s), load at the start %s\n", runtime.Version(), runtime.NumCPU(), processorModel(),
+		loadAverage())
+}
+
+// processorModel returns the model name that the kernel states.
+func processorModel() string {
+	data, err := os.ReadFile("/proc/cpuinfo")
+	if err != nil {
+		return "unknown processor"
+	}
+	for line := range strings.Lines(string(data)) {
+		if name, value, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "model name" {
+			return strings.TrimSpace(value)
+		}
+	}
+	return runtime.GOARCH
+}
+
+// loadAverage returns the load of the last minute. Figures of a busy machine are upper bounds.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	return first
+}
