--- a/cmd/heatherreel-measure/main.go
+++ b/cmd/heatherreel-measure/main.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"syscall"
@@ -25,6 +27,7 @@
 	bin      string
 	basePort int
 	logs     string
+	profile  string
 	seed     uint64
 	sections []string
 }
@@ -66,6 +69,7 @@
 	f.StringVar(&o.bin, "bin", "bin", "directory of the programs")
 	f.IntVar(&o.basePort, "base-port", 21000, "first of about 100 TCP and UDP ports on 127.0.0.1")
 	f.StringVar(&o.logs, "logs", "", "directory for the output of the processes; a temporary one if empty")
+	f.StringVar(&o.profile, "cpuprofile", "", "file for a processor profile of this process; none if empty")
 	f.Uint64Var(&o.seed, "seed", 20261204, "seed of record ids, keys and the choice of members")
 	f.StringSliceVar(&o.sections, "sections", nil, "sections to run, of: "+sectionNames()+"; all if empty")
 	if root.Execute() != nil {
@@ -86,6 +90,11 @@
 func run(ctx context.Context, o options) error {
 	began := time.Now()
 	printMachine()
+	stop, err := profile(o.profile)
+	if err != nil {
+		return err
+	}
+	defer stop()
 	for _, s := range sections {
 		if len(o.sections) > 0 && !slices.Contains(o.sections, s.name) {
 			continue
@@ -98,6 +107,24 @@
 	return nil
 }
 
+// profile writes a processor profile to the file until stop is called; an empty name writes none.
+func profile(name string) (stop func(), err error) {
+	if name == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
 // printMachine prints what the figures depend on.
 func printMachine() {
 	fmt.Printf("%s, %d CPUs (%s), load at the start %s\n", runtime.Version(), runtime.NumCPU(), processorModel(),
