Allocate nothing for calls that no admission change concerns

Each offer and each release of a slot made two maps for the calls that leave the queue, although most changes concern none. They are made only when a change names calls now.

--- a/internal/engine/admission_table.go
+++ b/internal/engine/admission_table.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// released are the waiting calls that a change concerns.
+// released are the waiting calls that a change concerns. Its maps are nil if there are none, as for most requests.
 type released struct {
 	start  map[admission.Ticket]admitted
 	refuse map[request.Reason][]admitted
@@ -40,7 +40,13 @@
 
 // take removes the calls that a change names. The caller holds mu.
 func (t *admissionTable) take(change admission.Change) released {
-	r := released{start: map[admission.Ticket]admitted{}, refuse: map[request.Reason][]admitted{}}
+	var r released
+	if len(change.Start) > 0 {
+		r.start = make(map[admission.Ticket]admitted, len(change.Start))
+	}
+	if len(change.Refuse) > 0 {
+		r.refuse = map[request.Reason][]admitted{}
+	}
 	for _, ticket := range change.Start {
 		r.start[ticket] = t.waiting[ticket]
 		delete(t.waiting, ticket)
