--- a/Makefile
+++ b/Makefile
@@ -55,5 +55,9 @@
 demo: build
 	$(BIN)/heatherreel-demo --bin $(BIN)
 
+# Ends by itself after about four minutes; docs/CAPACITY.md and docs/measurements.md use its tables.
+measure: build
+	$(BIN)/heatherreel-measure --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
