Find silent connections between nodes by progress reports and pings

Cause: a connection that something between two nodes has lost track of carries no reset. A request on it waited for its deadline, and each pooled connection was hit in turn: with 32 idle connections and a deadline of 2 s, 15 requests in a row were lost in 30 s, reads and writes alike, until the pool's idle time of 30 s had closed the rest.

Ruled out: an acknowledgement of each request at once, which costs a packet for every request and says nothing about silence after it; TCP user timeout, which a relay that acknowledges defeats; a bound from the usual latency, which takes a slow request for a lost one.

Idle connections to the peer that heard nothing since are closed. A message and the end of its stream go out in one piece.

--- a/internal/engine/owner.go
+++ b/internal/engine/owner.go
@@ -30,7 +30,7 @@
 	if e.ownerPool.Submit(func() { e.execute(c, c.finish) }) != nil {
 		c.finish(e.queueFull(e.ownerPool.Name()))
 	}
-	answer := c.await()
+	answer := f.Progress.Await(c.result)
 	answer.LedgerOffset = uint64(e.ledger.offset())
 	span.Result(answer.Outcome, answer.Reason)
 	e.deps.Metrics.Request(telemetry.Owner, f.Request.Service, answer.Outcome, answer.Reason, time.Since(started))
--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -13,6 +13,7 @@
 // encodeForward returns the message for a request that is sent at now.
 func encodeForward(f Forwarded, correlation uint64, now time.Time) *nodepb.ForwardRequest {
 	r := &f.Request
+	remaining := max(r.Deadline.Sub(now), 0)
 	return &nodepb.ForwardRequest{
 		Correlation:           correlation,
 		Service:               r.Service,
@@ -21,7 +22,7 @@
 		RequestId:             r.ID,
 		Idempotent:            r.Idempotent,
 		Class:                 uint32(r.Class),
-		DeadlineUs:            uint64(max(r.Deadline.Sub(now), 0).Microseconds()),
+		DeadlineUs:            uint64(remaining.Microseconds()),
 		Method:                r.Method,
 		ContentType:           r.ContentType,
 		Body:                  r.Body,
@@ -29,6 +30,7 @@
 		Traceparent:           r.Traceparent,
 		LedgerOffset:          uint64(f.LedgerOffset),
 		ConfigurationRevision: uint64(f.Revision),
+		ProgressMs:            uint32(progressInterval(remaining).Milliseconds()),
 	}
 }
 
@@ -94,12 +96,16 @@
 	}
 }
 
+// errCrossed tells that a response belongs to another request.
+func errCrossed(got, want uint64) error {
+	return problem.New(problem.Unavailable, outcomeUnknownRemedy, "response %d arrived for request %d", got, want)
+}
+
 // decodeAnswer returns the answer in a response, or problem.Unavailable if it belongs to another request or is cut
 // short; nothing is known about the effect of the request then.
 func decodeAnswer(m *nodepb.ForwardResponse, correlation uint64) (request.Answer, error) {
 	if m.Correlation != correlation {
-		return request.Answer{}, problem.New(problem.Unavailable, "repeat the request with the same request id",
-			"response %d arrived for request %d", m.Correlation, correlation)
+		return request.Answer{}, errCrossed(m.Correlation, correlation)
 	}
 	if m.BodyLength != uint64(len(m.Body)) {
 		return request.Answer{}, problem.New(problem.Unavailable, "repeat the request with the same request id",
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -14,6 +14,8 @@
 	LedgerOffset ledger.Offset
 	// Revision is the configuration revision with which the sender resolved the request.
 	Revision ledger.Offset
+	// Progress is set by the server of the receiving node: how the sender wants to hear that the request is in progress.
+	Progress Progress
 }
 
 // ReleaseRequest asks Source to stop serving slices that now belong to Owner.
@@ -32,7 +34,7 @@
 
 // Service is what a node offers to the others. Its methods may block until the context ends.
 type Service interface {
-	// Forward executes the request if this node owns the key.
+	// Forward executes the request if this node owns the key. It awaits the answer with f.Progress.
 	Forward(ctx context.Context, f Forwarded) request.Answer
 	// Release answers with the slices that this node no longer serves.
 	Release(ctx context.Context, r ReleaseRequest) (ReleaseResult, error)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -5,18 +5,31 @@
 	"net"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
 )
 
-// managerOptions bounds the size of one message in both directions.
+// managerOptions bounds the size of one message in both directions. A message and the end of its stream are sent in one
+// piece, which saves a packet in each direction.
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxForwardedAnswerSize}}
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxForwardedAnswerSize},
+		Stream: drpcstream.Options{ManualFlush: true},
+	}
+}
+
+// serverOptions closes connections that the other side has long given up; a silent one does not carry its close.
+func serverOptions() drpcserver.Options {
+	options := managerOptions()
+	options.InactivityTimeout = 2 * idleConnectionTime
+	return drpcserver.Options{Manager: options}
 }
 
 // Server answers the calls of other nodes over drpc.
@@ -30,7 +43,7 @@
 	if err := nodepb.DRPCRegisterNode(mux, &endpoint{service: service}); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the node service: %w", err)
 	}
-	return &Server{drpc: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})}, nil
+	return &Server{drpc: drpcserver.NewWithOptions(mux, serverOptions())}, nil
 }
 
 // Serve accepts connections until ctx ends. It closes the listener.
@@ -44,14 +57,46 @@
 }
 
 // Forward implements nodepb.DRPCNodeServer.
-func (e *endpoint) Forward(ctx context.Context, m *nodepb.ForwardRequest) (*nodepb.ForwardResponse, error) {
+func (e *endpoint) Forward(m *nodepb.ForwardRequest, stream nodepb.DRPCNode_ForwardStream) error {
 	f, err := decodeForward(m, time.Now())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	ctx, cancel := context.WithDeadline(ctx, f.Request.Deadline)
+	ctx, cancel := context.WithDeadline(stream.Context(), f.Request.Deadline)
 	defer cancel()
-	return encodeAnswer(e.service.Forward(ctx, f), m.Correlation), nil
+	f.Progress = progressOn(stream, m)
+	return stream.Send(encodeAnswer(e.service.Forward(ctx, f), m.Correlation))
+}
+
+// progressOn reports the progress of a request on its stream.
+func progressOn(stream nodepb.DRPCNode_ForwardStream, m *nodepb.ForwardRequest) Progress {
+	if m.ProgressMs == 0 {
+		return Progress{}
+	}
+	interval := max(time.Duration(m.ProgressMs)*time.Millisecond, minProgressInterval)
+	return Progress{Interval: interval, Report: func() {
+		// An error ends the stream, and with it the context of the request.
+		if stream.Send(&nodepb.ForwardResponse{Correlation: m.Correlation, Running: true}) == nil {
+			_ = flush(stream)
+		}
+	}}
+}
+
+// flush sends what the stream holds back.
+func flush(stream nodepb.DRPCNode_ForwardStream) error {
+	holder, ok := stream.(interface{ GetStream() drpc.Stream })
+	if !ok {
+		return nil
+	}
+	if flusher, ok := holder.GetStream().(interface{ RawFlush() error }); ok {
+		return flusher.RawFlush()
+	}
+	return nil
+}
+
+// Ping implements nodepb.DRPCNodeServer. It submits no job: a ping asks about the connection only.
+func (e *endpoint) Ping(context.Context, *nodepb.PingRequest) (*nodepb.PingResponse, error) {
+	return &nodepb.PingResponse{}, nil
 }
 
 // Release implements nodepb.DRPCNodeServer.
