Close idle backend connections after a missed deadline; describe silent connections

Cause: an exchange with the backend server on a silent connection ends at its deadline, and each further idle connection costs the next request the same.

Ruled out: a bound below the deadline. HTTP/1.1 has no message by which a slow backend server could be told from a silent connection before it answers.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -153,7 +153,7 @@
 var (
 	PeerConnectionFailed = define(Event{Number: 801, Name: "peer_connection_failed", Level: zerolog.WarnLevel,
 		PerSecond: peerRate,
-		Text:      "a connection to another node failed or missed a deadline and was closed",
+		Text:      "a connection to another node failed, fell silent or missed a deadline and was closed",
 		Remedy:    "check the other node and the network between"})
 	DatagramMalformed = define(Event{Number: 802, Name: "datagram_malformed", Level: zerolog.WarnLevel,
 		PerSecond: bulkRate,
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -91,16 +92,27 @@
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
 	answer, err := t.rt.RoundTrip(request)
 	if err != nil {
+		t.dropIdleAfterDeadline(ctx)
 		return Response{}, e.failure(ctx, err)
 	}
 	defer answer.Body.Close()
 	body, err := readWhole(c, answer)
 	if err != nil {
+		t.dropIdleAfterDeadline(ctx)
 		return Response{}, err
 	}
 	return Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
 }
 
+// dropIdleAfterDeadline closes the idle connections when a deadline passed. A connection that went silent without a
+// reset shows itself only so, and what lost track of it has often lost track of all; each of them would cost a request.
+// With a slow server, which cannot be told from silence, this costs a new connection for each idle one.
+func (t *Transport) dropIdleAfterDeadline(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.rt.CloseIdleConnections()
+	}
+}
+
 // request returns c as an HTTP request that the library cannot rewind.
 func (c Call) request() (*http.Request, error) {
 	u, err := url.Parse("http://" + c.Address + c.Path)
