Check that owners report progress only to senders that ask for it

Cause: a sender of an earlier version takes the first response for the answer.

Ruled out: a version check; the interval in the request says it.

Change: a test that sends a request without an interval and waits beyond it. It fails when the check is taken out.

Measured: nothing; no change of behaviour.

--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -148,6 +149,27 @@
 	}
 }
 
+// Guards against a report that a sender of an earlier version, which asks for none, takes for the answer.
+func TestReportsOnlyWhenAskedFor(t *testing.T) {
+	b := newBench(t)
+	hold := make(chan struct{})
+	b.service.hold.Store(&hold)
+	time.AfterFunc(250*time.Millisecond, func() { close(hold) })
+	transport, err := net.Dial("tcp", b.relay.Address())
+	requireNoError(t, err)
+	conn := drpcconn.New(transport)
+	defer conn.Close()
+	stream, err := nodepb.NewDRPCNodeClient(conn).Forward(t.Context(), &nodepb.ForwardRequest{
+		Correlation: 1, DeadlineUs: uint64(callDeadline.Microseconds()),
+	})
+	requireNoError(t, err)
+	first, err := stream.Recv()
+	requireNoError(t, err)
+	if first.Running || first.Outcome != nodepb.Outcome_OUTCOME_DONE {
+		t.Fatalf("the first response is %v, want the answer", first)
+	}
+}
+
 // Guards against control calls that wait for their deadline on silent connections.
 func TestControlCallsPassSilentConnections(t *testing.T) {
 	b := newBench(t)
