--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -7,6 +7,7 @@
 	"heatherreel/internal/config"
 	"heatherreel/internal/keyspace"
 	"heatherreel/internal/ledger"
+	"heatherreel/internal/node"
 	"heatherreel/internal/outcome"
 	"heatherreel/internal/request"
 )
@@ -62,12 +63,10 @@
 
 // await blocks the handler until the call is finished. It waits for the answer even after the caller has gone, because
 // the jobs of the call observe the context themselves and finish it. Only closed, the end of the engine, stops the jobs;
-// then nothing is known about the request.
-func (c *call) await(closed <-chan struct{}) request.Answer {
-	select {
-	case answer := <-c.result:
+// then nothing is known about the request. p reports to the node that sent the request, if one did.
+func (c *call) await(closed <-chan struct{}, p node.Progress) request.Answer {
+	if answer, ok := p.Await(c.result, closed); ok {
 		return answer
-	case <-closed:
 	}
 	select {
 	case answer := <-c.result:
