--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -36,6 +36,8 @@
 	// stores holds the values of each service, which its backend servers share.
 	stores map[string]*fake.Store
 	events *eventBuffer
+	// backendOf wraps the connection to a backend server, for tests that record it; nil if none does.
+	backendOf func(*fleetNode, Backend) Backend
 
 	mu       sync.Mutex
 	nodes    map[string]*fleetNode
@@ -192,6 +194,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	var backend Backend = fake.Direct{Host: n.host, Server: n.backend}
+	if f.backendOf != nil {
+		backend = f.backendOf(n, backend)
+	}
 	identity := eventlog.Node{Instance: n.Name, DataCentre: n.DataCentre, Region: region}
 	return New(Options{
 		Self: Self{Instance: n.Name, DataCentre: n.DataCentre, Region: region, Addresses: ledger.Addresses{
@@ -205,7 +211,7 @@
 		Timing:        timing,
 	}, Dependencies{
 		Log: n.host.Log(f.log), Peers: n.host, Leases: n.host,
-		Backend: fake.Direct{Host: n.host, Server: n.backend},
+		Backend: backend,
 		Events:  eventlog.New(f.events, 0, identity),
 		Metrics: f.metrics, Tracing: f.tracing,
 	})
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -40,11 +40,34 @@
 	latencies Latencies
 	logRegion string
 
+	// observe is called with each message before it travels; nil if nobody looks.
+	observe func(Message)
+
 	mu    sync.Mutex
 	cuts  map[[2]string]bool
 	hosts map[string]*Host
 }
 
+// Message is what one host sends to another, or to the log.
+type Message struct {
+	From *Host
+	// To is nil for a message to the log.
+	To *Host
+	// Payload is the request, answer, lease message or log record.
+	Payload any
+}
+
+// Observe has f called with each message that is sent, also with those that a fault drops. It must be called before
+// the first host is added. f may be called by several goroutines at once.
+func (n *Network) Observe(f func(Message)) { n.observe = f }
+
+// sent reports a message to the observer.
+func (n *Network) sent(from, to *Host, payload any) {
+	if n.observe != nil {
+		n.observe(Message{From: from, To: to, Payload: payload})
+	}
+}
+
 // NewNetwork returns a network without hosts. The log is in the region.
 func NewNetwork(l Latencies, logRegion string) *Network {
 	return &Network{latencies: l, logRegion: logRegion, cuts: map[[2]string]bool{}, hosts: map[string]*Host{}}
@@ -205,7 +228,9 @@
 }
 
 // exchange runs a call to another host: a delay each way, and what the faults make of it.
-func exchange[T any](ctx context.Context, from *Host, address string, do func(Handler) (T, error)) (T, error) {
+func exchange[T any](
+	ctx context.Context, from *Host, address string, asked any, do func(Handler) (T, error),
+) (T, error) {
 	var none T
 	n := from.network
 	if !from.Pass() {
@@ -215,6 +240,7 @@
 	if to == nil || to.Killed() {
 		return none, errRefused()
 	}
+	n.sent(from, to, asked)
 	if !n.travel(ctx, from, to) {
 		<-ctx.Done()
 		return none, errCut()
@@ -233,6 +259,7 @@
 	}()
 	select {
 	case r := <-done:
+		n.sent(to, from, r.value)
 		if !to.Pass() || !n.travel(ctx, to, from) {
 			<-ctx.Done()
 			return none, errCut()
@@ -267,17 +294,17 @@
 func (h *Host) Forward(ctx context.Context, address string, f node.Forwarded) (request.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, f.Request.Deadline)
 	defer cancel()
-	return exchange(ctx, h, address, func(to Handler) (request.Answer, error) { return to.Forward(ctx, f), nil })
+	return exchange(ctx, h, address, f, func(to Handler) (request.Answer, error) { return to.Forward(ctx, f), nil })
 }
 
 // Release implements node.Peers.
 func (h *Host) Release(ctx context.Context, address string, r node.ReleaseRequest) (node.ReleaseResult, error) {
-	return exchange(ctx, h, address, func(to Handler) (node.ReleaseResult, error) { return to.Release(ctx, r) })
+	return exchange(ctx, h, address, r, func(to Handler) (node.ReleaseResult, error) { return to.Release(ctx, r) })
 }
 
 // Snapshot implements node.Peers.
 func (h *Host) Snapshot(ctx context.Context, address string) (node.Snapshot, error) {
-	return exchange(ctx, h, address, func(to Handler) (node.Snapshot, error) { return to.Snapshot(ctx) })
+	return exchange(ctx, h, address, nil, func(to Handler) (node.Snapshot, error) { return to.Snapshot(ctx) })
 }
 
 // SendLease implements node.LeaseSender. What a cut drops is lost; what reaches a paused host waits there.
@@ -286,6 +313,7 @@
 		return errCut()
 	}
 	to := h.network.host(address)
+	h.network.sent(h, to, m)
 	if to == nil || !h.network.linked(h.places(), to.places()) {
 		return nil
 	}
@@ -323,6 +351,7 @@
 
 // Append implements platformlog.Log.
 func (l *hostLog) Append(ctx context.Context, r *ledger.Record) (ledger.Offset, error) {
+	l.host.network.sent(l.host, nil, r)
 	if !l.travel(ctx) {
 		<-ctx.Done()
 		return 0, errCut()
