Serve keys whose home regions changed after all nodes confirmed the revision

Cause: a key's group includes its home regions, so a configuration that changed them gave the key another owner at once on each node that read it, while the others still served it under the revision before. Without the gate the new test saw keys with two owners. Retained outcomes stayed with the old owner, so that a repeated write ran again: 50 of 50. Change: the package handover decides when changed keys may be served; each node asks the living nodes of its service with a Release of no slices for the revision under which alone they run requests. Ids from before are unknown for changed keys. For the retention time, moves give no outcomes to owners outside of the present home regions of the keys. A request is refused as not run while an owner has an older revision than its sender knows. A write's last attempt needs 30 ms before its deadline; it began 1 ms before, and 27 of 60 writes that waited were answered unknown though not run. Ruled out: a fixed wait, because a node that cannot read the log keeps its lease; a record of each node in the log (840 appends a change); refusing all keys of the service. Handing over outcomes needs the key in each and is planned.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -20,6 +20,8 @@
 	r   request.Request
 	// forwarded tells that another node sent the request here.
 	forwarded bool
+	// senderEpoch is the revision that last changed home regions as the sender of a forwarded request knew it.
+	senderEpoch ledger.Offset
 	// attempt counts the attempts so far, from zero.
 	attempt int
 	// mayHaveRun tells that an earlier attempt ended without proof that it did not run.
@@ -33,12 +35,17 @@
 	// ref names the request among the retained outcomes; retained tells that this call must complete the entry.
 	ref      outcome.Ref
 	retained bool
+	// unknownBefore is the time of issue before which a request id may have run under earlier home regions.
+	unknownBefore time.Time
 }
 
 // place is the slice of a key with the settings for the request, as this node saw them when it decided.
 type place struct {
-	slice    keyspace.SliceID
-	fence    ledger.Offset
+	slice keyspace.SliceID
+	fence ledger.Offset
+	// epoch is the revision that last changed home regions; changed tells that the key may have had others before.
+	epoch    ledger.Offset
+	changed  bool
 	settings config.Settings
 }
 
--- a/internal/engine/confinement_test.go
+++ b/internal/engine/confinement_test.go
@@ -34,19 +34,23 @@
 type confinedTenant struct {
 	fleet             *fleet
 	name, mark, idEnd string
-	done, redirected  atomic.Int64
-	running           sync.WaitGroup
+	// plain marks keys that look like a name, which event fields let pass.
+	plain            string
+	done, redirected atomic.Int64
+	running          sync.WaitGroup
 }
 
 // newConfinedTenant returns a tenant whose keys, bodies and request ids carry texts of their own.
 func newConfinedTenant(f *fleet, name string) *confinedTenant {
-	return &confinedTenant{fleet: f, name: name, mark: "mk <" + name + "> ü/q", idEnd: ("q~" + name)[:6]}
+	return &confinedTenant{
+		fleet: f, name: name, mark: "mk <" + name + "> ü/q", plain: "zqk-" + name, idEnd: ("q~" + name)[:6],
+	}
 }
 
 // marks returns what only requests of the tenant carry.
 func (c *confinedTenant) marks() []mark {
 	home := "emea-" + c.name
-	return []mark{newMark(home, c.mark), newMark(home, c.idEnd)}
+	return []mark{newMark(home, c.mark), newMark(home, c.plain), newMark(home, c.idEnd)}
 }
 
 // run sends requests until ctx ends.
@@ -68,7 +72,11 @@
 // send sends one request: every second one is a write.
 func (c *confinedTenant) send(n int, dataCentre string) {
 	defer c.running.Done()
-	r := readOf("orders", fmt.Sprintf("%s %d", c.mark, n%97), loadDeadline)
+	key := fmt.Sprintf("%s %d", c.mark, n%97)
+	if n%3 == 0 {
+		key = fmt.Sprintf("%s-%d", c.plain, n%97)
+	}
+	r := readOf("orders", key, loadDeadline)
 	r.Tenant, r.ID = c.name, markedID(c.idEnd)
 	if n/4%2 == 0 {
 		r.Method, r.Idempotent, r.Body = "POST", false, []byte(c.mark+" body")
@@ -149,6 +157,7 @@
 // Guards against a key, a body, a request id or a retained outcome that reaches a node or a backend server outside the
 // home regions, or is written to the log, events, metrics, spans or the status, while faults and plans move the keys.
 func TestRequestsStayInTheirHomeRegions(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		tenants := []*confinedTenant{newConfinedTenant(f, "west"), newConfinedTenant(f, "central")}
--- a/internal/engine/confinement_watch_test.go
+++ b/internal/engine/confinement_watch_test.go
@@ -41,6 +41,8 @@
 		t.Fatal(err)
 	}
 	f.tracing = tracing
+	// A second shutdown after checkWritten fails without effect.
+	t.Cleanup(func() { _ = tracing.Shutdown(context.Background()) })
 	f.network.Observe(w.message)
 	f.backendOf = func(n *fleetNode, b Backend) Backend { return watchedBackend{Backend: b, watch: w, node: n} }
 	return w
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,7 @@
 
 	ledger    *ledgerTable
 	leases    *leaseTable
+	handover  *handoverTable
 	serving   *servingTable
 	backend   *backendTable
 	admission *admissionTable
@@ -49,12 +50,13 @@
 	proposals      *proposals
 	waiting        *waiting
 	asking         *asking
+	confirming     *asking
 	releaseWaiters *releaseWaiters
 	plans          *plans
 	forwards       *forwards
 
 	// Triggers of the control jobs.
-	ownership, granting, releases, membership, planning, leaseStep, backendWatch, expiry *worker.Trigger
+	ownership, granting, releases, membership, planning, leaseStep, backendWatch, expiry, handovers *worker.Trigger
 
 	// readers counts the blocking readers.
 	readers  sync.WaitGroup
@@ -81,6 +83,7 @@
 		controlPool:    worker.NewPool("control", controlWorkers, controlQueue),
 		ledger:         newLedgerTable(),
 		leases:         newLeaseTable(o.Timing),
+		handover:       newHandoverTable(),
 		serving:        newServingTable(),
 		backend:        newBackendTable(),
 		admission:      newAdmissionTable(),
@@ -88,6 +91,7 @@
 		retries:        newRetries(),
 		proposals:      newProposals(),
 		asking:         newAsking(),
+		confirming:     newAsking(),
 		releaseWaiters: newReleaseWaiters(),
 		plans:          newPlans(),
 		forwards:       newForwards(max(1, o.Ingress.Workers/forwardShare)),
@@ -102,6 +106,7 @@
 	e.leaseStep = worker.NewTrigger(e.leasePool, e.stepLeases)
 	e.backendWatch = worker.NewTrigger(e.controlPool, e.watchBackend)
 	e.expiry = worker.NewTrigger(e.ownerPool, e.expireCalls)
+	e.handovers = worker.NewTrigger(e.controlPool, e.stepHandover)
 	return e
 }
 
@@ -229,6 +234,7 @@
 	e.cancel()
 	for _, t := range []*worker.Trigger{
 		e.ownership, e.granting, e.releases, e.membership, e.planning, e.leaseStep, e.backendWatch, e.expiry,
+		e.handovers,
 	} {
 		t.Stop()
 	}
--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -44,7 +44,9 @@
 	order    []string
 	loads    map[string]*load
 	document []byte
-	closing  sync.WaitGroup
+	// homesChanged tells that a published document changed home regions.
+	homesChanged bool
+	closing      sync.WaitGroup
 }
 
 var _ scenario.World = (*fleet)(nil)
@@ -349,17 +351,27 @@
 
 // Publish implements scenario.World. It appends the document on the current revision.
 func (f *fleet) Publish(document []byte) error {
-	if _, err := config.Decode(document); err != nil {
+	next, err := config.Decode(document)
+	if err != nil {
+		return err
+	}
+	if last, err := config.Decode(f.document); err == nil && !sameHomes(last, next) {
+		f.homesChanged = true
+	}
+	if err := f.publishUnchecked(document); err != nil {
 		return err
 	}
+	f.document = document
+	return nil
+}
+
+// publishUnchecked appends a document on the current revision.
+func (f *fleet) publishUnchecked(document []byte) error {
 	state := f.replayed()
 	record := &ledger.Record{Kind: ledger.KindConfiguration, ID: newRecordID(), Configuration: &ledger.Configuration{
 		Base: state.Revision(), Document: string(document), Author: "scenario",
 	}}
 	_, err := f.log.Append(context.Background(), record)
-	if err == nil {
-		f.document = document
-	}
 	return err
 }
 
@@ -404,6 +416,9 @@
 			f.t.Errorf("slice %s is served by %v", id, owners)
 		}
 	}
+	if f.homesChanged {
+		f.checkKeyOwners()
+	}
 }
 
 // owners returns the names of the nodes that would serve each slice now.
@@ -515,7 +530,7 @@
 	if n == nil {
 		return nil, fmt.Errorf("no node runs in %s", dataCentre)
 	}
-	limits, err := n.engine.Limits(service, "t")
+	limits, err := n.engine.Limits(service, probeTenant)
 	if err != nil {
 		return nil, err
 	}
@@ -533,18 +548,22 @@
 	return answers, nil
 }
 
+// probeTenant sends probes and loads.
+const probeTenant = "t"
+
 // readOf returns an idempotent read.
 func readOf(service, key string, deadline time.Duration) request.Request {
 	return request.Request{
-		Service: service, Tenant: "t", Key: key, Method: "GET", Idempotent: true, Deadline: time.Now().Add(deadline),
+		Service: service, Tenant: probeTenant, Key: key, Method: "GET", Idempotent: true, Deadline: time.Now().Add(deadline),
 	}
 }
 
-// keyPerSlice returns one key for each slice of the group without home regions.
+// keyPerSlice returns one key for each slice of the group of the probing tenant.
 func (f *fleet) keyPerSlice(n *fleetNode, service string) []string {
 	count := 0
-	n.engine.ledger.read(func(s *ledger.State, _ *config.Configuration) {
-		if g := s.Groups[keyspace.Group{Service: service}]; g != nil {
+	n.engine.ledger.read(func(s *ledger.State, c *config.Configuration) {
+		home := c.Resolve(config.Subject{Service: service, Tenant: probeTenant}).HomeRegions
+		if g := s.Groups[keyspace.Group{Service: service, Home: home}]; g != nil {
 			count = len(g.Slices)
 		}
 	})
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -117,23 +117,27 @@
 
 // look fills the snapshot for a request and the place where it would run.
 func (e *Engine) look(c *call, now time.Time) (routing.Snapshot, bool) {
-	s := routing.Snapshot{Region: e.options.Self.Region, Forwarded: c.forwarded}
+	self := e.incarnation()
+	s := routing.Snapshot{Self: self, Region: e.options.Self.Region, Forwarded: c.forwarded}
 	configured := false
 	e.ledger.read(func(state *ledger.State, configuration *config.Configuration) {
 		if configuration == nil {
 			return
 		}
 		configured = true
-		c.place.settings = configuration.Resolve(e.subject(c.r.Service, c.r.Tenant, c.r.Key))
+		subject := e.subject(c.r.Service, c.r.Tenant, c.r.Key)
+		c.place.settings = configuration.Resolve(subject)
+		c.place.epoch = e.ledger.homes.epochFor(self)
+		c.place.changed = e.ledger.homes.changed(c.place.settings.HomeRegions, subject)
 		group := keyspace.Group{Service: c.r.Service, Home: c.place.settings.HomeRegions}
 		index := routing.Lookup(state, group, keyspace.Hash(c.r.Key), &s)
+		s.HomesChanged = c.place.changed
 		c.place.slice = keyspace.SliceID{Group: group, Index: index}
 		c.place.fence = s.Slice.Fence
 		if !group.Home.Allows(s.Region) {
 			s.HomeCallers = homeCallers(state, group.Home)
 		}
 	})
-	s.Self = e.incarnation()
 	if s.Owner != nil && s.Owner.Incarnation == s.Self {
 		_, s.LeaseHeld = e.leases.owns(now)
 		s.Serves = s.LeaseHeld && e.serves(c.place)
@@ -222,7 +226,7 @@
 	}
 	e.deps.Metrics.Forwarded(r.Service)
 	answer, err := e.deps.Peers.Forward(ctx, d.Address, node.Forwarded{
-		Request: r, LedgerOffset: e.ledger.offset(), Revision: e.ledger.revision(),
+		Request: r, LedgerOffset: e.ledger.offset(), Revision: e.ledger.homesEpoch(),
 	})
 	e.forwards.end(d.Owner)
 	attempt := deliveryOf(answer, err)
@@ -260,7 +264,7 @@
 		c.finish(next.Answer)
 		return
 	}
-	delay, ok := retry.DefaultBackoff.Delay(c.attempt, now, c.r.Deadline, e.random())
+	delay, ok := backoffFor(c).Delay(c.attempt, now, c.r.Deadline, e.random())
 	if !ok || loads(a, sent) && !e.retries.take(c.r.Service, now) {
 		c.finish(next.Answer)
 		return
@@ -275,6 +279,19 @@
 	e.waiting.park(a.Offset+1, delay, again)
 }
 
+// leastForWrite is the time that must remain for another attempt of a non-idempotent request: twice the delay between
+// regions (8 ms) and the execution. An attempt that the deadline cuts off makes an answer "not run" into "unknown".
+const leastForWrite = 30 * time.Millisecond
+
+// backoffFor returns the back-off of a call.
+func backoffFor(c *call) retry.Backoff {
+	b := retry.DefaultBackoff
+	if !c.r.Idempotent {
+		b.Least = leastForWrite
+	}
+	return b
+}
+
 // outcomeForRetry returns the outcome by which a retry is judged: that of the last attempt. An earlier attempt of an
 // idempotent request may have run.
 func outcomeForRetry(n routing.Next) request.Outcome { return n.Answer.Outcome }
--- a/internal/engine/ledger_table.go
+++ b/internal/engine/ledger_table.go
@@ -23,6 +23,8 @@
 	// decoded is the revision that config was decoded from. It differs from the revision of state if the latest
 	// document cannot be decoded by this version.
 	decoded ledger.Offset
+	homes   homesHistory
+	losses  lostPlaces
 	// synced is false while the records before the earliest kept one are missing and no checkpoint was found.
 	synced bool
 	// heard is when the log last answered.
@@ -106,8 +108,16 @@
 	if rejection == ledger.Accepted {
 		a.ended = leaving
 	}
+	if a.took(ledger.KindEnd) && leaving != nil {
+		t.losses.note(lostPlace{leaving.Service, leaving.DataCentre}, entry.Record.End.AtUnixMS, now)
+	}
 	if isCheckpoint && rejection == ledger.Accepted {
 		a.restored, t.synced = true, true
+		t.restoredHomes()
+		t.losses.restore(t.state, now)
+	}
+	if rejection == ledger.Accepted && entry.Record.Kind == ledger.KindConfiguration {
+		t.homes.published = append(t.homes.published, t.state.Configuration)
 	}
 	if rejection == ledger.Accepted && isLoss(entry.Record.Kind) {
 		t.noteLoss(entry.Offset, now)
@@ -153,16 +163,44 @@
 func (t *ledgerTable) adoptConfiguration() (revision ledger.Offset, changed bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.state.Configuration
-	if current == nil || current.Revision == t.decoded {
-		return t.decoded, false, nil
+	published := t.homes.published
+	t.homes.published = nil
+	for _, p := range published {
+		// Each revision counts, also one that another follows at once: other nodes may have put it in force.
+		var decoded *config.Configuration
+		decoded, err = config.Decode([]byte(p.Document))
+		t.homes.follow(t.config, decoded, p.Revision)
+		if err == nil {
+			t.config, t.decoded, changed = decoded, p.Revision, true
+		}
 	}
-	decoded, err := config.Decode([]byte(current.Document))
-	if err != nil {
-		return t.decoded, false, err
+	return t.decoded, changed, err
+}
+
+// restoredHomes prepares for the configuration of a checkpoint: the revisions before it are missing, unless it is in
+// force here. The caller holds mu.
+func (t *ledgerTable) restoredHomes() {
+	t.homes.published = nil
+	if current := t.state.Configuration; current != nil && current.Revision != t.decoded {
+		t.homes.published = []*ledger.Revision{current}
+		t.homes.gap = true
+	}
+}
+
+// homesEpoch returns the revision that last changed home regions.
+func (t *ledgerTable) homesEpoch() ledger.Offset {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.homes.epoch
+}
+
+// forgetHomes drops the earlier home regions if none changed since the epoch.
+func (t *ledgerTable) forgetHomes(epoch ledger.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.homes.epoch == epoch {
+		t.homes.forget()
 	}
-	t.config, t.decoded = decoded, current.Revision
-	return t.decoded, true, nil
 }
 
 // heardFromLog notes that the log answered.
--- a/internal/engine/outcome_table.go
+++ b/internal/engine/outcome_table.go
@@ -39,11 +39,11 @@
 
 // admit decides about a request. If the same request is running, repeated gets its answer later.
 func (t *outcomeTable) admit(
-	now time.Time, ref outcome.Ref, f outcome.Fingerprint, repeated func(request.Answer),
+	now time.Time, ref outcome.Ref, f outcome.Fingerprint, unknownBefore time.Time, repeated func(request.Answer),
 ) outcome.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := t.table.Admit(now, ref, f)
+	d := t.table.AdmitAfter(now, unknownBefore, ref, f)
 	if d.Verdict == outcome.Wait {
 		t.waiting[ref] = append(t.waiting[ref], repeated)
 	}
--- a/internal/engine/owner.go
+++ b/internal/engine/owner.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"heatherreel/internal/config"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyspace"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/node"
 	"heatherreel/internal/outcome"
@@ -26,7 +29,7 @@
 	ctx, span := e.deps.Tracing.StartHop(ctx, f.Request.Traceparent, telemetry.HopOwner)
 	defer span.End()
 	c := newCall(ctx, f.Request)
-	c.forwarded = true
+	c.forwarded, c.senderEpoch = true, f.Revision
 	if e.ownerPool.Submit(func() { e.execute(c, c.finish) }) != nil {
 		c.finish(e.queueFull(e.ownerPool.Name()))
 	}
@@ -53,7 +56,12 @@
 		done(notHere(d))
 		return
 	}
+	if !e.beginHandover(c) {
+		done(request.Refuse(request.Moving, "repeat the request with the same id after a short delay"))
+		return
+	}
 	if !e.serving.begin(c.place.slice, c.place.fence) {
+		e.finishHandover(c)
 		done(request.Refuse(request.Moving, "repeat the request with the same id after a short delay"))
 		return
 	}
@@ -61,6 +69,7 @@
 		if e.serving.finish(c.place.slice) {
 			e.releases.Fire()
 		}
+		e.finishHandover(c)
 		done(answer)
 	})
 }
@@ -86,7 +95,7 @@
 		return
 	}
 	c.ref = outcome.Ref{Slice: c.place.slice, Tenant: c.r.Tenant, ID: id}
-	decision := e.outcomes.admit(time.Now(), c.ref, outcome.NewFingerprint(c.r), done)
+	decision := e.outcomes.admit(time.Now(), c.ref, outcome.NewFingerprint(c.r), c.unknownBefore, done)
 	switch decision.Verdict {
 	case outcome.Run:
 		c.retained = true
@@ -134,9 +143,36 @@
 	e.outcomes.importAll(time.Now(), result.Outcomes)
 }
 
-// exportOutcomes adds what this node knows about released slices.
-func (e *Engine) exportOutcomes(result *node.ReleaseResult) {
-	result.Outcomes = e.outcomes.export(time.Now(), result.Released)
+// exportOutcomes adds what this node knows about released slices. Some keys of a slice may be confined elsewhere since
+// a recent change of home regions; a new owner outside of these regions gets no outcomes of the slice.
+func (e *Engine) exportOutcomes(owner ledger.Incarnation, result *node.ReleaseResult) {
+	now := time.Now()
+	var export []ledger.SliceFence
+	for _, f := range result.Released {
+		if e.mayExport(owner, f.Slice.Group) {
+			export = append(export, f)
+			continue
+		}
+		result.Outcomes = append(result.Outcomes, outcome.SliceExport{
+			Slice: f.Slice, UnknownBefore: now.Add(e.options.RequestIDSkew + outcome.DefaultNodeSkew),
+		})
+	}
+	result.Outcomes = append(result.Outcomes, e.outcomes.export(now, export)...)
+}
+
+// mayExport reports whether a new owner may get the outcomes of all keys that were in the group lately.
+func (e *Engine) mayExport(owner ledger.Incarnation, group keyspace.Group) bool {
+	may := true
+	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
+		m := s.Members[owner]
+		may = !e.ledger.homes.any() || m != nil && allAllow(e.ledger.homes.present(c, group), m.Region)
+	})
+	return may
+}
+
+// allAllow reports whether the region belongs to all sets of home regions.
+func allAllow(homes []keyspace.Home, region string) bool {
+	return !slices.ContainsFunc(homes, func(h keyspace.Home) bool { return !h.Allows(region) })
 }
 
 // boundOutcomes makes request ids unknown that a lost owner of the slices may have run.
--- a/internal/engine/ownership.go
+++ b/internal/engine/ownership.go
@@ -248,11 +248,15 @@
 		"release is asked of incarnation %d, this node is %d", asked, self)
 }
 
-// Release implements node.Service. It waits until this node serves none of the slices or ctx ends.
+// Release implements node.Service. It waits until this node serves none of the slices or ctx ends. Asked for no slices
+// it states, as offset, the configuration revision under which alone it runs requests; zero if there is none.
 func (e *Engine) Release(ctx context.Context, r node.ReleaseRequest) (node.ReleaseResult, error) {
 	if self := e.incarnation(); self != r.Source {
 		return node.ReleaseResult{}, errWrongSource(r.Source, self)
 	}
+	if len(r.Slices) == 0 {
+		return node.ReleaseResult{Offset: e.handover.statement()}, nil
+	}
 	w := e.releaseWaiters.add(r.Slices)
 	defer e.releaseWaiters.remove(w)
 	e.releases.Fire()
@@ -264,15 +268,15 @@
 	if self := e.incarnation(); self != r.Source {
 		return node.ReleaseResult{}, errWrongSource(r.Source, self)
 	}
-	return e.releaseResult(r.Slices), nil
+	return e.releaseResult(r.Owner, r.Slices), nil
 }
 
 // releaseResult returns what can be released now, with the retained outcomes of those slices.
-func (e *Engine) releaseResult(asked []ledger.SliceFence) node.ReleaseResult {
+func (e *Engine) releaseResult(owner ledger.Incarnation, asked []ledger.SliceFence) node.ReleaseResult {
 	offset := e.ledger.offset()
 	free := e.serving.releasable(asked, offset)
 	result := node.ReleaseResult{Released: free, Offset: offset}
-	e.exportOutcomes(&result)
+	e.exportOutcomes(owner, &result)
 	for _, f := range free {
 		e.deps.Events.Emit(eventlog.SliceReleased, eventlog.Slice(f.Slice), eventlog.Fence(f.Fence))
 	}
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -107,6 +107,7 @@
 func (e *Engine) pageReplayed() {
 	e.adoptConfiguration()
 	e.ownership.Fire()
+	e.handovers.Fire()
 	e.membership.Fire()
 	e.planning.Fire()
 	e.waiting.resume(e.ledger.offset())
@@ -117,11 +118,11 @@
 	revision, changed, err := e.ledger.adoptConfiguration()
 	if err != nil {
 		e.deps.Events.Emit(eventlog.ConfigurationNotDecodable, eventlog.Revision(revision))
-		return
 	}
 	if !changed {
 		return
 	}
+	e.adoptHomes()
 	e.deps.Events.Emit(eventlog.ConfigurationInForce, eventlog.Revision(revision))
 	e.stopIfStatedLost()
 	e.configurationChanged()
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -13,6 +13,8 @@
 	Ledger Rank = 10
 	// Lease guards the holder and witness state of this node.
 	Lease Rank = 20
+	// Handover guards whether keys whose home regions changed may be served.
+	Handover Rank = 25
 	// Serving guards which slices this node serves and what runs on them.
 	Serving Rank = 30
 	// Backend guards what is known of the backend server beside this node.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -12,11 +12,12 @@
 	Request request.Request
 	// LedgerOffset is the offset up to which the sender has replayed the log.
 	LedgerOffset ledger.Offset
-	// Revision is the configuration revision with which the sender resolved the request.
+	// Revision is the configuration revision that last changed home regions, as the sender knows it.
 	Revision ledger.Offset
 }
 
-// ReleaseRequest asks Source to stop serving slices that now belong to Owner.
+// ReleaseRequest asks Source to stop serving slices that now belong to Owner. Without slices it asks for the revision
+// under which alone Source runs requests.
 type ReleaseRequest struct {
 	Owner  ledger.Incarnation
 	Source ledger.Incarnation
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -18,7 +18,8 @@
 	Released []ledger.SliceFence
 	// Outcomes holds what the new owner must know about requests that ran on the released slices.
 	Outcomes []outcome.SliceExport
-	// Offset is the ledger offset up to which the source has replayed.
+	// Offset is the ledger offset up to which the source has replayed. In the answer to a request without slices it is
+	// the configuration revision under which alone the source runs requests, or zero.
 	Offset ledger.Offset
 }
 
--- a/internal/outcome/table.go
+++ b/internal/outcome/table.go
@@ -58,12 +58,19 @@
 
 // Admit decides about a request. A refusal is true: no attempt with this id and content has run.
 func (t *Table) Admit(now time.Time, ref Ref, f Fingerprint) Decision {
+	return t.AdmitAfter(now, time.Time{}, ref, f)
+}
+
+// AdmitAfter is Admit for a key that other nodes may have served until changed, with outcomes that are not known here.
+// The zero time stands for a key without such a change.
+func (t *Table) AdmitAfter(now, changed time.Time, ref Ref, f Fingerprint) Decision {
 	s := t.slice(ref.Slice)
 	if e := s.entries[entryKey{tenant: ref.Tenant, id: ref.ID}]; e != nil {
 		return repeated(e, f)
 	}
 	issued := IssuedAt(ref.ID)
-	if t.mayBeLost(now, s, issued) {
+	lost := !changed.IsZero() && issued.Before(changed.Add(t.options.CallerLead+t.options.NodeSkew))
+	if lost || t.mayBeLost(now, s, issued) {
 		return decided(request.Uncertain(request.MayHaveRun, "read the key to see whether it ran; use a new request id for a new request"))
 	}
 	if issued.After(now.Add(t.options.CallerLead)) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -34,6 +34,8 @@
 	Forwarded bool
 	// Known tells that the group of the key has slices.
 	Known bool
+	// HomesChanged tells that the key had other home regions until recently.
+	HomesChanged bool
 	// Slice is the assignment of the key's slice; its fence goes with the request.
 	Slice ledger.Slice
 	// Owner is the member that owns the slice; nil if there is none.
@@ -111,6 +113,10 @@
 }
 
 func unowned(s *Snapshot) Decision {
+	if s.HomesChanged && !s.Known {
+		// The first assignment of the new group follows the configuration by about a second.
+		return refuse(request.Moving, remedyRepeat)
+	}
 	if s.Home != "" {
 		return refuse(request.NoHomeOwner, remedyHome)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -36,6 +36,8 @@
 		{"group without slices", Snapshot{Self: 1}, Refuse, request.NoOwner, ""},
 		{"unowned slice", Snapshot{Self: 1, Known: true}, Refuse, request.NoOwner, ""},
 		{"unowned slice at home", Snapshot{Self: 1, Region: "west", Home: "west", Known: true}, Refuse, request.NoHomeOwner, ""},
+		{"new group after a change", Snapshot{Self: 1, Region: "west", Home: "west", HomesChanged: true}, Refuse, request.Moving, ""},
+		{"unowned after a change", Snapshot{Self: 1, Region: "west", Home: "west", HomesChanged: true, Known: true}, Refuse, request.NoHomeOwner, ""},
 		{"owner outside of the home", Snapshot{Self: 1, Region: "west", Home: "west", Known: true, Owner: east}, Refuse, request.NoHomeOwner, ""},
 		{"outside, owner known", Snapshot{Self: 2, Region: "east", Home: "west", Known: true, Owner: west}, Redirect, request.WrongRegion, "caller-1"},
 		{"outside, other node known", Snapshot{Self: 2, Region: "east", Home: "west", HomeCallers: "caller-9"}, Redirect, request.WrongRegion, "caller-9"},
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -5,6 +5,7 @@
 	"internal/admission",
 	"internal/config",
 	"internal/confinement",
+	"internal/handover",
 	"internal/keyspace",
 	"internal/lease",
 	"internal/ledger",
