--- a/internal/engine/chaos_test.go
+++ b/internal/engine/chaos_test.go
@@ -126,16 +126,17 @@
 // chaos is one random schedule on a fleet.
 type chaos struct {
 	*fleet
-	random  *rand.Rand
-	history history
-	callers sync.WaitGroup
-	stop    chan struct{}
-	checks  bool
-	out     bool
-	names   []string
-	place   map[string]string
-	paused  map[string]bool
-	cuts    [][2]string
+	// random draws the faults, and repeated the writes that callers send again. They run at the same time.
+	random, repeated *rand.Rand
+	history          history
+	callers          sync.WaitGroup
+	stop             chan struct{}
+	checks           bool
+	out              bool
+	names            []string
+	place            map[string]string
+	paused           map[string]bool
+	cuts             [][2]string
 	// frozen is the node whose backend server is frozen, or empty.
 	frozen string
 }
@@ -204,8 +205,8 @@
 // repeats returns the delays before each attempt of one write.
 func (c *chaos) repeats() []time.Duration {
 	delays := []time.Duration{0}
-	for range c.random.IntN(4) {
-		delays = append(delays, time.Duration(c.random.Int64N(int64(chaosRepeatWithin))))
+	for range c.repeated.IntN(4) {
+		delays = append(delays, time.Duration(c.repeated.Int64N(int64(chaosRepeatWithin))))
 	}
 	return delays
 }
@@ -346,7 +347,8 @@
 // runChaos runs one random schedule and checks the history.
 func runChaos(t *testing.T, seed uint64, checksGrants bool) {
 	c := &chaos{
-		fleet: newFleet(t), random: rand.New(rand.NewPCG(seed, 0)), stop: make(chan struct{}), checks: checksGrants,
+		fleet: newFleet(t), random: rand.New(rand.NewPCG(seed, 0)),
+		repeated: rand.New(rand.NewPCG(seed, 1)), stop: make(chan struct{}), checks: checksGrants,
 		history: history{clicks: map[string][]click{}}, place: map[string]string{}, paused: map[string]bool{},
 	}
 	c.serviceTime = chaosServiceTime
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -40,6 +40,7 @@
 
 	ledger    *ledgerTable
 	leases    *leaseTable
+	handover  *handoverTable
 	serving   *servingTable
 	backend   *backendTable
 	admission *admissionTable
@@ -49,13 +50,15 @@
 	proposals      *proposals
 	waiting        *waiting
 	asking         *asking
+	confirming     *asking
 	releaseWaiters *releaseWaiters
 	plans          *plans
 	forwards       *forwards
 	checkpoints    *checkpoints
 
 	// Triggers of the control jobs.
-	ownership, granting, releases, membership, planning, checkpointing, leaseStep, backendWatch, expiry *worker.Trigger
+	ownership, granting, releases, membership, planning, checkpointing, leaseStep, backendWatch, expiry,
+	handovers *worker.Trigger
 
 	// readers counts the blocking readers.
 	readers  sync.WaitGroup
@@ -82,6 +85,7 @@
 		controlPool:    worker.NewPool("control", controlWorkers, controlQueue),
 		ledger:         newLedgerTable(),
 		leases:         newLeaseTable(o.Timing),
+		handover:       newHandoverTable(),
 		serving:        newServingTable(),
 		backend:        newBackendTable(),
 		admission:      newAdmissionTable(),
@@ -89,6 +93,7 @@
 		retries:        newRetries(),
 		proposals:      newProposals(),
 		asking:         newAsking(),
+		confirming:     newAsking(),
 		releaseWaiters: newReleaseWaiters(),
 		plans:          newPlans(),
 		forwards:       newForwards(max(1, o.Ingress.Workers/forwardShare)),
@@ -105,6 +110,7 @@
 	e.leaseStep = worker.NewTrigger(e.leasePool, e.stepLeases)
 	e.backendWatch = worker.NewTrigger(e.controlPool, e.watchBackend)
 	e.expiry = worker.NewTrigger(e.ownerPool, e.expireCalls)
+	e.handovers = worker.NewTrigger(e.controlPool, e.stepHandover)
 	return e
 }
 
@@ -232,7 +238,7 @@
 	e.cancel()
 	for _, t := range []*worker.Trigger{
 		e.ownership, e.granting, e.releases, e.membership, e.planning, e.checkpointing, e.leaseStep, e.backendWatch,
-		e.expiry,
+		e.expiry, e.handovers,
 	} {
 		t.Stop()
 	}
--- a/internal/engine/ledger_table.go
+++ b/internal/engine/ledger_table.go
@@ -25,6 +25,8 @@
 	// decoded is the revision that config was decoded from. It differs from the revision of state if the latest
 	// document cannot be decoded by this version.
 	decoded ledger.Offset
+	homes   homesHistory
+	losses  lostPlaces
 	// heard is when the log last answered.
 	heard time.Time
 	// highest is the highest offset that another node stated.
@@ -103,21 +105,40 @@
 	leaving := t.leavingMember(entry.Record)
 	rejection, restored := t.replay.Add(entry.Offset, entry.Record)
 	if restored {
-		t.noteUnreadLosses(before, now)
+		t.stateRestored(before, now)
 	}
 	if t.state.LastCheckpoint != last {
 		t.checkpointRead = now
 	}
-	if rejection == ledger.Accepted && isLoss(entry.Record.Kind) {
-		t.noteLoss(entry.Offset, now)
-	}
 	a := applied{offset: entry.Offset, record: entry.Record, rejection: rejection, restored: restored}
 	if rejection == ledger.Accepted {
 		a.ended = leaving
+		t.recordTaken(a, now)
 	}
 	return a
 }
 
+// recordTaken notes what an accepted record says beyond the replayed state. The caller holds mu.
+func (t *ledgerTable) recordTaken(a applied, now time.Time) {
+	switch {
+	case a.record.Kind == ledger.KindEnd && a.ended != nil:
+		t.losses.note(lostPlace{a.ended.Service, a.ended.DataCentre}, a.record.End.AtUnixMS, now)
+	case a.record.Kind == ledger.KindConfiguration:
+		t.homes.published = append(t.homes.published, t.state.Configuration)
+	}
+	if isLoss(a.record.Kind) {
+		t.noteLoss(a.offset, now)
+	}
+}
+
+// stateRestored notes that a checkpoint or a snapshot replaced the state that reached up to an offset. The caller holds
+// mu.
+func (t *ledgerTable) stateRestored(before ledger.Offset, now time.Time) {
+	t.noteUnreadLosses(before, now)
+	t.restoredHomes()
+	t.losses.restore(t.state, now)
+}
+
 // leavingMember returns the member that an end or leave record is about, or nil. The caller holds mu.
 func (t *ledgerTable) leavingMember(r *ledger.Record) *ledger.Member {
 	switch {
@@ -151,16 +172,44 @@
 func (t *ledgerTable) adoptConfiguration() (revision ledger.Offset, changed bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.state.Configuration
-	if current == nil || current.Revision == t.decoded {
-		return t.decoded, false, nil
+	published := t.homes.published
+	t.homes.published = nil
+	for _, p := range published {
+		// Each revision counts, also one that another follows at once: other nodes may have put it in force.
+		var decoded *config.Configuration
+		decoded, err = config.Decode([]byte(p.Document))
+		t.homes.follow(t.config, decoded, p.Revision)
+		if err == nil {
+			t.config, t.decoded, changed = decoded, p.Revision, true
+		}
 	}
-	decoded, err := config.Decode([]byte(current.Document))
-	if err != nil {
-		return t.decoded, false, err
+	return t.decoded, changed, err
+}
+
+// restoredHomes prepares for the configuration of a checkpoint: the revisions before it are missing, unless it is in
+// force here. The caller holds mu.
+func (t *ledgerTable) restoredHomes() {
+	t.homes.published = nil
+	if current := t.state.Configuration; current != nil && current.Revision != t.decoded {
+		t.homes.published = []*ledger.Revision{current}
+		t.homes.gap = true
+	}
+}
+
+// homesEpoch returns the revision that last changed home regions.
+func (t *ledgerTable) homesEpoch() ledger.Offset {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.homes.epoch
+}
+
+// forgetHomes drops the earlier home regions if none changed since the epoch.
+func (t *ledgerTable) forgetHomes(epoch ledger.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.homes.epoch == epoch {
+		t.homes.forget()
 	}
-	t.config, t.decoded = decoded, current.Revision
-	return t.decoded, true, nil
 }
 
 // heardFromLog notes that the log answered.
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -131,6 +131,7 @@
 func (e *Engine) pageReplayed() {
 	e.adoptConfiguration()
 	e.ownership.Fire()
+	e.handovers.Fire()
 	e.membership.Fire()
 	e.planning.Fire()
 	e.checkpointing.Fire()
@@ -142,11 +143,11 @@
 	revision, changed, err := e.ledger.adoptConfiguration()
 	if err != nil {
 		e.deps.Events.Emit(eventlog.ConfigurationNotDecodable, eventlog.Revision(revision))
-		return
 	}
 	if !changed {
 		return
 	}
+	e.adoptHomes()
 	e.deps.Events.Emit(eventlog.ConfigurationInForce, eventlog.Revision(revision))
 	e.stopIfStatedLost()
 	e.configurationChanged()
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -30,7 +30,7 @@
 	if !t.replay.Adopt(s) {
 		return false
 	}
-	t.noteUnreadLosses(before, now)
+	t.stateRestored(before, now)
 	t.checkpointRead = now
 	return true
 }
