Add a concurrency limit that follows measured latency

Cause: a node gives its backend server a fixed number of requests. A server that is cold, also without saying so, receives its full load at once; where its service time grows with concurrency it never becomes warm.

Change: the decision package internal/limit and a scripted model of a backend server in its tests. Nothing uses it yet.

--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,166 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// drive ends n requests one after another, each with the latency, and returns the limiter's time afterwards.
+func drive(l *Limiter, now time.Time, n int, c Class, latency time.Duration) time.Time {
+	for range n {
+		begun := now
+		now = now.Add(latency)
+		l.Finish(now, Sample{Class: c, Begun: begun, Running: l.Limit()})
+	}
+	return now
+}
+
+// risen returns a limiter that has reached 10 with reads of 2 ms.
+func risen(t *testing.T) (*Limiter, time.Time) {
+	t.Helper()
+	l := New()
+	l.SetMost(start, 10)
+	now := drive(l, start, 12*windowSamples, Read, 2*ms)
+	if l.Limit() != 10 {
+		t.Fatalf("limit %d after 12 steady windows", l.Limit())
+	}
+	return l, now
+}
+
+// Guards against a just-started server that gets a full load, and against a limit above what was announced.
+func TestStartsLowAndStaysBounded(t *testing.T) {
+	for _, most := range []int{0, 1, 2, 6, 10} {
+		l := New()
+		l.SetMost(start, most)
+		if l.Limit() != min(Start, most) {
+			t.Errorf("most %d: starts at %d", most, l.Limit())
+		}
+		if drive(l, start, 500, Read, ms); l.Limit() != most {
+			t.Errorf("most %d: rises to %d", most, l.Limit())
+		}
+		if l.SetMost(start.Add(time.Hour), most/2); l.Limit() != most/2 {
+			t.Errorf("most lowered to %d: limit %d", most/2, l.Limit())
+		}
+	}
+}
+
+// Guards against a server that became cold and keeps a full load, and against a limit that falls after one slow
+// request.
+func TestFallsAtOnceButNotForOne(t *testing.T) {
+	for slow, want := range map[int]int{1: 10, 3: 10, windowSamples: Start} {
+		l, now := risen(t)
+		now = drive(l, now, slow, Read, 40*ms)
+		drive(l, now, windowSamples-slow, Read, 2*ms)
+		if l.Limit() != want {
+			t.Errorf("%d of %d slow: limit %d, want %d", slow, windowSamples, l.Limit(), want)
+		}
+	}
+}
+
+// Guards against a limit that stays at the start for a server that is slower for good, such as one with a neighbour.
+func TestRisesFromNewLatency(t *testing.T) {
+	l, now := risen(t)
+	now = drive(l, now, windowSamples, Read, 6*ms)
+	if l.Limit() != 3 {
+		t.Fatalf("limit %d after a window 3 times slower", l.Limit())
+	}
+	if drive(l, now, 40*windowSamples, Read, 6*ms); l.Limit() != 10 {
+		t.Errorf("limit %d after 40 windows of the new latency", l.Limit())
+	}
+}
+
+// Guards against requests sent before a fall that count against the lower limit, and lower it again.
+func TestIgnoresRequestsBegunBeforeChange(t *testing.T) {
+	l, now := risen(t)
+	begun := now
+	now = drive(l, now, windowSamples, Read, 5*ms)
+	fallen := l.Limit()
+	for range 3 * windowSamples {
+		l.Finish(now.Add(ms), Sample{Begun: begun, Running: 10})
+	}
+	if fallen != 4 || l.Limit() != fallen {
+		t.Errorf("limit fell to %d, then %d", fallen, l.Limit())
+	}
+}
+
+// Guards against a limit that rises without evidence: unused, or from requests whose latency is not known.
+func TestRisesOnlyByEvidence(t *testing.T) {
+	cases := map[string]Sample{
+		"unused":    {Running: 1},
+		"timed out": {Running: 2, Result: TimedOut},
+		"shed":      {Running: 2, Result: Shed},
+	}
+	for name, s := range cases {
+		l := New()
+		l.SetMost(start, 10)
+		now := drive(l, start, 1, Read, 2*ms)
+		for range 100 {
+			s.Begun, now = now, now.Add(2*ms)
+			l.Finish(now, s)
+		}
+		if l.Limit() != Start {
+			t.Errorf("%s: limit %d", name, l.Limit())
+		}
+	}
+}
+
+// Guards against a server that answers nothing in time, or sheds load, and keeps its limit.
+func TestFallsWithoutAnswers(t *testing.T) {
+	for _, result := range []Result{TimedOut, Shed} {
+		l, now := risen(t)
+		for range windowSamples {
+			l.Finish(now.Add(100*ms), Sample{Begun: now, Result: result, Running: 10})
+		}
+		if l.Limit() >= 10 {
+			t.Errorf("result %d: limit %d", result, l.Limit())
+		}
+	}
+}
+
+// Guards against dear writes that lower the limit because reads are cheap.
+func TestClassesAreComparedApart(t *testing.T) {
+	l, now := risen(t)
+	for n := range 200 {
+		now = drive(l, now, 1, Class(n%2), []time.Duration{2 * ms, 30 * ms}[n%2])
+	}
+	if l.Limit() != 10 {
+		t.Errorf("limit %d with mixed requests", l.Limit())
+	}
+	if drive(l, now, windowSamples, Write, 300*ms); l.Limit() != Start {
+		t.Errorf("limit %d with slow writes", l.Limit())
+	}
+}
+
+// Guards against a new incarnation that inherits the limit and the latency of the one before.
+func TestReset(t *testing.T) {
+	l, now := risen(t)
+	l.Reset(now)
+	if l.Limit() != Start {
+		t.Errorf("limit %d after a reset", l.Limit())
+	}
+	for range windowSamples {
+		l.Finish(now.Add(ms), Sample{Begun: now.Add(-ms), Running: 10})
+	}
+	if l.window.count != 0 {
+		t.Error("requests of the incarnation before count")
+	}
+	if drive(l, now, 20*windowSamples, Read, 50*ms); l.Limit() != 10 {
+		t.Errorf("limit %d for an incarnation that is slower", l.Limit())
+	}
+}
+
+// Guards against a best latency that counts for ever, so that a small lasting change keeps the limit from rising.
+func TestBestAges(t *testing.T) {
+	b := best{}
+	b.compare(start, 2*ms)
+	if got := b.compare(start.Add(bestAge), 3*ms); got != 1.5 {
+		t.Errorf("ratio %v within the age", got)
+	}
+	if got := b.compare(start.Add(2*bestAge), 3*ms); got != 1 {
+		t.Errorf("ratio %v after twice the age", got)
+	}
+}
--- /dev/null
+++ b/internal/limit/simulation_test.go
@@ -0,0 +1,246 @@
+package limit
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"heatherreel/internal/admission"
+)
+
+// deployment is the size of one backend server and its load.
+type deployment struct {
+	name      string
+	slots     int
+	warm      time.Duration
+	coldBears float64
+	// warmAfter is the number of requests that make the server warm.
+	warmAfter int
+}
+
+// deployments are the sizes of today.
+var deployments = []deployment{
+	{"Katoda", 10, 10 * ms, 3, 300},
+	{"Crewmark", 6, 20 * ms, 2, 150},
+}
+
+// simulatedDeadline is the time that a caller allows.
+const simulatedDeadline = 500 * ms
+
+// moment is a scripted change of the server at a time after the start.
+type moment struct {
+	at     time.Duration
+	change func(*serverModel)
+}
+
+// simulation runs one backend server, its queue and a policy in simulated time.
+type simulation struct {
+	server *serverModel
+	policy policy
+	queue  *admission.Queue
+	rng    *rand.Rand
+	now    time.Time
+	script []moment
+	// rate returns the requests a second at a time after the start.
+	rate    func(time.Duration) float64
+	jobs    map[admission.Ticket]*simulatedJob
+	ends    endHeap
+	result  result
+	turned  time.Time
+	running int
+}
+
+// result is what a simulation measured.
+type result struct {
+	done, overloads int
+	latencies       []time.Duration
+	// warm holds for each time at which the server was cold how long it took to become warm; zero if it never did.
+	warm []time.Duration
+	// perSecond counts the done requests of each second.
+	perSecond []int
+}
+
+// simulatedJob is one request.
+type simulatedJob struct {
+	ticket       admission.Ticket
+	arrived, end time.Time
+	begun        time.Time
+	deadline     time.Time
+	// excess is that of the server when the request began.
+	excess float64
+	// share is the part of its work that the server does before the request is cancelled.
+	share float64
+}
+
+// endHeap orders running jobs by their end.
+type endHeap []*simulatedJob
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].end.Before(h[j].end) }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(*simulatedJob)) }
+func (h *endHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// newSimulation returns a simulation of a server that has just started and is cold.
+func newSimulation(d deployment, p policy, seed uint64) *simulation {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := &simulation{
+		server: &serverModel{
+			slots: d.slots, warm: d.warm, coldFactor: 8, coldBears: d.coldBears, warmAfter: d.warmAfter, rng: rng,
+		},
+		policy: p, rng: rng, now: start, jobs: map[admission.Ticket]*simulatedJob{},
+		queue: admission.NewQueue(admission.Options{}),
+	}
+	if o, ok := p.(*oraclePolicy); ok {
+		o.server = s.server
+	}
+	p.announced(start)
+	s.turnCold()
+	return s
+}
+
+// turnCold makes the server cold.
+func (s *simulation) turnCold() {
+	s.server.coldness = 1
+	s.turned = s.now
+	s.result.warm = append(s.result.warm, 0)
+}
+
+// run simulates a time.
+func (s *simulation) run(length time.Duration) *result {
+	s.result.perSecond = make([]int, length/time.Second+1)
+	end := start.Add(length)
+	arrival := s.nextArrival()
+	for {
+		next := arrival
+		if len(s.ends) > 0 && s.ends[0].end.Before(next) {
+			next = s.ends[0].end
+		}
+		if next.After(end) {
+			return &s.result
+		}
+		s.now = next
+		s.playScript()
+		if next.Equal(arrival) {
+			s.arrive()
+			arrival = s.nextArrival()
+			continue
+		}
+		s.finish(heap.Pop(&s.ends).(*simulatedJob))
+	}
+}
+
+// playScript makes the changes that are due.
+func (s *simulation) playScript() {
+	for len(s.script) > 0 && s.now.Sub(start) >= s.script[0].at {
+		cold := s.server.coldness
+		s.script[0].change(s.server)
+		if s.server.coldness > cold {
+			s.turnCold()
+		}
+		s.script = s.script[1:]
+	}
+}
+
+func (s *simulation) nextArrival() time.Time {
+	rate := max(s.rate(s.now.Sub(start)), 1)
+	return s.now.Add(time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second)))
+}
+
+// arrive offers a request to the queue.
+func (s *simulation) arrive() {
+	s.follow()
+	j := &simulatedJob{arrived: s.now, deadline: s.now.Add(simulatedDeadline)}
+	key := strconv.Itoa(s.rng.IntN(1000))
+	d := s.queue.Offer(s.now, admission.Job{Tenant: "t", Key: key, Deadline: j.deadline})
+	j.ticket = d.Ticket
+	s.jobs[j.ticket] = j
+	if d.Verdict == admission.Refused {
+		delete(s.jobs, j.ticket)
+	}
+	s.apply(d.Change)
+	if d.Verdict == admission.Started {
+		s.begin(j)
+	}
+}
+
+// simulatedQueue is the number of requests that wait.
+const simulatedQueue = 50
+
+// follow gives the policy's limit to the queue.
+func (s *simulation) follow() {
+	limit := s.policy.limit(s.now)
+	if s.queue.Usage().Limit != limit {
+		s.apply(s.queue.SetLimits(s.now, admission.Options{Limit: limit, QueueLimit: simulatedQueue}))
+	}
+}
+
+// apply starts and drops waiting jobs.
+func (s *simulation) apply(c admission.Change) {
+	for _, r := range c.Refuse {
+		delete(s.jobs, r.Ticket)
+	}
+	for _, ticket := range c.Start {
+		s.begin(s.jobs[ticket])
+	}
+}
+
+// begin sends a job to the server. One that would miss its deadline is cancelled then.
+func (s *simulation) begin(j *simulatedJob) {
+	s.running++
+	took, excess := s.server.begin(s.running)
+	j.begun, j.end, j.excess, j.share = s.now, s.now.Add(took), excess, 1
+	if excess > 1 {
+		s.result.overloads++
+	}
+	if j.end.After(j.deadline) {
+		j.end, j.share = j.deadline, float64(j.deadline.Sub(s.now))/float64(took)
+	}
+	heap.Push(&s.ends, j)
+}
+
+// finish ends a job at the server.
+func (s *simulation) finish(j *simulatedJob) {
+	sample := Sample{Begun: j.begun, Running: s.running, Result: Answered}
+	s.running--
+	if !j.end.Before(j.deadline) {
+		sample.Result = TimedOut
+	} else {
+		s.result.done++
+		s.result.perSecond[s.now.Sub(start)/time.Second]++
+		s.result.latencies = append(s.result.latencies, s.now.Sub(j.arrived))
+	}
+	s.server.finish(j.excess, j.share)
+	if last := len(s.result.warm) - 1; s.server.coldness < 0.05 && s.result.warm[last] == 0 {
+		s.result.warm[last] = s.now.Sub(s.turned)
+	}
+	delete(s.jobs, j.ticket)
+	s.policy.finish(s.now, sample)
+	measured := sample.Result == Answered || s.now.Sub(j.begun) > s.queue.Usage().ServiceTime
+	s.apply(s.queue.Release(s.now, j.ticket, measured))
+	s.follow()
+}
+
+// percentile returns a percentile of the latencies of done requests.
+func (r *result) percentile(percent int) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(r.latencies)
+	return r.latencies[(len(r.latencies)-1)*percent/100].Round(ms)
+}
+
+// doneBetween returns the done requests a second between two times, in seconds after the start.
+func (r *result) doneBetween(from, to int) int {
+	sum := 0
+	for _, n := range r.perSecond[from:to] {
+		sum += n
+	}
+	return sum / (to - from)
+}
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -8,6 +8,7 @@
 	"internal/keyspace",
 	"internal/lease",
 	"internal/ledger",
+	"internal/limit",
 	"internal/outcome",
 	"internal/placement",
 	"internal/request",
