Let the admission queue follow the adaptive concurrency limit

Cause: a backend server that became cold without saying so received its full concurrency and stayed cold.

Ruled out: a table of its own for the limiter; the limit and the queue change together, so they share the mutex of rank Admission. Reading the health and load endpoints; they lag, and latency shows the turn after one service time.

Change: the admission table passes each finished request to the limiter and sets the queue's limit before it gives the slot away. The limit starts again when another incarnation announces itself or the same one returns. A request that got no answer no longer lowers the queue's estimate of the service time. Gauge concurrency_limit, event 607.

--- a/internal/engine/admission_table.go
+++ b/internal/engine/admission_table.go
@@ -5,6 +5,7 @@
 
 	"heatherreel/internal/admission"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/limit"
 	"heatherreel/internal/lockorder"
 	"heatherreel/internal/request"
 )
@@ -15,19 +16,24 @@
 	done func(request.Answer)
 }
 
-// admissionTable guards the queue of the backend server beside this node and holds the calls that wait in it.
+// admissionTable guards the queue and the concurrency limit of the backend server beside this node and holds the calls
+// that wait in the queue.
 //
-// mu guards queue and waiting; it has rank lockorder.Admission.
+// mu guards all fields; it has rank lockorder.Admission.
 type admissionTable struct {
 	mu      *lockorder.Mutex
 	queue   *admission.Queue
-	waiting map[admission.Ticket]admitted
+	limiter *limit.Limiter
+	// queueLimit is the number of calls that may wait.
+	queueLimit int
+	waiting    map[admission.Ticket]admitted
 }
 
 func newAdmissionTable() *admissionTable {
 	return &admissionTable{
 		mu:      lockorder.New(lockorder.Admission),
 		queue:   admission.NewQueue(admission.Options{}),
+		limiter: limit.New(),
 		waiting: map[admission.Ticket]admitted{},
 	}
 }
@@ -75,11 +81,51 @@
 	return next.Add(time.Microsecond)
 }
 
-// release gives up a slot.
-func (t *admissionTable) release(now time.Time, ticket admission.Ticket, measured bool) released {
+// limitFall is a fall of the concurrency limit; from and to are equal if it did not fall.
+type limitFall struct {
+	from, to int
+}
+
+// release gives up a slot. sample is nil if the call never reached the backend server. The limit changes before the
+// slot is given to another call, so that none starts above a lower limit.
+func (t *admissionTable) release(now time.Time, ticket admission.Ticket, sample *limit.Sample) (released, limitFall) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.take(t.queue.Release(now, ticket, measured))
+	usage := t.queue.Usage()
+	fall := limitFall{from: usage.Limit, to: usage.Limit}
+	var change admission.Change
+	if sample != nil {
+		sample.Running = usage.Running
+		if t.limiter.Finish(now, *sample) {
+			fall.to = t.limiter.Limit()
+		}
+		change = t.follow(now)
+	}
+	next := t.queue.Release(now, ticket, informs(now, sample, usage.ServiceTime))
+	change.Start = append(change.Start, next.Start...)
+	change.Refuse = append(change.Refuse, next.Refuse...)
+	return t.take(change), fall
+}
+
+// informs reports whether the duration of a call may count in the queue's estimate of the service time. A call that
+// was not answered took longer than it shows, and may only raise the estimate: otherwise calls that are cut off at their
+// deadline would lower it, and the queue would start more calls that cannot finish.
+func informs(now time.Time, sample *limit.Sample, estimate time.Duration) bool {
+	switch {
+	case sample == nil || sample.Result == limit.Shed:
+		return false
+	case sample.Result == limit.TimedOut:
+		return now.Sub(sample.Begun) > estimate
+	}
+	return true
+}
+
+// follow gives the present limits to the queue. The caller holds mu.
+func (t *admissionTable) follow(now time.Time) admission.Change {
+	if t.queue.Usage().Limit == t.limiter.Limit() {
+		return admission.Change{}
+	}
+	return t.queue.SetLimits(now, admission.Options{Limit: t.limiter.Limit(), QueueLimit: t.queueLimit})
 }
 
 // expire refuses the calls that are too late.
@@ -89,11 +135,21 @@
 	return t.take(t.queue.Expire(now)), t.nextExpiry()
 }
 
-// setLimits changes the limits.
-func (t *admissionTable) setLimits(now time.Time, o admission.Options) released {
+// setLimits changes the highest concurrency limit and the limit of the queue.
+func (t *admissionTable) setLimits(now time.Time, most, queueLimit int) released {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.take(t.queue.SetLimits(now, o))
+	t.limiter.SetMost(now, most)
+	t.queueLimit = queueLimit
+	return t.take(t.queue.SetLimits(now, admission.Options{Limit: t.limiter.Limit(), QueueLimit: queueLimit}))
+}
+
+// resetLimit returns the concurrency limit to its start, because nothing is known of the backend server's latency.
+func (t *admissionTable) resetLimit(now time.Time) released {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.Reset(now)
+	return t.take(t.follow(now))
 }
 
 func (t *admissionTable) usage() admission.Usage {
@@ -127,13 +183,37 @@
 // runSlot sends a call that holds a slot and gives the slot to the next.
 func (e *Engine) runSlot(ticket admission.Ticket, a admitted) {
 	answer := request.Refuse(request.DeadlineTooClose, "allow more time")
-	if !a.c.expired(time.Now()) {
+	begun := time.Now()
+	if !a.c.expired(begun) {
 		answer = e.send(a.c)
 	}
-	e.continueCalls(e.admission.release(time.Now(), ticket, answer.Outcome != request.NotRun))
+	others, fall := e.admission.release(time.Now(), ticket, sampleOf(a.c, answer, begun))
+	e.continueCalls(others)
+	if fall.to < fall.from {
+		e.deps.Events.Emit(eventlog.BackendLimitLowered, eventlog.Count("from", fall.from), eventlog.Count("to", fall.to))
+	}
 	a.done(answer)
 }
 
+// sampleOf returns what a call tells about the backend server; nil if it did not reach it.
+func sampleOf(c *call, answer request.Answer, begun time.Time) *limit.Sample {
+	s := &limit.Sample{Class: limit.Write, Begun: begun}
+	if c.r.Idempotent {
+		s.Class = limit.Read
+	}
+	switch {
+	case answer.Outcome == request.Done:
+		s.Result = limit.Answered
+	case answer.Outcome == request.Unknown:
+		s.Result = limit.TimedOut
+	case answer.Reason == request.QueueFull:
+		s.Result = limit.Shed
+	default:
+		return nil
+	}
+	return s
+}
+
 // continueCalls runs and refuses the calls that left the queue.
 func (e *Engine) continueCalls(r released) {
 	for reason, calls := range r.refuse {
@@ -147,7 +227,8 @@
 		}
 		e.deps.Events.Emit(eventlog.QueueFull, eventlog.Pool(e.ownerPool.Name()))
 		a.done(refuseAdmission(request.QueueFull))
-		e.continueCalls(e.admission.release(time.Now(), ticket, false))
+		others, _ := e.admission.release(time.Now(), ticket, nil)
+		e.continueCalls(others)
 	}
 }
 
@@ -169,8 +250,6 @@
 		return
 	}
 	// A backend server never receives more than it states to bear, whatever the configuration says.
-	limit := min(limits.ConcurrencyLimit, a.Slots, a.Connections)
-	e.continueCalls(e.admission.setLimits(time.Now(), admission.Options{
-		Limit: int(limit), QueueLimit: int(limits.QueueLimit),
-	}))
+	most := min(limits.ConcurrencyLimit, a.Slots, a.Connections)
+	e.continueCalls(e.admission.setLimits(time.Now(), int(most), int(limits.QueueLimit)))
 }
--- a/internal/engine/backend.go
+++ b/internal/engine/backend.go
@@ -96,6 +96,9 @@
 	}
 	c := e.backend.announce(a, time.Now())
 	e.reportAnnouncement(a, c)
+	if c.restarted || c.returned {
+		e.continueCalls(e.admission.resetLimit(time.Now()))
+	}
 	if c.restarted {
 		e.serving.with(func(t *serving.Table) { t.Regrant() })
 		e.granting.Fire()
--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -335,7 +335,7 @@
 	f.mu.Unlock()
 	faults := fake.Faults{Frozen: state == scenario.BackendFrozen}
 	if state == scenario.BackendCold {
-		faults.ColdRequests, faults.ColdMS = 100, 50
+		faults.ColdRequests, faults.ColdMS, faults.ColdSlots = 100, 50, 3
 	}
 	n.backend.SetFaults(faults)
 	return nil
--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -204,13 +204,15 @@
 func (e *Engine) Gauges() telemetry.Snapshot {
 	now := time.Now()
 	currency := e.ledger.currency(now)
+	admitted := e.admission.usage()
 	s := telemetry.Snapshot{
 		LedgerOffset:     uint64(currency.offset),
 		HighestOffset:    uint64(max(currency.highest, currency.offset)),
 		LogSilence:       currency.silence,
 		Revision:         uint64(e.ledger.revision()),
 		RetainedOutcomes: e.outcomes.usage().Entries,
-		RunningRequests:  e.admission.usage().Running,
+		RunningRequests:  admitted.Running,
+		ConcurrencyLimit: admitted.Limit,
 		Lease:            telemetry.LeaseNone,
 	}
 	switch lease := e.leases.status(now); lease.State {
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -133,6 +133,10 @@
 		PerSecond: bulkRate,
 		Text:      "an announcement is not valid or names a service that the configuration does not have",
 		Remedy:    "correct the announcement of the backend server or publish its service"})
+	BackendLimitLowered = define(Event{Number: 607, Name: "backend_limit_lowered", Level: zerolog.InfoLevel,
+		PerSecond: bulkRate,
+		Text:      "the backend server became slow or shed load; the node sends it fewer requests at once",
+		Remedy:    "if it repeats, look for a cold cache, a neighbour or an overload on this instance"})
 )
 
 // Events of the configuration.
--- a/internal/fake/backend_faults.go
+++ b/internal/fake/backend_faults.go
@@ -14,6 +14,9 @@
 	ColdRequests int `json:"cold_requests"`
 	// ColdMS is by how many milliseconds a cold request is slower.
 	ColdMS int `json:"cold_ms"`
+	// ColdSlots is the number of requests that a cold server bears at once. Above it, a cold request is slower by the
+	// square of the excess and does not warm the server, so that a full load keeps it cold. Zero sets no bound.
+	ColdSlots int `json:"cold_slots"`
 	// Frozen stops all work and all answers; connections stay open.
 	Frozen bool `json:"frozen"`
 	// Health and Load replace the true statements.
@@ -68,15 +71,20 @@
 	}
 }
 
-// coldTime returns by how much the next request is slower, and counts it.
+// coldTime returns by how much the next request is slower, and counts it if it warms the server.
 func (b *BackendServer) coldTime() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.faults.ColdRequests == 0 {
 		return 0
 	}
+	slower := time.Duration(b.faults.ColdMS) * time.Millisecond
+	running, bears := b.running.Load(), int64(b.faults.ColdSlots)
+	if bears > 0 && running > bears {
+		return slower * time.Duration(running*running) / time.Duration(bears*bears)
+	}
 	b.faults.ColdRequests--
-	return time.Duration(b.faults.ColdMS) * time.Millisecond
+	return slower
 }
 
 // spend reduces a counter of faults. It returns false if the counter was zero.
--- a/internal/scenario/words.go
+++ b/internal/scenario/words.go
@@ -49,8 +49,8 @@
 	{usage: "log forget-all-but COUNT", meaning: "the log keeps only its last records, as after its retention time",
 		do: withCount(0, func(r *run, n int, _ []string) error { return r.world.Forget(n) })},
 	{usage: "backend NODE STATE",
-		meaning: "sets the backend server beside a node: `normal`; `cold` answers slowly, as with empty caches; " +
-			"`frozen` neither answers nor announces itself; `silent` answers, but does not announce itself",
+		meaning: "sets the backend server beside a node: `normal`; `cold` answers slowly, as with empty caches, " +
+			"and under a full load becomes no warmer; `frozen` neither answers nor announces itself; `silent` answers, but does not announce itself",
 		do: setBackend},
 	{usage: "publish FILE",
 		meaning: "publishes the configuration in a file of the script; `! publish FILE` expects a refusal",
--- a/internal/telemetry/observed.go
+++ b/internal/telemetry/observed.go
@@ -34,8 +34,10 @@
 	LogSilence time.Duration
 	Members    int
 	// Revision is the configuration in force; zero for none.
-	Revision         uint64
-	RunningRequests  int
+	Revision        uint64
+	RunningRequests int
+	// ConcurrencyLimit is the number of requests that the backend server may run for this node now.
+	ConcurrencyLimit int
 	RetainedOutcomes int
 	Pools            []PoolDepth
 	// OwnedSlices counts the slices that this node owns, for each service.
@@ -57,7 +59,7 @@
 // gauges are the instruments that Watch observes.
 type gauges struct {
 	lease, ledgerOffset, ledgerLag, members, revision metric.Int64ObservableGauge
-	running, retained, depth, owned                   metric.Int64ObservableGauge
+	running, limit, retained, depth, owned            metric.Int64ObservableGauge
 	leaseLeft, logSilence                             metric.Float64ObservableGauge
 }
 
@@ -89,6 +91,7 @@
 		{&g.members, "members", "Living incarnations in the replayed state."},
 		{&g.revision, "configuration_revision", "Configuration revision in force; 0 for none."},
 		{&g.running, "running_requests", "Requests that the backend server runs for this node."},
+		{&g.limit, "concurrency_limit", "Requests that the backend server may run for this node at once; follows its latency."},
 		{&g.retained, "retained_outcomes", "Outcomes of non-idempotent requests that are kept."},
 		{&g.depth, "queue_depth", "Jobs that wait for a worker of the pool."},
 		{&g.owned, "owned_slices", "Slices that this node owns."},
@@ -126,6 +129,7 @@
 	o.ObserveInt64(g.members, int64(s.Members))
 	o.ObserveInt64(g.revision, int64(s.Revision))
 	o.ObserveInt64(g.running, int64(s.RunningRequests))
+	o.ObserveInt64(g.limit, int64(s.ConcurrencyLimit))
 	o.ObserveInt64(g.retained, int64(s.RetainedOutcomes))
 	for _, p := range s.Pools {
 		o.ObserveInt64(g.depth, int64(p.Depth), metric.WithAttributes(attribute.String(labelPool, p.Pool)))
