--- a/internal/engine/limit_test.go
+++ b/internal/engine/limit_test.go
@@ -135,3 +135,25 @@
 	}
 	t.Error("the limit did not fall")
 }
+
+// Guards against requests cut off at a short deadline that make the queue believe in a quick backend server, so that it
+// sends requests that cannot finish.
+func TestCutOffRequestNeverLowersEstimate(t *testing.T) {
+	begun := time.Now()
+	cases := []struct {
+		name   string
+		sample *limit.Sample
+		want   bool
+	}{
+		{"not sent", nil, false},
+		{"shed", &limit.Sample{Begun: begun, Result: limit.Shed}, false},
+		{"answered", &limit.Sample{Begun: begun}, true},
+		{"cut off early", &limit.Sample{Begun: begun.Add(90 * time.Millisecond), Result: limit.TimedOut}, false},
+		{"cut off late", &limit.Sample{Begun: begun, Result: limit.TimedOut}, true},
+	}
+	for _, c := range cases {
+		if got := informs(begun.Add(100*time.Millisecond), c.sample, 50*time.Millisecond); got != c.want {
+			t.Errorf("%s: informs %v", c.name, got)
+		}
+	}
+}
--- a/internal/fake/backend_test.go
+++ b/internal/fake/backend_test.go
@@ -164,6 +164,21 @@
 	}
 }
 
+// Guards against a stand-in that becomes warm under a load that it cannot bear while cold, so that a test of limits
+// passes without them.
+func TestColdServerCollapses(t *testing.T) {
+	b := NewBackendServer(BackendOptions{Slots: 9})
+	b.SetFaults(Faults{ColdRequests: 2, ColdMS: 10, ColdSlots: 3})
+	for _, c := range []struct {
+		running, slower int64
+	}{{9, 90}, {6, 40}, {3, 10}, {9, 90}, {1, 10}, {9, 0}} {
+		b.running.Store(c.running)
+		if got := b.coldTime().Milliseconds(); got != c.slower {
+			t.Errorf("%d running: %d ms slower, want %d", c.running, got, c.slower)
+		}
+	}
+}
+
 // Guards against a lie that is not told, and against health that hides a cold start.
 func TestHealthAndLoad(t *testing.T) {
 	b, client := startBackend(t, BackendOptions{Slots: 7})
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -184,10 +184,13 @@
 	Threshold float64
 	// MaxSlices is the highest number of slices per move.
 	MaxSlices int
+	// MaxPerReceiver is the highest number of slices per move for one receiver, which may be cold.
+	MaxPerReceiver int
 }
 
-// DefaultRebalance keeps members with 16 slices within two slices of each other: 0.1 of 16 is above one slice.
-var DefaultRebalance = Rebalance{Threshold: 0.1, MaxSlices: 4}
+// DefaultRebalance keeps members with 16 slices within two slices of each other: 0.1 of 16 is above one slice. With one
+// slice a second, a cold server refuses an eighth to a third of what it refuses with four (docs/limits.md).
+var DefaultRebalance = Rebalance{Threshold: 0.1, MaxSlices: 4, MaxPerReceiver: 1}
 
 // PlanRebalance returns the moves that even out the load per weight of a group, largest first, or none if no move gains
 // enough. It moves one slice at a time from the highest to the lowest load per weight, so it moves the fewest.
@@ -200,6 +203,7 @@
 	least := r.Threshold * t.meanLoad()
 	movable := settledByOwner(g)
 	m := newMoves(g, r.MaxSlices)
+	m.maxPerReceiver = r.MaxPerReceiver
 	for {
 		from, to := t.extremes(movable)
 		if from == nil || from.perWeight(0)-to.perWeight(1) <= least {
--- a/internal/placement/targets.go
+++ b/internal/placement/targets.go
@@ -133,8 +133,10 @@
 type moves struct {
 	group     *ledger.Group
 	maxSlices int
-	order     []ledger.Incarnation
-	byOwner   map[ledger.Incarnation][]ledger.MovedSlice
+	// maxPerReceiver bounds the slices of a move for one receiver; zero sets no bound.
+	maxPerReceiver int
+	order          []ledger.Incarnation
+	byOwner        map[ledger.Incarnation][]ledger.MovedSlice
 }
 
 func newMoves(g *ledger.Group, maxSlices int) *moves {
@@ -146,12 +148,23 @@
 	if m.byOwner[from] == nil {
 		m.order = append(m.order, from)
 	}
-	if len(m.byOwner[from]) < m.maxSlices {
+	if len(m.byOwner[from]) < m.maxSlices && !m.receiverFull(from, to) {
 		moved := ledger.MovedSlice{Index: index, Fence: m.group.Slices[index].Fence, To: to}
 		m.byOwner[from] = append(m.byOwner[from], moved)
 	}
 }
 
+// receiverFull reports whether the move from an owner holds as many slices for a receiver as it may.
+func (m *moves) receiverFull(from, to ledger.Incarnation) bool {
+	count := 0
+	for _, moved := range m.byOwner[from] {
+		if moved.To == to {
+			count++
+		}
+	}
+	return m.maxPerReceiver > 0 && count >= m.maxPerReceiver
+}
+
 // list returns the moves, largest first.
 func (m *moves) list() []ledger.Move {
 	var list []ledger.Move
