Test what an answer tells the limiter

Cause: a mutation that counted reads as writes survived in internal/engine.

Change: a table test of sampleOf.

--- a/internal/engine/limit_test.go
+++ b/internal/engine/limit_test.go
@@ -157,3 +157,24 @@
 		}
 	}
 }
+
+// Guards against answers that count as the wrong evidence: of another class, or of a request that was never sent.
+func TestSampleOfAnswer(t *testing.T) {
+	cases := []struct {
+		answer     request.Answer
+		idempotent bool
+		want       *limit.Sample
+	}{
+		{request.Answer{Outcome: request.Done}, true, &limit.Sample{Class: limit.Read, Result: limit.Answered}},
+		{request.Answer{Outcome: request.Done}, false, &limit.Sample{Class: limit.Write, Result: limit.Answered}},
+		{request.Uncertain(request.ConnectionLost, ""), true, &limit.Sample{Class: limit.Read, Result: limit.TimedOut}},
+		{request.Refuse(request.QueueFull, ""), true, &limit.Sample{Class: limit.Read, Result: limit.Shed}},
+		{request.Refuse(request.LeaseLapsed, ""), true, nil},
+	}
+	for _, c := range cases {
+		got := sampleOf(&call{r: request.Request{Idempotent: c.idempotent}}, c.answer, time.Time{})
+		if (got == nil) != (c.want == nil) || got != nil && *got != *c.want {
+			t.Errorf("%+v: sample %+v, want %+v", c.answer, got, c.want)
+		}
+	}
+}
