--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -27,6 +27,8 @@
 	avoidUntil map[ledger.Incarnation]time.Time
 	// steadySince is since when the own first-level lease has held without a break; zero while it does not hold.
 	steadySince time.Time
+	// checkedClock is when the clock was last compared with the wall clock.
+	checkedClock time.Time
 	// owning is the last reported state of the lease, for events.
 	owning bool
 }
@@ -59,12 +61,30 @@
 func (t *leaseTable) owns(now time.Time) (until time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.holder == nil {
+	if t.holder == nil || stoodStill(t.checkedClock, now) {
 		return time.Time{}, false
 	}
 	return t.holder.OwnsUntil(), t.holder.Owns(now)
 }
 
+// clockTolerance is how much more wall time than monotonic time may pass between two comparisons. It is below the 12 ms
+// by which a witness waits longer than a holder counts, and above what a slewed clock gains in a renewal interval. A wall
+// clock that is set forward by more costs the lease until the next answers.
+const clockTolerance = 5 * time.Millisecond
+
+// stoodStill reports whether the monotonic clock missed time since an earlier reading, as it does while the machine is
+// suspended. A lease that is counted by such a clock would seem to hold after its witnesses gave it up.
+func stoodStill(earlier, now time.Time) bool {
+	if earlier.IsZero() {
+		return false
+	}
+	// Round strips the monotonic reading, so that the difference is one of wall times.
+	return missedTime(now.Sub(earlier), now.Round(0).Sub(earlier.Round(0)))
+}
+
+// missedTime reports whether less monotonic than wall time has passed.
+func missedTime(monotonic, wall time.Duration) bool { return wall-monotonic > clockTolerance }
+
 // join starts the lease of a new incarnation. joinSent was taken before the first append of the join record.
 func (t *leaseTable) join(self ledger.Incarnation, set ledger.WitnessSet, joinSent time.Time) {
 	t.mu.Lock()
@@ -75,7 +95,7 @@
 	clear(t.claims)
 	clear(t.staleSince)
 	clear(t.avoidUntil)
-	t.owning, t.steadySince = false, time.Time{}
+	t.owning, t.steadySince, t.checkedClock = false, time.Time{}, time.Time{}
 }
 
 // end drops the own incarnation.
@@ -220,6 +240,10 @@
 	if t.self == 0 {
 		return s
 	}
+	if stoodStill(t.checkedClock, now) {
+		t.holder.Forget()
+	}
+	t.checkedClock = now
 	t.noteFirstLevel(now)
 	s.renewals = t.holder.AppendRenewals(nil, now)
 	t.stepClaims(&s, now)
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -126,6 +126,19 @@
 	h.recompute()
 }
 
+// Forget drops all answers, so that nothing is owned until witnesses answer renewals that are sent from now on. It is
+// called when the clock cannot be trusted for the time since the last answers, as after a suspend of the machine.
+func (h *Holder) Forget() {
+	h.current.sent = time.Time{}
+	for i := range h.proposals {
+		h.proposals[i].sent = time.Time{}
+	}
+	for i := range h.links {
+		h.links[i] = link{witness: h.links[i].witness}
+	}
+	h.recompute()
+}
+
 // AppendStale appends the witnesses of the current set that granted no renewal sent in the last lease time, although
 // renewals were sent for longer. They should be replaced if this persists. A witness that promised stays stale until the set version changes.
 func (h *Holder) AppendStale(dst []ledger.Incarnation, now time.Time) []ledger.Incarnation {
