--- a/cmd/heatherreel-demo/steps.go
+++ b/cmd/heatherreel-demo/steps.go
@@ -334,7 +334,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s has another share", of.name)
+	return fmt.Errorf("%s has another share than wanted", of.name)
 }
 
 // others returns the running instances that pass.
@@ -368,6 +368,11 @@
 
 // takeOut takes a data centre out under load and checks that its nodes own nothing after a few seconds.
 func (d *demo) takeOut(ctx context.Context) (string, error) {
+	owning := func(slices int) bool { return slices > 0 }
+	err := errors.Join(d.shareOf(ctx, d.fleet.instances[0], owning), d.shareOf(ctx, d.fleet.instances[1], owning))
+	if err != nil {
+		return "", fmt.Errorf("before the data centre is taken out: %w", err)
+	}
 	stop := d.callers.load(ctx, d.others(func(i *instance) bool { return i.dataCentre != "west-a" }))
 	note, err := d.publish(ctx, takenOut, "power work")
 	began := time.Now()
