--- a/cmd/heatherreel-demo/fleet.go
+++ b/cmd/heatherreel-demo/fleet.go
@@ -7,8 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"syscall"
 	"time"
+
+	"heatherreel/internal/launch"
 )
 
 // service is the service of all backend servers of the demo.
@@ -32,14 +33,14 @@
 	name string
 	place
 	callers, nodes, leases, announcements, operators, backend string
-	node, server                                              *process
+	node, server                                              *launch.Process
 }
 
 // fleet is all processes of the demo.
 type fleet struct {
 	o         options
 	logAddr   string
-	log       *process
+	log       *launch.Process
 	instances []*instance
 }
 
@@ -57,53 +58,9 @@
 	return f
 }
 
-// process is a started program.
-type process struct {
-	command *exec.Cmd
-	// done is closed when the process has ended; err is set then.
-	done chan struct{}
-	err  error
-}
-
 // start starts a program of the demo with its output in a file.
-func (f *fleet) start(name, program string, arguments ...string) (*process, error) {
-	out, err := os.OpenFile(filepath.Join(f.o.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	command := exec.Command(filepath.Join(f.o.bin, program), arguments...)
-	command.Stdout, command.Stderr = out, out
-	if err := command.Start(); err != nil {
-		return nil, errors.Join(err, out.Close())
-	}
-	p := &process{command: command, done: make(chan struct{})}
-	go func() {
-		p.err = errors.Join(command.Wait(), out.Close())
-		close(p.done)
-	}()
-	return p, nil
-}
-
-// terminate asks the process to stop and waits until it has ended.
-func (p *process) terminate(ctx context.Context) error {
-	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	select {
-	case <-p.done:
-		return p.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// kill ends the process without notice and waits until it has ended.
-func (p *process) kill() {
-	if p == nil {
-		return
-	}
-	_ = p.command.Process.Kill()
-	<-p.done
+func (f *fleet) start(name, program string, arguments ...string) (*launch.Process, error) {
+	return launch.Start(filepath.Join(f.o.logs, name+".log"), filepath.Join(f.o.bin, program), arguments...)
 }
 
 // startNode starts the node of an instance.
@@ -142,10 +99,10 @@
 // stop ends all processes that still run.
 func (f *fleet) stop() {
 	for _, i := range f.instances {
-		i.node.kill()
-		i.server.kill()
+		i.node.Kill()
+		i.server.Kill()
 	}
-	f.log.kill()
+	f.log.Kill()
 }
 
 // control runs heatherreelctl and returns its standard output.
--- a/cmd/heatherreel-demo/steps.go
+++ b/cmd/heatherreel-demo/steps.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"heatherreel/internal/fake"
+	"heatherreel/internal/launch"
 	"heatherreel/internal/operator"
 	"heatherreel/internal/request"
 )
@@ -95,21 +96,7 @@
 
 // poll calls check until it returns nil or the timeout has passed.
 func poll(ctx context.Context, timeout time.Duration, check func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		err := check()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return fmt.Errorf("after %v: %w", timeout, err)
-		}
-	}
+	return launch.Poll(ctx, timeout, checkInterval, check)
 }
 
 func (d *demo) start(ctx context.Context) (string, error) {
@@ -280,8 +267,8 @@
 		return "", err
 	}
 	killed := time.Now()
-	victim.node.kill()
-	victim.server.kill()
+	victim.node.Kill()
+	victim.server.Kill()
 	victim.node, victim.server = nil, nil
 	r := read(freeTenant, key)
 	if _, err := d.callers.mustRun(ctx, other, r); err != nil {
@@ -352,9 +339,9 @@
 func (d *demo) stopNode(ctx context.Context) (string, error) {
 	victim := d.fleet.instances[5]
 	stop := d.callers.load(ctx, d.others(func(i *instance) bool { return i != victim }))
-	err := victim.node.terminate(ctx)
+	err := victim.node.Terminate(ctx)
 	t := stop()
-	victim.server.kill()
+	victim.server.Kill()
 	victim.node, victim.server = nil, nil
 	if err == nil && t.failed() > 0 {
 		err = fmt.Errorf("requests failed: %s", t)
--- a/cmd/heatherreel-measure/allocations.go
+++ b/cmd/heatherreel-measure/allocations.go
@@ -15,6 +15,7 @@
 	"heatherreel/internal/caller"
 	"heatherreel/internal/daemon"
 	"heatherreel/internal/fake"
+	"heatherreel/internal/launch"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/platformlog"
 	"heatherreel/internal/settings"
@@ -113,7 +114,7 @@
 	stops = append(stops, f.client.Close)
 	for _, i := range f.instances {
 		// Only tells settled that the node runs.
-		i.node = &process{}
+		i.node = &launch.Process{}
 		stops = append(stops, runNodeInProcess(i, f.logAddr))
 		backend := fake.NewBackendServer(fake.BackendOptions{
 			Service: fleetService, Incarnation: i.name, Slots: 64, Connections: 128, Weight: 100, ChecksGrants: true,
--- a/cmd/heatherreel-measure/fleet.go
+++ b/cmd/heatherreel-measure/fleet.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"heatherreel/internal/launch"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/operator"
 	"heatherreel/internal/platformlog"
@@ -141,8 +142,8 @@
 }
 
 // nodes returns the processes of the running nodes.
-func (f *measuredFleet) nodes() []*process {
-	var list []*process
+func (f *measuredFleet) nodes() []*launch.Process {
+	var list []*launch.Process
 	for _, i := range f.instances {
 		if i.node != nil {
 			list = append(list, i.node)
@@ -186,7 +187,7 @@
 		header: []string{"node", "processor", "of budget", "resident", "without the program file", "lease bytes/s", "log bytes/s", "traffic of budget"},
 	}
 	for n, i := range f.instances {
-		all, anonymous, err := i.node.residentBytes()
+		all, anonymous, err := residentBytes(i.node)
 		if err != nil {
 			return err
 		}
--- a/cmd/heatherreel-measure/poll.go
+++ b/cmd/heatherreel-measure/poll.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
+
+	"heatherreel/internal/launch"
 )
 
 const (
@@ -15,19 +16,5 @@
 
 // poll calls check until it returns nil or the timeout has passed.
 func poll(ctx context.Context, timeout time.Duration, check func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		err := check()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return fmt.Errorf("after %v: %w", timeout, err)
-		}
-	}
+	return launch.Poll(ctx, timeout, pollInterval, check)
 }
--- a/cmd/heatherreel-measure/processes.go
+++ b/cmd/heatherreel-measure/processes.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
+
+	"heatherreel/internal/launch"
 )
 
 // fleetService is the service of all backend servers of the measured fleet.
@@ -33,14 +33,14 @@
 	name string
 	site
 	callers, nodes, leases, announcements, operators, backend string
-	node, server                                              *process
+	node, server                                              *launch.Process
 }
 
 // fleet is all processes of a measurement.
 type fleet struct {
 	o         options
 	logAddr   string
-	log       *process
+	log       *launch.Process
 	instances []*instance
 }
 
@@ -58,40 +58,9 @@
 	return f
 }
 
-// process is a started program.
-type process struct {
-	command *exec.Cmd
-	// done is closed when the process has ended.
-	done chan struct{}
-}
-
 // start starts a program with its output in a file.
-func (f *fleet) start(name, program string, arguments ...string) (*process, error) {
-	out, err := os.OpenFile(filepath.Join(f.o.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	command := exec.Command(filepath.Join(f.o.bin, program), arguments...)
-	command.Stdout, command.Stderr = out, out
-	if err := command.Start(); err != nil {
-		return nil, errors.Join(err, out.Close())
-	}
-	p := &process{command: command, done: make(chan struct{})}
-	go func() {
-		// A killed process ends with an error; that is what the measurement asked for.
-		_ = errors.Join(command.Wait(), out.Close())
-		close(p.done)
-	}()
-	return p, nil
-}
-
-// kill ends the process without notice and waits until it has ended.
-func (p *process) kill() {
-	if p == nil {
-		return
-	}
-	_ = p.command.Process.Kill()
-	<-p.done
+func (f *fleet) start(name, program string, arguments ...string) (*launch.Process, error) {
+	return launch.Start(filepath.Join(f.o.logs, name+".log"), filepath.Join(f.o.bin, program), arguments...)
 }
 
 // startInstance starts a node and its backend server.
@@ -111,8 +80,8 @@
 
 // killInstance ends a node and its backend server, as the loss of the instance would.
 func (i *instance) killInstance() {
-	i.node.kill()
-	i.server.kill()
+	i.node.Kill()
+	i.server.Kill()
 	i.node, i.server = nil, nil
 }
 
@@ -135,15 +104,15 @@
 	for _, i := range f.instances {
 		i.killInstance()
 	}
-	f.log.kill()
+	f.log.Kill()
 }
 
 // clockTick is the unit of the times in /proc/PID/stat.
 const clockTick = 10 * time.Millisecond
 
 // processorTime returns the user and system time of the process.
-func (p *process) processorTime() (time.Duration, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+func processorTime(p *launch.Process) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
 	if err != nil {
 		return 0, err
 	}
@@ -163,8 +132,8 @@
 }
 
 // residentBytes returns the memory of the process: all of it, and the part that is not a mapped file.
-func (p *process) residentBytes() (all, anonymous float64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+func residentBytes(p *launch.Process) (all, anonymous float64, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
 	for line := range strings.Lines(string(data)) {
 		name, value, _ := strings.Cut(line, ":")
 		kilobytes, _ := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 64)
@@ -179,10 +148,10 @@
 }
 
 // within runs f and returns the processor time of each process meanwhile.
-func within(ctx context.Context, processes []*process, f func(context.Context) error) ([]time.Duration, error) {
+func within(ctx context.Context, processes []*launch.Process, f func(context.Context) error) ([]time.Duration, error) {
 	used := make([]time.Duration, len(processes))
 	for i, p := range processes {
-		before, err := p.processorTime()
+		before, err := processorTime(p)
 		if err != nil {
 			return nil, err
 		}
@@ -192,7 +161,7 @@
 		return nil, err
 	}
 	for i, p := range processes {
-		after, err := p.processorTime()
+		after, err := processorTime(p)
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/heatherreel-measure/requests.go
+++ b/cmd/heatherreel-measure/requests.go
@@ -12,6 +12,7 @@
 	"heatherreel/internal/backendserver"
 	"heatherreel/internal/caller"
 	"heatherreel/internal/keyspace"
+	"heatherreel/internal/launch"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/operator"
 	"heatherreel/internal/request"
@@ -194,7 +195,7 @@
 		header: []string{"way", "requests/s", "p50", "p99", "ingress node", "owner node", "both nodes", "requests/s per core of the nodes",
 			fmt.Sprintf("cores at %.0f requests/s", targetRate), "backend server", "generator"},
 	}
-	processes := []*process{ingress.node, owner.node, owner.server}
+	processes := []*launch.Process{ingress.node, owner.node, owner.server}
 	for _, way := range ways {
 		h := newHistogram()
 		generator := ownProcessorTime()
--- a/internal/shape/goroutines_test.go
+++ b/internal/shape/goroutines_test.go
@@ -21,6 +21,7 @@
 	{"internal/daemon/daemon.go:goServe", "accept loops and the datagram reader block in the operating system"},
 	{"internal/fake", "stand-ins serve and announce outside the node that is tested"},
 	{"cmd/heatherreel-standin/log.go:runLog", "closes the server of the stand-in when its context ends"},
+	{"internal/launch", "waits for the end of each process that the demo or the measuring program starts"},
 	{"cmd/heatherreel-demo", "the demo waits for processes and acts as many callers"},
 	{"cmd/heatherreel-measure", "the measuring program waits for processes and acts as many callers"},
 }
