Close three gaps in what proves ownership and "not run"

Found by reading the request path: - A request that waited in the admission queue while its incarnation was ended was checked against the lease of the next incarnation, and could be sent beside the new owner where the backend server checks no grants. The lease check names the incarnation now. - A refusal by a full queue, or without a configuration, said "not run" although an earlier attempt of an idempotent request may have run. The call itself turns it into "unknown". - A witness whose machine was suspended marked its answers by a clock that had stood still. Ruled out: dropping queued calls when an incarnation ends, because a call may be between two tables then.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -33,15 +33,16 @@
 
 	// place is where the request is executed on this node.
 	place place
-	// ref names the request among the retained outcomes; retained tells that this call must complete the entry.
-	ref      outcome.Ref
-	retained bool
+	// ref names the request among the retained outcomes.
+	ref outcome.Ref
 	// unknownBefore is the time of issue before which a request id may have run under earlier home regions.
 	unknownBefore time.Time
 }
 
 // place is the slice of a key with the settings for the request, as this node saw them when it decided.
 type place struct {
+	// self is the incarnation of this node.
+	self  ledger.Incarnation
 	slice keyspace.SliceID
 	fence ledger.Offset
 	// epoch is the revision that last changed home regions; changed tells that the key may have had others before.
@@ -60,8 +61,12 @@
 	}
 }
 
-// finish gives the answer to the waiting handler. Only the first answer counts.
+// finish gives the answer to the waiting handler. Only the first answer counts. It states that the request did not run
+// only if that is proved for all attempts, wherever the last one was refused.
 func (c *call) finish(a request.Answer) {
+	if c.mayHaveRun && a.Outcome == request.NotRun {
+		a = request.Uncertain(a.Reason, "repeat the request with the same id until its outcome is known")
+	}
 	select {
 	case c.result <- a:
 	default:
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -119,6 +119,7 @@
 func (e *Engine) look(c *call, now time.Time) (routing.Snapshot, bool) {
 	self := e.incarnation()
 	s := routing.Snapshot{Self: self, Region: e.options.Self.Region, Forwarded: c.forwarded}
+	c.place.self = self
 	configured := false
 	e.ledger.read(func(state *ledger.State, configuration *config.Configuration) {
 		if configuration == nil {
--- a/internal/engine/lease_clock_test.go
+++ b/internal/engine/lease_clock_test.go
@@ -3,8 +3,34 @@
 import (
 	"testing"
 	"time"
+
+	"heatherreel/internal/lease"
+	"heatherreel/internal/ledger"
 )
 
+// Guards against a request that waited in a queue while its incarnation was ended, and is sent under the lease of the
+// next one although its slice has another owner.
+func TestLeaseOfLaterIncarnationDoesNotCount(t *testing.T) {
+	parameters, err := lease.NewParameters(lease.DefaultTiming())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	leases := newLeaseTable(parameters)
+	leases.join(5, ledger.WitnessSet{Version: 5}, now)
+	if _, ok := leases.ownsAs(5, now); !ok {
+		t.Fatal("the first incarnation does not own")
+	}
+	leases.end()
+	leases.join(9, ledger.WitnessSet{Version: 9}, now)
+	if _, ok := leases.ownsAs(5, now); ok {
+		t.Error("a request of the ended incarnation may be sent")
+	}
+	if _, ok := leases.ownsAs(9, now); !ok {
+		t.Error("the second incarnation does not own")
+	}
+}
+
 // Guards against a lease that seems to hold after the machine was suspended, because the monotonic clock stood still.
 func TestMissedTime(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -67,6 +67,22 @@
 	return t.holder.OwnsUntil(), t.holder.Owns(now)
 }
 
+// ownsAs reports what owns does, for one incarnation: a request that began under an earlier one must not be sent under
+// the lease of a later one, because its slice may have another owner by then.
+func (t *leaseTable) ownsAs(self ledger.Incarnation, now time.Time) (until time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self != self || self == 0 || stoodStill(t.checkedClock, now) {
+		return time.Time{}, false
+	}
+	return t.holder.OwnsUntil(), t.holder.Owns(now)
+}
+
+// firstLevel reports whether the own first-level lease holds, by a clock that did not stand still. The caller holds mu.
+func (t *leaseTable) firstLevel(now time.Time) bool {
+	return t.holder.FirstLevel(now) && !stoodStill(t.checkedClock, now)
+}
+
 // clockTolerance is how much more wall time than monotonic time may pass between two comparisons. It is below the 12 ms
 // by which a witness waits longer than a holder counts, and above what a slewed clock gains in a renewal interval. A wall
 // clock that is set forward by more costs the lease until the next answers.
@@ -278,7 +294,7 @@
 func (t *leaseTable) steadyIn(now time.Time) time.Duration {
 	timing := t.parameters.Timing()
 	wait := timing.LeaseTime + timing.RenewalInterval
-	if t.steadySince.IsZero() || !t.holder.FirstLevel(now) {
+	if t.steadySince.IsZero() || !t.firstLevel(now) {
 		return wait
 	}
 	return max(t.steadySince.Add(wait).Sub(now), 0)
--- a/internal/engine/leases.go
+++ b/internal/engine/leases.go
@@ -45,7 +45,7 @@
 		return
 	}
 	now := time.Now()
-	answer := t.witness.Renew(r, t.holder.FirstLevel(now), now)
+	answer := t.witness.Renew(r, t.firstLevel(now), now)
 	if claim := t.claims[r.Holder]; claim != nil && !answer.Refused {
 		claim.HolderRenewed(now)
 	}
--- a/internal/engine/owner.go
+++ b/internal/engine/owner.go
@@ -98,7 +98,6 @@
 	decision := e.outcomes.admit(time.Now(), c.ref, outcome.NewFingerprint(c.r), c.unknownBefore, done)
 	switch decision.Verdict {
 	case outcome.Run:
-		c.retained = true
 		e.enter(c, func(answer request.Answer) {
 			e.outcomes.complete(time.Now(), c.ref, answer)
 			done(answer)
@@ -122,7 +121,7 @@
 	}
 	span.Slice(c.place.slice)
 	// The lease is checked last, so that as little time as possible passes before the request is sent.
-	until, owns := e.leases.owns(time.Now().Add(leaseMargin))
+	until, owns := e.leases.ownsAs(c.place.self, time.Now().Add(leaseMargin))
 	if !owns {
 		return request.Refuse(request.LeaseLapsed, "repeat the request with the same id after a short delay")
 	}
