--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"heatherreel/internal/config"
@@ -266,7 +267,7 @@
 	}
 	for w, since := range t.staleSince {
 		switch {
-		case !contains(silent, w):
+		case !slices.Contains(silent, w):
 			delete(t.staleSince, w)
 		case now.Sub(since) >= staleWitnessAfter:
 			t.avoidUntil[w] = now.Add(avoidWitnessFor)
@@ -274,15 +275,6 @@
 	}
 }
 
-func contains(list []ledger.Incarnation, i ledger.Incarnation) bool {
-	for _, other := range list {
-		if other == i {
-			return true
-		}
-	}
-	return false
-}
-
 // drains reports whether this node should own nothing: it stops, its backend server does, or operators took its data
 // centre out.
 func (e *Engine) drains() bool {
--- a/internal/engine/planning.go
+++ b/internal/engine/planning.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"heatherreel/internal/config"
@@ -87,7 +88,7 @@
 			groups = append(groups, keyspace.Group{Service: service, Home: home})
 		}
 		for id := range s.Groups {
-			if id.Service == service && !containsGroup(groups, id) {
+			if id.Service == service && !slices.Contains(groups, id) {
 				groups = append(groups, id)
 			}
 		}
@@ -95,15 +96,6 @@
 	return groups
 }
 
-func containsGroup(list []keyspace.Group, id keyspace.Group) bool {
-	for _, other := range list {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // makePlan plans for a group from the present state.
 func (e *Engine) makePlan(self ledger.Incarnation, id keyspace.Group) plan {
 	var p plan
