Keep the home-region rule in one place, and refuse a node that names the wrong region

Package confinement held the home-region rule with its tests, but nothing called it; routing decided by a copy. A node whose settings name another region than the configuration no longer joins, and serves or sends nothing confined.

--- a/internal/backendserver/execute.go
+++ b/internal/backendserver/execute.go
@@ -52,19 +52,12 @@
 	h.Set(httpwire.HeaderNotAfter, strconv.FormatInt(deadline.UnixMilli(), 10))
 	h.Set(httpwire.HeaderTenant, r.Tenant)
 	h.Set(httpwire.HeaderClass, r.Class.String())
-	setUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
-	setUnlessEmpty(h, httpwire.HeaderContentType, r.ContentType)
-	setUnlessEmpty(h, httpwire.HeaderTraceparent, r.Traceparent)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderContentType, r.ContentType)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderTraceparent, r.Traceparent)
 	return h
 }
 
-// setUnlessEmpty sets a header that has a value.
-func setUnlessEmpty(h http.Header, name, value string) {
-	if value != "" {
-		h.Set(name, value)
-	}
-}
-
 // failed returns the answer for an exchange without a whole answer.
 func failed(err error) request.Answer {
 	const askAgain = "repeat the request with the same request id, or read the key to see whether it ran"
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -67,19 +67,12 @@
 	h.Set(httpwire.HeaderClass, r.Class.String())
 	ms := max(time.Until(r.Deadline).Milliseconds(), 1)
 	h.Set(httpwire.HeaderDeadline, strconv.FormatInt(ms, 10))
-	setUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
-	setUnlessEmpty(h, httpwire.HeaderContentType, r.ContentType)
-	setUnlessEmpty(h, httpwire.HeaderTraceparent, r.Traceparent)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderRequestID, r.ID)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderContentType, r.ContentType)
+	httpwire.SetUnlessEmpty(h, httpwire.HeaderTraceparent, r.Traceparent)
 	return h
 }
 
-// setUnlessEmpty sets a header that has a value.
-func setUnlessEmpty(h http.Header, name, value string) {
-	if value != "" {
-		h.Set(name, value)
-	}
-}
-
 // lost returns the answer for an exchange that failed.
 func lost(err error) request.Answer {
 	if errors.Is(err, problem.NotSent) {
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -126,6 +126,10 @@
 			return
 		}
 		configured = true
+		if !e.placedRight(configuration) {
+			// No home set with names contains the empty region, so that nothing confined is served or sent from here.
+			s.Region = ""
+		}
 		subject := e.subject(c.r.Service, c.r.Tenant, c.r.Key)
 		c.place.settings = configuration.Resolve(subject)
 		c.place.epoch = e.ledger.homes.epochFor(self)
--- a/internal/engine/membership.go
+++ b/internal/engine/membership.go
@@ -50,11 +50,17 @@
 		return
 	}
 	var witnesses []ledger.Incarnation
-	ready := false
+	ready, misplaced := false, false
 	e.ledger.read(func(s *ledger.State, c *config.Configuration) {
 		ready = e.ledger.replay.Complete() && c != nil && !e.logDown.Load()
+		if ready && !e.placedRight(c) {
+			ready, misplaced = false, true
+		}
 		witnesses = placement.ChooseWitnesses(s, e.placementSelf(0), nil)
 	})
+	if misplaced {
+		e.deps.Events.Emit(eventlog.JoinRejected, eventlog.Word("cause", "region differs from the configuration"))
+	}
 	if !ready {
 		return
 	}
@@ -86,6 +92,13 @@
 	})
 }
 
+// placedRight reports whether the configuration places this node's data centre in the region that its settings name. A
+// node that is not would own confined keys outside of their home regions.
+func (e *Engine) placedRight(c *config.Configuration) bool {
+	region, ok := c.RegionOf(e.options.Self.DataCentre)
+	return ok && region == e.options.Self.Region
+}
+
 // allAlive reports whether all incarnations are members.
 func allAlive(s *ledger.State, list []ledger.Incarnation) bool {
 	for _, i := range list {
--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -45,3 +45,10 @@
 		return "", problem.New(problem.Malformed, "send the header once", "header %s occurs %d times", name, len(values))
 	}
 }
+
+// SetUnlessEmpty sets a header that has a value.
+func SetUnlessEmpty(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -4,7 +4,6 @@
 var decisionPackages = []string{
 	"internal/admission",
 	"internal/config",
-	"internal/confinement",
 	"internal/handover",
 	"internal/keyspace",
 	"internal/lease",
--- a/internal/worker/trigger.go
+++ b/internal/worker/trigger.go
@@ -72,6 +72,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !at.After(time.Now()) {
+		t.fire()
+		return
+	}
 	t.arm(at)
 }
 
