--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 check: format-check vet staticcheck generate-check
 
 format-check:
-	@out="$$(gofmt -l cmd internal scripts)"; if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+	@out="$$(gofmt -l cmd internal platform scripts)"; if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
 
 vet:
 	$(GO) vet ./...
--- a/cmd/heatherreeld/main.go
+++ b/cmd/heatherreeld/main.go
@@ -45,6 +45,7 @@
 		},
 	}
 	settings.Register(root.Flags())
+	root.AddCommand(newGatewayCommand(&code))
 	root.AddCommand(&cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/sys/unix"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/gateway"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/settings"
+	"heatherreel/platform/backend"
+	"heatherreel/platform/caller"
+	"heatherreel/platform/store"
+)
+
+// Sizes of a gateway.
+const (
+	// gatewayIngressWorkers is the number of requests of callers in progress; each waits for its answer on a worker.
+	gatewayIngressWorkers = 256
+	gatewayIngressQueue   = 256
+	// gatewayBackendWorkers bounds the exchanges at once; it is above the slots of any backend server in use.
+	gatewayBackendWorkers = 64
+	// logLines is how many lines wait for a slow reader of the log before further ones are dropped.
+	logLines = 512
+	// logPoll is how often the log writer looks for lines.
+	logPoll = 100 * time.Millisecond
+	// drainMargin is the part of the drain time that is left for requests already on their way.
+	drainMargin = 500 * time.Millisecond
+	// shutdownMargin is left of the time for a planned stop when running requests are cut off.
+	shutdownMargin = 500 * time.Millisecond
+	// memoryShare is the part of the memory limit that the collector keeps the heap below.
+	memoryShare = 0.6
+	// retryNodes is the least number of nodes that share the fleet's floor of second sends.
+	retryNodes = 10
+)
+
+// gatewayDaemon is a running gateway.
+type gatewayDaemon struct {
+	settings settings.Gateway
+	events   *eventlog.Logger
+	gateway  *gateway.Gateway
+	store    *store.Client
+	peers    *node.Client
+	backend  *backend.Client
+	servers  []*http.Server
+	serving  sync.WaitGroup
+}
+
+// RunGateway runs a gateway until ctx ends, then stops it: it is no longer ready, and running requests finish. It writes
+// events to out and never waits for it.
+func RunGateway(ctx context.Context, s settings.Gateway, out io.Writer) error {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	dropped := func(n int) { fmt.Fprintf(out, "{\"name\":\"log_lines_dropped\",\"count\":%d}\n", n) }
+	log := diode.NewWriter(out, logLines, logPoll, dropped)
+	defer log.Close()
+	d := newGatewayDaemon(s, log)
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	if err := d.listen(serving); err != nil {
+		return err
+	}
+	d.gateway.Start()
+	<-ctx.Done()
+	d.drain()
+	d.close(stopServing)
+	return nil
+}
+
+func newGatewayDaemon(s settings.Gateway, out io.Writer) *gatewayDaemon {
+	d := &gatewayDaemon{settings: s, store: store.New(s.StoreAddress), peers: node.NewClient(), backend: backend.New(gatewayBackendWorkers)}
+	d.events = eventlog.New(out, zerolog.InfoLevel, eventlog.Node{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region})
+	d.gateway = gateway.New(gateway.Options{
+		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
+			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
+		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
+		// The budget is shared without a count: each node takes half of what its own requests allow, and its part of half the
+		// floor.
+		RetryRatio: s.RetryRatio / 2, RetryFloor: s.RetryFloor / s.RetryWindowS / 2 / retryNodes,
+		DrainTime: s.Drain() - min(drainMargin, s.Drain()/2),
+	}, gateway.Dependencies{
+		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorWord,
+		Peers: d.peers, Backend: d.backend, Events: d.events, Now: boottime,
+	})
+	return d
+}
+
+// boottime reads the clock that counts the time during which the machine is suspended.
+func boottime() keyrange.Instant {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The clock exists on all Linux versions that Go supports.
+		panic(problem.New(problem.Invalid, "run the daemon on Linux", "no clock that counts suspended time: %w", err))
+	}
+	return keyrange.Instant(t.Nano())
+}
+
+// listen opens the listeners and serves the peers until serving ends.
+func (d *gatewayDaemon) listen(serving context.Context) error {
+	server, err := node.NewRouterServer(d.gateway)
+	if err != nil {
+		return err
+	}
+	listener, err := d.open("nodes", d.settings.NodesAddress)
+	if err != nil {
+		return err
+	}
+	d.goServe(func() { _ = server.Serve(serving, listener) })
+	for _, h := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", d.settings.CallersAddress, caller.NewRequestHandler(d.gateway)},
+		{"heartbeats", d.settings.HeartbeatsAddress, caller.NewHeartbeatHandler(d.gateway)},
+		{"ready", d.settings.ReadyAddress, caller.NewReadyHandler(d.gateway)},
+	} {
+		listener, err := d.open(h.name, h.address)
+		if err != nil {
+			return err
+		}
+		server := caller.NewServer(h.handler)
+		d.servers = append(d.servers, server)
+		d.goServe(func() { _ = server.Serve(listener) })
+	}
+	return nil
+}
+
+// open opens one TCP listener.
+func (d *gatewayDaemon) open(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		d.events.Emit(eventlog.ListenFailed, eventlog.Name("listener", name), eventlog.Cause(err))
+		return nil, problem.New(problem.Invalid, "free the address or change the setting "+name+"_address",
+			"cannot listen for %s: %w", name, err)
+	}
+	return listener, nil
+}
+
+// goServe runs an accept loop.
+func (d *gatewayDaemon) goServe(serve func()) {
+	d.serving.Add(1)
+	go func() {
+		defer d.serving.Done()
+		serve()
+	}()
+}
+
+// drain makes a planned stop within the time for it.
+func (d *gatewayDaemon) drain() {
+	limit := d.settings.Shutdown()
+	ctx, cancel := context.WithTimeout(context.Background(), limit-min(shutdownMargin, limit/2))
+	defer cancel()
+	d.gateway.Drain(ctx)
+	for _, s := range d.servers {
+		// Shutdown lets the requests of callers that are in progress finish.
+		if err := s.Shutdown(ctx); err != nil {
+			d.events.Emit(eventlog.ShutdownTimedOut, eventlog.Cause(err))
+		}
+	}
+}
+
+// close ends all parts.
+func (d *gatewayDaemon) close(stopServing func()) {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	stopServing()
+	d.gateway.Close()
+	if err := errors.Join(d.peers.Close()); err != nil {
+		d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
+	}
+	d.store.Close()
+	d.backend.DropIdle()
+	d.serving.Wait()
+	d.events.Flush()
+}
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -164,3 +164,85 @@
 		Text:      "a datagram on the lease address cannot be decoded and was dropped",
 		Remedy:    "find the sender; only nodes of this fleet may send to the lease address"})
 )
+
+// Events of the platform's store and the records that a gateway reads from it.
+var (
+	StoreLost = define(Event{Number: 211, Name: "store_lost", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the store does not answer reads of a topic; the node goes on with what it knows",
+		Remedy: "check the platform's store and the route to it"})
+	StoreRegained = define(Event{Number: 212, Name: "store_regained", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "the store answers reads of a topic again"})
+	MemberRecordRefused = define(Event{Number: 213, Name: "member_record_refused", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the record of an instance cannot be used and was skipped",
+		Remedy: "find the writer of the record; nothing but heatherreel may write to its topics"})
+	RangesRecordRefused = define(Event{Number: 214, Name: "ranges_record_refused", Level: zerolog.ErrorLevel, PerSecond: peerRate,
+		Text:   "the record of the ownership of keys cannot be used; the one before it stays in force on this node",
+		Remedy: "find the writer of the record; nothing but heatherreel may write to its topics"})
+	AnnouncementFailed = define(Event{Number: 215, Name: "announcement_failed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the record of this instance could not be written and is written again",
+		Remedy: "check the platform's store and the route to it"})
+)
+
+// Events of the ownership of key ranges.
+var (
+	RangesWritten = define(Event{Number: 411, Name: "ranges_written", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "this node wrote a change of the ownership of keys"})
+	RangesNotWritten = define(Event{Number: 412, Name: "ranges_not_written", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "a change of the ownership of keys could not be written, or its outcome is not known yet",
+		Remedy: "check the platform's store and the route to it"})
+	GrantWithheld = define(Event{Number: 413, Name: "grant_withheld", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the node has not read the ownership of keys for too long and renews no grant",
+		Remedy: "check the platform's store and the route to it"})
+	OwnerSuspected = define(Event{Number: 414, Name: "owner_suspected", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "an owner of keys does not answer; its keys are given away unless it objects",
+		Remedy: "check the named instance and the network to it"})
+	KeysClaimed = define(Event{Number: 415, Name: "keys_claimed", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the keys of an instance that did not object in time go to other owners",
+		Remedy: "check the named instance"})
+	KeysVacated = define(Event{Number: 416, Name: "keys_vacated", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the backend server beside this node has ended; its keys go to other owners",
+		Remedy: "check the backend server on this instance"})
+)
+
+// decisionRate bounds the lines of one kind of decision on requests. Refusals under overload come in hundreds a second,
+// and a line costs about 10 microseconds.
+const decisionRate = 40
+
+// Events of the requests of routes.
+var (
+	RequestServed = define(Event{Number: 511, Name: "request_served", Level: zerolog.InfoLevel, PerSecond: decisionRate,
+		Text: "a request of a route got the answer of a backend server"})
+	RequestFailed = define(Event{Number: 512, Name: "request_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
+		Text:   "a request of a route got no answer of a backend server",
+		Remedy: "follow the request id through the lines of the instance named in the field chosen"})
+	RequestNotAdmitted = define(Event{Number: 513, Name: "request_not_admitted", Level: zerolog.InfoLevel, PerSecond: decisionRate,
+		Text: "the node beside the backend server refused a request, which did not run"})
+	ExchangeFailed = define(Event{Number: 514, Name: "exchange_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
+		Text:   "an exchange with the backend server ended without a usable answer",
+		Remedy: "check the backend server on this instance"})
+	NodeCallFailed = define(Event{Number: 515, Name: "node_call_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
+		Text:   "the call of another node for a request failed",
+		Remedy: "check the other node and the network between"})
+)
+
+// Events of heartbeats.
+var (
+	ServerStateChanged = define(Event{Number: 611, Name: "server_state_changed", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "the backend server beside the node started, changed its state or ended"})
+	HeartbeatRefused = define(Event{Number: 612, Name: "heartbeat_refused", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "a heartbeat names another service or address than those of this instance",
+		Remedy: "find its sender; heartbeats go to the node beside the backend server"})
+	HeartbeatLate = define(Event{Number: 613, Name: "heartbeat_late", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "a heartbeat of an earlier life, or one that a later one has overtaken, was ignored"})
+)
+
+// Events of routes.
+var (
+	RoutesInForce = define(Event{Number: 711, Name: "routes_in_force", Level: zerolog.InfoLevel,
+		Text: "a configuration of routes is in force on this node"})
+	OperatorRecordRefused = define(Event{Number: 712, Name: "operator_record_refused", Level: zerolog.ErrorLevel, PerSecond: peerRate,
+		Text:   "a record of the operators cannot be used; what was in force before stays so",
+		Remedy: "publish a corrected record"})
+	EvacuationChanged = define(Event{Number: 713, Name: "evacuation_changed", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "the evacuation of a data centre began or ended"})
+)
--- a/internal/eventlog/field.go
+++ b/internal/eventlog/field.go
@@ -58,6 +58,22 @@
 	return Field{key: string(key), kind: kindText, text: string(value)}
 }
 
+// RequestID is the field "request", the id that the caller gave its request.
+func RequestID(id string) Field {
+	return Field{key: "request", kind: kindText, text: bounded(id)}
+}
+
+// Name is a field with a name that operators or the platform gave: an instance, a service, a route, a backend server. It
+// is not for keys or other content of requests.
+func Name(key literal, name string) Field {
+	return Field{key: string(key), kind: kindText, text: bounded(name)}
+}
+
+// maxText bounds text that comes from outside.
+const maxText = 120
+
+func bounded(text string) string { return text[:min(len(text), maxText)] }
+
 // Offset is the field "offset", an offset of the log.
 func Offset(o ledger.Offset) Field {
 	return Field{key: "offset", kind: kindNumber, number: uint64(o)}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+)
+
+// longPoll is the wait of a reader with nothing to prove. A connection that fell silent is found by the keep-alive of the
+// store's client, or at the latest after this time.
+const longPoll = 8 * time.Second
+
+func longWait() time.Duration { return longPoll }
+
+// Pauses of a reader after a failed call: the store is loaded by all nodes at once when it returns.
+const (
+	leastPause = 100 * time.Millisecond
+	mostPause  = 800 * time.Millisecond
+)
+
+// follower applies the records of one topic in order.
+type follower struct {
+	g     *Gateway
+	topic string
+	// wait is how long the next read may take.
+	wait func() time.Duration
+	// begin is called before the newest records of all keys are applied, apply for each record, and synced after each
+	// answer of the store, with the time at which it was asked.
+	begin  func()
+	apply  func(registry.Record)
+	synced func(sent keyrange.Instant, end int64)
+}
+
+// run reads until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	from, lost, pause := int64(-1), false, leastPause
+	for ctx.Err() == nil {
+		sent := f.g.deps.Now()
+		page, err := f.read(ctx, from)
+		switch {
+		case err == nil:
+			if from < 0 {
+				f.begin()
+			}
+			for _, r := range page.Records {
+				f.apply(r)
+			}
+			from = page.End
+			f.synced(sent, page.End)
+			if lost {
+				f.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", f.topic))
+			}
+			lost, pause = false, leastPause
+			continue
+		case problem.KindOf(err) == problem.Forgotten:
+			from = -1
+			continue
+		case ctx.Err() != nil:
+			return
+		case !lost:
+			f.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", f.topic), eventlog.Cause(err))
+			lost = true
+		}
+		f.rest(ctx, pause)
+		pause = min(2*pause, mostPause)
+	}
+}
+
+func (f *follower) read(ctx context.Context, from int64) (registry.Page, error) {
+	if from < 0 {
+		return f.g.deps.Store.Newest(ctx, f.topic)
+	}
+	return f.g.deps.Store.Read(ctx, f.topic, from, f.wait())
+}
+
+// rest waits for about pause.
+func (f *follower) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause/2 + rand.N(pause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// applyOperator takes a record of the operators.
+func (g *Gateway) applyOperator(r registry.Record) {
+	word, ok, err := g.deps.DecodeOperator(r)
+	if err != nil {
+		g.events.Emit(eventlog.OperatorRecordRefused, eventlog.Name("key", r.Key), eventlog.Cause(err))
+		return
+	}
+	if !ok {
+		return
+	}
+	if word.Table == nil {
+		g.routes.evacuate(word.DataCentre, !word.Ended)
+		g.events.Emit(eventlog.EvacuationChanged, eventlog.Name("data_centre_named", word.DataCentre),
+			eventlog.Count("ended", boolCount(word.Ended)))
+		return
+	}
+	if g.routes.put(word.Table) {
+		g.events.Emit(eventlog.RoutesInForce, eventlog.Count("revision", int(word.Table.Revision)),
+			eventlog.Count("routes", word.Table.Routes()))
+	}
+}
+
+func boolCount(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (g *Gateway) operatorSynced(keyrange.Instant, int64) {
+	g.applySlots()
+	g.upkeep.Fire()
+}
+
+// applyMember takes the record of an instance.
+func (g *Gateway) applyMember(r registry.Record) {
+	if len(r.Value) == 0 {
+		g.members.drop(r.Key)
+		return
+	}
+	m, err := registry.DecodeMember(r)
+	if err != nil {
+		g.events.Emit(eventlog.MemberRecordRefused, eventlog.Name("key", r.Key), eventlog.Cause(err))
+		return
+	}
+	g.members.putStored(m)
+}
+
+func (g *Gateway) membersSynced(keyrange.Instant, int64) {
+	g.members.endSnapshot()
+	g.upkeep.Fire()
+}
+
+// applyRanges takes the ownership of one service.
+func (g *Gateway) applyRanges(r registry.Record) {
+	t, err := registry.DecodeRanges(r)
+	if err != nil {
+		g.events.Emit(eventlog.RangesRecordRefused, eventlog.Name("key", r.Key), eventlog.Cause(err))
+		return
+	}
+	g.ranges.put(t, g.deps.Now())
+}
+
+// rangesSynced extends the lease: the store has answered a read that was sent at the time, and what it answered is applied.
+func (g *Gateway) rangesSynced(sent keyrange.Instant, end int64) {
+	g.ranges.confirm(g.self, sent, end)
+	g.upkeep.Fire()
+}
+
+// leasePoll is the wait of the reader that keeps the lease; the lease is that much shorter when the store goes away.
+const leasePoll = 1500 * time.Millisecond
+
+// rangesWait is short on nodes that need the lease.
+func (g *Gateway) rangesWait() time.Duration {
+	if g.keyed() {
+		return leasePoll
+	}
+	return longPoll
+}
+
+// keyed reports whether the service of the instance holds each key on one backend server.
+func (g *Gateway) keyed() bool {
+	t := g.routes.current()
+	return t != nil && t.Services[g.self.Service].Keyed
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,260 @@
+// Package gateway serves the requests of routes: it finds the route, chooses a backend server, and runs the requests of
+// the one beside the node.
+//
+// Each node takes requests of the callers on its instance and is the only one to reach the backend server there. What
+// binds a backend server (its slots, draining, evacuation, the rate that it bears while cold, the keys that it holds) is
+// therefore decided at its own node; ingress nodes only choose among nodes.
+//
+// Work runs on three pools: ingress jobs route a request and wait for its answer, backend jobs make one exchange with the
+// backend server, and upkeep keeps records and ownership in step. One reader blocks in the long poll of each topic.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+	"heatherreel/internal/worker"
+)
+
+// Self is what a node knows of its instance.
+type Self struct {
+	Instance    string
+	Incarnation int64
+	// Address is the drpc address for other nodes.
+	Address    string
+	DataCentre string
+	Region     string
+	// Service is the service of the backend server beside the node, and BackendAddress its address.
+	Service        string
+	BackendAddress string
+}
+
+// Options are the settings of a gateway.
+type Options struct {
+	Self Self
+	// IngressWorkers is the number of requests of callers that are routed at once; IngressQueue may wait.
+	IngressWorkers, IngressQueue int
+	// BackendWorkers is the number of exchanges with the backend server at once.
+	BackendWorkers int
+	// RetryRatio and RetryFloor bound second sends for each service: a share of its requests, and a number a second.
+	RetryRatio, RetryFloor float64
+	// DrainTime is how long a backend server serves after its draining was acknowledged.
+	DrainTime time.Duration
+}
+
+// Backend runs requests at the backend server beside the node.
+type Backend interface {
+	// Exchange sends the request once. The answer is NotRun only where that is proved.
+	Exchange(ctx context.Context, e routed.Exchange) routed.Answer
+	// DropIdle closes kept connections.
+	DropIdle()
+}
+
+// Peers calls the nodes of other instances.
+type Peers interface {
+	Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error)
+	Probe(ctx context.Context, address string) (instance string, load routed.Load, err error)
+}
+
+// Dependencies are what a gateway calls.
+type Dependencies struct {
+	Store registry.Store
+	// OperatorTopic holds the records of the operators, and DecodeOperator returns what one says; ok is false for a
+	// record that concerns no router.
+	OperatorTopic  string
+	DecodeOperator func(registry.Record) (word registry.OperatorWord, ok bool, err error)
+	Peers          Peers
+	Backend        Backend
+	Events         *eventlog.Logger
+	// Now reads a clock that counts the time during which the machine is suspended.
+	Now func() keyrange.Instant
+}
+
+// Gateway is one node's part in serving routes.
+type Gateway struct {
+	options Options
+	deps    Dependencies
+	self    Self
+	events  *eventlog.Logger
+
+	routes  *routeTable
+	members *memberTable
+	ranges  *rangeTable
+	server  *serverTable
+
+	ingress *worker.Pool
+	backend *worker.Pool
+	control *worker.Pool
+	upkeep  *worker.Trigger
+	// state belongs to the upkeep job.
+	state upkeepState
+	// watched belongs to the watch job; suspect is the instance that it wants suspected.
+	watched watchState
+	suspect atomic.Pointer[string]
+
+	stopping  atomic.Bool
+	readers   sync.WaitGroup
+	stop      context.CancelFunc
+	stopTicks []func()
+	ctx       context.Context
+	started   time.Time
+	// inProgress counts requests of callers and of other nodes.
+	inProgress atomic.Int64
+	requests   Counters
+}
+
+// Counters are the totals since the start.
+type Counters struct {
+	Done, NotRun, Unknown, Sent, Retried atomic.Int64
+}
+
+// Sizes of the control pool, whose jobs are rare.
+const (
+	controlWorkers = 2
+	controlQueue   = 64
+)
+
+// New returns a gateway that does nothing yet.
+func New(o Options, d Dependencies) *Gateway {
+	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now()}
+	g.routes = newRouteTable()
+	g.members = newMemberTable(o.Self, o.RetryRatio, o.RetryFloor)
+	g.ranges = newRangeTable()
+	g.server = newServerTable()
+	return g
+}
+
+// upkeepInterval is how often upkeep runs without an event. Claims and probes are counted in it.
+const upkeepInterval = 250 * time.Millisecond
+
+// Start starts the pools and the readers.
+func (g *Gateway) Start() {
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.ingress = worker.NewPool("ingress", g.options.IngressWorkers, g.options.IngressQueue)
+	g.backend = worker.NewPool("backend", g.options.BackendWorkers, g.options.BackendWorkers)
+	g.control = worker.NewPool("control", controlWorkers, controlQueue)
+	g.upkeep = worker.NewTrigger(g.control, g.runUpkeep)
+	g.events.Emit(eventlog.Started)
+	for _, f := range []*follower{
+		{g: g, topic: g.deps.OperatorTopic, wait: longWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
+		{g: g, topic: registry.Members, wait: longWait, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
+		{g: g, topic: registry.Ranges, wait: g.rangesWait, begin: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
+	} {
+		g.startReader(f)
+	}
+	g.stopTicks = []func(){
+		g.control.Every(upkeepInterval, g.upkeep.Fire),
+		g.control.Every(probeInterval, g.watch),
+	}
+}
+
+// startReader runs a follower until the gateway closes.
+func (g *Gateway) startReader(f *follower) {
+	g.readers.Add(1)
+	go func() {
+		defer g.readers.Done()
+		f.run(g.ctx)
+	}()
+}
+
+// Ready reports whether the node serves new callers.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.routes.current() != nil && g.members.known()
+}
+
+// Drain stops a node that is to end: it is no longer ready, and running requests finish. It returns when none is left
+// and the callers had time to learn of it, or when ctx ends.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.stopping.Store(true)
+	g.events.Emit(eventlog.Stopping)
+	g.upkeep.Fire()
+	quiet := time.NewTimer(leaveTime)
+	defer quiet.Stop()
+	select {
+	case <-quiet.C:
+	case <-ctx.Done():
+		return
+	}
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for g.inProgress.Load() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+const (
+	// leaveTime is how long a stopping node still takes requests: readiness is asked once a second, and two misses count.
+	leaveTime = 2200 * time.Millisecond
+	drainPoll = 100 * time.Millisecond
+)
+
+// Close ends all work.
+func (g *Gateway) Close() {
+	for _, stop := range g.stopTicks {
+		stop()
+	}
+	g.stop()
+	g.readers.Wait()
+	g.upkeep.Stop()
+	g.ingress.Stop()
+	g.control.Stop()
+	g.backend.Stop()
+	g.events.Emit(eventlog.Stopped)
+}
+
+// Route serves a request of a caller on a worker of the ingress pool. When ctx ends, the caller has gone.
+func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
+	result := make(chan routed.Answer, 1)
+	if err := g.ingress.Submit(func() { result <- g.route(ctx, r) }); err != nil {
+		return routed.Refuse(request.QueueFull, overloadRetry)
+	}
+	answer := <-result
+	g.count(answer)
+	return answer
+}
+
+// overloadRetry is when a caller may return after the queue of the ingress pool was full.
+const overloadRetry = 500 * time.Millisecond
+
+func (g *Gateway) count(a routed.Answer) {
+	switch a.Outcome {
+	case request.Done:
+		g.requests.Done.Add(1)
+	case request.NotRun:
+		g.requests.NotRun.Add(1)
+	default:
+		g.requests.Unknown.Add(1)
+	}
+}
+
+// Dispatch implements node.RouterService.
+func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+	g.inProgress.Add(1)
+	defer g.inProgress.Add(-1)
+	return g.execute(ctx, r, p)
+}
+
+// Probe implements node.RouterService.
+func (g *Gateway) Probe() (string, routed.Load) { return g.self.Instance, g.server.load(time.Now()) }
+
+// draw returns a random number from 0 to n-1.
+func draw(n int) int { return rand.IntN(n) }
+
+// notSent reports whether err proves that a request never left the node.
+func notSent(err error) bool { return problem.KindOf(err) == problem.NotSent }
--- /dev/null
+++ b/internal/gateway/ingress.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"heatherreel/internal/choice"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/node"
+	"heatherreel/internal/request"
+	"heatherreel/internal/retry"
+	"heatherreel/internal/route"
+	"heatherreel/internal/routed"
+)
+
+// Times of a request at the ingress node.
+const (
+	// notConfiguredRetry is when a caller may return to a node that has read no configuration yet.
+	notConfiguredRetry = 500 * time.Millisecond
+	// ownerPause is the pause before a request whose key has no reachable owner is tried again.
+	ownerPause = 60 * time.Millisecond
+	// ownerPatience is how long such a request is kept: about the time a process takes to start again.
+	ownerPatience = 1500 * time.Millisecond
+	// patienceShare is the part of a caller's time for which a request is kept without being offered to anyone.
+	patienceShare = 3
+	// mostSends bounds the nodes that are asked for one request.
+	mostSends = 6
+)
+
+// attempt is the state of one request at its ingress node.
+type attempt struct {
+	request routed.Request
+	route   *route.Route
+	keyed   bool
+	started time.Time
+	// offered is the number of backend servers that the request reached, and sends the number of nodes that were asked.
+	offered, sends int
+	tried          []string
+	last           routed.Answer
+	// chosen and chosenAge are the instance last asked and the age of the report that it was chosen by.
+	chosen    string
+	chosenAge time.Duration
+}
+
+// route finds the route of a request and serves it.
+func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
+	table, found, service := g.routes.find(r.Host, r.Path)
+	switch {
+	case table == nil:
+		return g.decided(&attempt{request: r, started: time.Now()}, routed.Refuse(request.NotConfigured, notConfiguredRetry))
+	case found == nil:
+		return g.decided(&attempt{request: r, started: time.Now()}, routed.Refuse(request.NoRoute, 0))
+	}
+	r.Service, r.Idempotent, r.Priority = service, found.Idempotent, found.Priority
+	r.HomeRegions, r.Revision, r.OriginService = found.HomeRegions, table.Revision, g.self.Service
+	now := time.Now()
+	if found.Timeout > 0 {
+		if limit := now.Add(found.Timeout); limit.Before(r.Deadline) {
+			r.Deadline = limit
+		}
+	}
+	a := &attempt{request: r, route: found, started: now, keyed: table.Services[service].Keyed && r.Keyed}
+	g.members.first(service)
+	if a.request.Idempotent {
+		// The backend server stops when the caller has gone.
+		return g.decided(a, g.serve(ctx, a))
+	}
+	return g.decided(a, g.serve(context.WithoutCancel(ctx), a))
+}
+
+// serve asks one node after the other until the request has its answer.
+func (g *Gateway) serve(ctx context.Context, a *attempt) routed.Answer {
+	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
+	defer cancel()
+	a.last = routed.Refuse(request.NoServer, overloadRetry)
+	for {
+		instance, ok := g.choose(a, time.Now())
+		if ok {
+			a.last = g.send(ctx, a, instance)
+		}
+		if a.last.Outcome == request.Done || !g.again(ctx, a, ok) {
+			return a.last
+		}
+	}
+}
+
+// choose returns the instance to ask next.
+func (g *Gateway) choose(a *attempt, now time.Time) (string, bool) {
+	if a.keyed {
+		table, _ := g.ranges.get(a.request.Service)
+		r, ok := table.Find(a.request.Key)
+		if !ok || r.Owner.Instance == "" {
+			return "", false
+		}
+		a.chosen, a.chosenAge = r.Owner.Instance, 0
+		return r.Owner.Instance, true
+	}
+	found := g.members.candidates(a.request.Service, a.request.HomeRegions, g.routes.evacuations(), a.tried, now)
+	i := choice.Choose(found, draw)
+	if i < 0 {
+		return "", false
+	}
+	a.chosen, a.chosenAge = found[i].Instance, found[i].Age
+	return found[i].Instance, true
+}
+
+// send asks one node for the request.
+func (g *Gateway) send(ctx context.Context, a *attempt, instance string) routed.Answer {
+	a.sends++
+	a.tried = append(a.tried, instance)
+	g.members.sent(instance)
+	if instance == g.self.Instance {
+		answer := g.execute(ctx, a.request, node.DispatchProgress{})
+		g.members.answered(instance, answer.Load, true, time.Now())
+		a.note(answer)
+		return answer
+	}
+	member, known := g.members.get(instance)
+	if !known || !allows(a.request.HomeRegions, member.Region) {
+		g.members.answered(instance, routed.Load{}, true, time.Now())
+		return routed.Refuse(request.NoServer, overloadRetry)
+	}
+	answer, err := g.deps.Peers.Dispatch(ctx, member.Address, a.request)
+	if err != nil {
+		answer = g.failed(ctx, a, instance, err)
+	} else {
+		g.members.answered(instance, answer.Load, true, time.Now())
+	}
+	a.note(answer)
+	return answer
+}
+
+// note counts a send that reached a backend server.
+func (a *attempt) note(answer routed.Answer) {
+	if answer.Offered {
+		a.offered++
+		a.request.Repeat = true
+	}
+}
+
+// failed returns the answer for a call to a node that failed.
+func (g *Gateway) failed(ctx context.Context, a *attempt, instance string, err error) routed.Answer {
+	// A deadline or a caller that left says nothing of the node.
+	g.members.answered(instance, routed.Load{}, ctx.Err() != nil, time.Now())
+	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance), eventlog.Cause(err))
+	switch {
+	case notSent(err):
+		return routed.Refuse(request.OwnerUnreachable, overloadRetry)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return routed.Uncertain(request.DeadlineExceeded)
+	default:
+		return routed.Uncertain(request.ConnectionLost)
+	}
+}
+
+// again reports whether the request is tried once more, after a pause if nothing else could be asked at once.
+func (g *Gateway) again(ctx context.Context, a *attempt, asked bool) bool {
+	now := time.Now()
+	if ctx.Err() != nil || a.sends >= mostSends && !a.keyed {
+		return false
+	}
+	if !retry.May(now, a.request.Deadline, a.last.Outcome, a.request.Idempotent) || a.offered >= a.route.MaxAttempts {
+		return false
+	}
+	if a.last.Offered {
+		// The second send to a backend server draws on the budget of the fleet.
+		if !g.members.mayRepeat(a.request.Service, now) {
+			return false
+		}
+		g.requests.Retried.Add(1)
+		return true
+	}
+	if a.keyed {
+		return g.awaitOwner(ctx, a, now)
+	}
+	if !asked {
+		return g.awaitServer(ctx, a, now)
+	}
+	return true
+}
+
+// awaitOwner pauses a request whose key has no reachable owner or is moving.
+func (g *Gateway) awaitOwner(ctx context.Context, a *attempt, now time.Time) bool {
+	switch a.last.Reason {
+	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
+		return false
+	}
+	return a.pause(ctx, now)
+}
+
+// awaitServer pauses a request that no node could be asked for, when nothing was full.
+func (g *Gateway) awaitServer(ctx context.Context, a *attempt, now time.Time) bool {
+	switch a.last.Reason {
+	case request.NoServer, request.OwnerUnreachable, request.Draining:
+		a.tried = a.tried[:0]
+		return a.pause(ctx, now)
+	}
+	return false
+}
+
+// pause waits a little if the request has been kept for less than its patience.
+func (a *attempt) pause(ctx context.Context, now time.Time) bool {
+	patience := min(ownerPatience, a.request.Deadline.Sub(a.started)/patienceShare)
+	if now.Sub(a.started) > patience {
+		return false
+	}
+	timer := time.NewTimer(ownerPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decided logs the answer of a request.
+func (g *Gateway) decided(a *attempt, answer routed.Answer) routed.Answer {
+	event := eventlog.RequestServed
+	if answer.Outcome != request.Done {
+		event = eventlog.RequestFailed
+	}
+	name := ""
+	if a.route != nil {
+		name = a.route.Name
+	}
+	g.events.Emit(event, eventlog.RequestID(a.request.ID), eventlog.Name("route", name), eventlog.Name("service", a.request.Service),
+		eventlog.Count("revision", int(a.request.Revision)), eventlog.Name("chosen", a.chosen), eventlog.Duration("report_age", a.chosenAge),
+		eventlog.Count("sends", a.sends), eventlog.Count("offered", a.offered), eventlog.Name("outcome", answer.Outcome.String()),
+		eventlog.Name("reason", string(answer.Reason)), eventlog.Duration("took", time.Since(a.started)))
+	return answer
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"heatherreel/internal/admission"
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/lockorder"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+)
+
+// queuePerSlot bounds the requests that wait for the backend server, per slot. A longer queue would hold requests for
+// longer than most deadlines.
+const queuePerSlot = 6
+
+// silence is how long a backend server without heartbeats counts as alive: three intervals of 870 ms and a late one.
+const silence = 3500 * time.Millisecond
+
+// serverTable holds what is known of the backend server beside the node. mu guards all fields; it has rank
+// lockorder.Backend.
+type serverTable struct {
+	mu *lockorder.Mutex
+	// beat is the last heartbeat of the present life; beat.Server is empty before the first.
+	beat   heartbeat.Message
+	beatAt keyrange.Instant
+	// ended is set when this life is over.
+	ended bool
+	// coldUntil, and cold, the bound of requests while it is cold.
+	coldUntil time.Time
+	cold      *rate.Limiter
+	coldRate  float64
+	// drainUntil is when the backend server must get no more requests; zero while it does not drain.
+	drainUntil keyrange.Instant
+	// granted are the ranges of the last reply, until holdEnds.
+	granted  []keyrange.Range
+	holdEnds keyrange.Instant
+	// released are tokens of ranges that the backend server has freed and whose next owner does not stand in the table.
+	released []heartbeat.Freed
+	// changed is closed and replaced when the ranges that may be served change.
+	changed chan struct{}
+	queue   *admission.Queue
+	waiting map[admission.Ticket]chan request.Reason
+	slots   int
+}
+
+func newServerTable() *serverTable {
+	return &serverTable{mu: lockorder.New(lockorder.Backend), changed: make(chan struct{}),
+		queue: admission.NewQueue(admission.Options{}), waiting: map[admission.Ticket]chan request.Reason{}}
+}
+
+// record returns what the member record says of the backend server.
+func (t *serverTable) record(now keyrange.Instant) registry.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.beat.Server == "" || t.ended || now.Sub(t.beatAt) > silence {
+		return registry.Server{}
+	}
+	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: true, Draining: t.beat.Draining, Slots: t.beat.Slots}
+}
+
+// load returns the report of the backend server.
+func (t *serverTable) load(now time.Time) routed.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.queue.Usage()
+	return routed.Load{Known: t.beat.Server != "" && !t.ended, Running: u.Running, Waiting: u.Waiting, Slots: u.Limit,
+		ServiceTime: u.ServiceTime, ColdFor: max(0, t.coldUntil.Sub(now))}
+}
+
+// setSlots changes the limits of the queue. The caller holds mu.
+func (t *serverTable) setSlots(now time.Time, slots int) {
+	if slots == t.slots {
+		return
+	}
+	t.slots = slots
+	t.settle(t.queue.SetLimits(now, admission.Options{Limit: slots, QueueLimit: slots * queuePerSlot}))
+}
+
+// settle tells waiting requests what became of them. The caller holds mu.
+func (t *serverTable) settle(c admission.Change) {
+	for _, ticket := range c.Start {
+		t.tell(ticket, "")
+	}
+	for _, refusal := range c.Refuse {
+		t.tell(refusal.Ticket, refusal.Reason)
+	}
+}
+
+func (t *serverTable) tell(ticket admission.Ticket, reason request.Reason) {
+	if waiter, ok := t.waiting[ticket]; ok {
+		delete(t.waiting, ticket)
+		waiter <- reason
+	}
+}
+
+// holds reports whether the last reply granted a key of which the grant still lasts. The caller holds mu.
+func (t *serverTable) holds(key uint16, now keyrange.Instant) bool {
+	if now >= t.holdEnds {
+		return false
+	}
+	for _, r := range t.granted {
+		if r.Overlaps(key, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// Heartbeat takes a heartbeat of the backend server and returns what it is to hold.
+func (g *Gateway) Heartbeat(b heartbeat.Message) (heartbeat.Reply, error) {
+	if !b.Ended && (b.Service != g.self.Service || b.Address != g.self.BackendAddress) {
+		g.events.Emit(eventlog.HeartbeatRefused, eventlog.Name("server", b.Server), eventlog.Name("service", b.Service))
+		return heartbeat.Reply{}, problem.New(problem.Invalid, "send heartbeats to the node beside the backend server",
+			"the heartbeat names service %q at %q", b.Service, b.Address)
+	}
+	now := g.deps.Now()
+	news, fresh := g.server.take(b, now, g.options.DrainTime)
+	if !fresh {
+		g.events.Emit(eventlog.HeartbeatLate, eventlog.Name("server", b.Server), eventlog.Count("sequence", int(b.Sequence)))
+		return heartbeat.Reply{}, nil
+	}
+	if news {
+		g.events.Emit(eventlog.ServerStateChanged, eventlog.Name("server", b.Server), eventlog.Count("born", int(b.Born)),
+			eventlog.Count("draining", boolCount(b.Draining)), eventlog.Count("ended", boolCount(b.Ended)),
+			eventlog.Duration("cold", b.ColdFor))
+		g.applySlots()
+	}
+	reply := g.grant(b, now)
+	if news || len(b.Freed) > 0 || g.moving() {
+		g.upkeep.Fire()
+	}
+	return reply, nil
+}
+
+// take stores a heartbeat. news tells that the state or the life of the backend server changed; fresh is false for a
+// heartbeat of an earlier life or one that a later one has overtaken.
+func (t *serverTable) take(b heartbeat.Message, now keyrange.Instant, drainTime time.Duration) (news, fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	same := b.Server == t.beat.Server && (b.Born == t.beat.Born || b.Ended)
+	switch {
+	case b.Ended && !same:
+		return false, false
+	case b.Ended:
+		if t.ended {
+			return false, true
+		}
+		t.ended = true
+		t.drain(now, drainTime)
+		return true, true
+	case !same && t.beat.Server != "" && b.Born <= t.beat.Born, same && b.Sequence <= t.beat.Sequence:
+		return false, false
+	case !same:
+		t.ended, t.drainUntil, t.granted, t.holdEnds, t.released = false, 0, nil, 0, nil
+		t.cold = nil
+		news = true
+	}
+	news = news || b.Draining != t.beat.Draining || b.Slots != t.beat.Slots
+	t.beat, t.beatAt = b, now
+	if b.Draining {
+		t.drain(now, drainTime)
+	}
+	t.released = append(t.released, b.Freed...)
+	t.setCold(b.ColdFor)
+	return news, true
+}
+
+// drain starts the time after which the backend server gets no more requests. The caller holds mu.
+func (t *serverTable) drain(now keyrange.Instant, drainTime time.Duration) {
+	if t.drainUntil == 0 {
+		t.drainUntil = now.Add(drainTime)
+	}
+}
+
+// setCold notes how long the backend server stays cold. The caller holds mu.
+func (t *serverTable) setCold(coldFor time.Duration) {
+	if coldFor <= 0 {
+		return
+	}
+	t.coldUntil = time.Now().Add(coldFor)
+}
+
+// applySlots puts the limits of the configuration and of the backend server in force.
+func (g *Gateway) applySlots() {
+	now := g.deps.Now()
+	table := g.routes.current()
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	if table != nil {
+		g.server.coldRate = table.Services[g.self.Service].ColdRate
+	}
+	slots := g.server.beat.Slots
+	if g.server.ended && now >= g.server.drainUntil {
+		slots = 0
+	}
+	g.server.setSlots(time.Now(), slots)
+}
+
+// moving reports whether ranges of the instance wait for their release.
+func (g *Gateway) moving() bool {
+	table, _ := g.ranges.get(g.self.Service)
+	return len(table.Leaving(g.self.Instance)) > 0
+}
+
+// grant returns what the backend server is to hold. Nothing is granted without a lease, and nothing to a life that the
+// table does not name.
+func (g *Gateway) grant(b heartbeat.Message, now keyrange.Instant) heartbeat.Reply {
+	table, _ := g.ranges.get(g.self.Service)
+	if b.Ended || table == nil {
+		return heartbeat.Reply{}
+	}
+	hold := g.ranges.hold(now)
+	if hold == 0 {
+		g.events.Emit(eventlog.GrantWithheld, eventlog.Name("server", b.Server))
+		return heartbeat.Reply{}
+	}
+	ranges := table.Grants(keyrange.Owner{Instance: g.self.Instance, Server: b.Server, Born: b.Born})
+	g.server.granting(ranges, keyrange.HoldEnds(now, hold))
+	return heartbeat.Reply{Hold: hold, Ranges: ranges}
+}
+
+// granting notes the ranges of a reply.
+func (t *serverTable) granting(ranges []keyrange.Range, ends keyrange.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.granted, t.holdEnds = ranges, ends
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// owner returns the present life of the backend server; ok is false without one.
+func (g *Gateway) owner() (o keyrange.Owner, ok bool) {
+	s := g.server.record(g.deps.Now())
+	return keyrange.Owner{Instance: g.self.Instance, Server: s.ID, Born: s.Born}, s.ID != ""
+}
--- /dev/null
+++ b/internal/gateway/upkeep.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+)
+
+// Times of upkeep.
+const (
+	// writeTimeout bounds one write; its outcome shows in the next read.
+	writeTimeout = 2 * time.Second
+	// foundingDelay lets the other instances announce themselves before keys are given out for the first time.
+	foundingDelay = 2500 * time.Millisecond
+	// probeInterval and probeTimeout are those of the watch over the next instance. A process starts again in about 1 s,
+	// and keeps its keys if it does, so that a suspicion costs nothing then.
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+	// failedProbes in a row make an instance suspected.
+	failedProbes = 3
+)
+
+// upkeepState belongs to the upkeep job, which never runs twice at once.
+type upkeepState struct {
+	announced   registry.Member
+	announcedAt time.Time
+	// rangesEnd is the end that the last write of ranges led to; nothing is decided before it is read.
+	rangesEnd int64
+	writtenAt time.Time
+}
+
+// runUpkeep brings the records of the node in step with what it knows.
+func (g *Gateway) runUpkeep() {
+	g.applySlots()
+	g.announce()
+	if !g.keyed() || !g.members.known() {
+		return
+	}
+	g.maintainRanges()
+}
+
+// announceAgain is when a member record that is missing from the store is written again after a write.
+const announceAgain = time.Second
+
+// announce writes the member record of the node when it changed, or when the store has another one.
+func (g *Gateway) announce() {
+	now := time.Now()
+	own := registry.Member{Instance: g.self.Instance, Incarnation: g.self.Incarnation, Address: g.self.Address,
+		DataCentre: g.self.DataCentre, Region: g.self.Region, Service: g.self.Service,
+		Server: g.server.record(g.deps.Now()), Stopping: g.stopping.Load()}
+	if g.members.storedAs(own) || !g.members.known() || own == g.state.announced && now.Sub(g.state.announcedAt) < announceAgain {
+		return
+	}
+	// The node serves its own backend server by what it knows, whether or not the store can be reached.
+	g.members.put(own)
+	g.state.announced, g.state.announcedAt = own, now
+	record, err := registry.EncodeMember(own)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
+		defer cancel()
+		_, err = g.deps.Store.Append(ctx, registry.Members, registry.Anywhere, record)
+	}
+	if err != nil {
+		g.events.Emit(eventlog.AnnouncementFailed, eventlog.Cause(err))
+	}
+}
+
+// candidates returns the backend servers of the service that may own keys, in the order of their instances.
+func (g *Gateway) candidates(table *keyrange.Table) []keyrange.Candidate {
+	var found []keyrange.Candidate
+	for _, m := range g.members.ofService(g.self.Service) {
+		_, suspected := table.Suspicions[m.Instance]
+		if !m.Server.Ready || m.Server.Draining || suspected || g.routes.isEvacuated(m.DataCentre) {
+			continue
+		}
+		found = append(found, keyrange.Candidate{Owner: ownerOf(m), Weight: max(1, m.Server.Slots)})
+	}
+	slices.SortFunc(found, func(a, b keyrange.Candidate) int { return cmp.Compare(a.Owner.Instance, b.Owner.Instance) })
+	return found
+}
+
+func ownerOf(m registry.Member) keyrange.Owner {
+	return keyrange.Owner{Instance: m.Instance, Server: m.Server.ID, Born: m.Server.Born}
+}
+
+// maintainRanges writes the next table of the service if anything is to change.
+func (g *Gateway) maintainRanges() {
+	table, end := g.ranges.get(g.self.Service)
+	if end < 0 || end < g.state.rangesEnd && time.Since(g.state.writtenAt) < writeTimeout {
+		return
+	}
+	next := &keyrange.Table{Service: g.self.Service, Suspicions: map[string]keyrange.Suspicion{}}
+	if table != nil {
+		next = table.Clone()
+	}
+	if !g.change(next) {
+		return
+	}
+	g.write(next, end)
+}
+
+// write stores a table if nothing was written since the end.
+func (g *Gateway) write(next *keyrange.Table, end int64) {
+	record, err := registry.EncodeRanges(next)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
+		defer cancel()
+		g.state.writtenAt = time.Now()
+		g.state.rangesEnd, err = g.deps.Store.Append(ctx, registry.Ranges, end, record)
+	}
+	switch {
+	case err == nil:
+		g.events.Emit(eventlog.RangesWritten, eventlog.Count("last_fence", int(next.LastFence)), eventlog.Count("ranges", len(next.Ranges)))
+	case problem.KindOf(err) == problem.Conflict:
+		// Another node was first. The reader has its table soon, and upkeep runs again then.
+	default:
+		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
+	}
+}
+
+// change makes all due changes to a copy of the table; it returns false if there are none.
+func (g *Gateway) change(t *keyrange.Table) bool {
+	candidates := g.candidates(t)
+	if !t.Founded() {
+		return time.Since(g.started) > foundingDelay && g.plans(candidates) && t.Found(candidates)
+	}
+	changed := t.Refute(g.self.Instance)
+	changed = g.changeOwn(t, candidates) || changed
+	changed = g.claim(t, candidates) || changed
+	if suspect := g.suspect.Swap(nil); suspect != nil {
+		changed = t.Suspect(*suspect, g.self.Instance) || changed
+	}
+	if g.plans(candidates) {
+		changed = t.Fill(candidates) > 0 || changed
+		changed = t.Welcome(candidates) > 0 || changed
+	}
+	return changed
+}
+
+// plans reports whether the node is the one that plans for all: the first of the candidates. Two nodes with different
+// views may both plan; only one of their writes takes effect.
+func (g *Gateway) plans(candidates []keyrange.Candidate) bool {
+	return len(candidates) > 0 && candidates[0].Owner.Instance == g.self.Instance
+}
+
+// changeOwn makes the changes that concern the ranges of the instance.
+func (g *Gateway) changeOwn(t *keyrange.Table, candidates []keyrange.Candidate) bool {
+	if !t.Owns(g.self.Instance) {
+		return false
+	}
+	now := g.deps.Now()
+	own, alive := g.owner()
+	if !alive {
+		if !g.server.lost(now, g.started) {
+			return false
+		}
+		g.events.Emit(eventlog.KeysVacated, eventlog.Count("candidates", len(candidates)))
+		t.Vacate(g.self.Instance)
+		t.Fill(candidates)
+		return true
+	}
+	changed := t.Adopt(own) > 0
+	if g.server.leaving(g.deps.Now()) || g.routes.isEvacuated(g.self.DataCentre) {
+		changed = t.Leave(g.self.Instance, candidates) > 0 || changed
+	}
+	for _, r := range g.server.freed(t.Leaving(g.self.Instance), now) {
+		changed = t.HandOver(g.self.Instance, r.From, r.To, r.Handover, func(instance string) (keyrange.Owner, bool) {
+			return g.nextOwner(instance, candidates)
+		}) > 0 || changed
+	}
+	return changed
+}
+
+// nextOwner returns the backend server of the instance that keys move to, or another one if it has none any more.
+func (g *Gateway) nextOwner(instance string, candidates []keyrange.Candidate) (keyrange.Owner, bool) {
+	for _, c := range candidates {
+		if c.Owner.Instance == instance {
+			return c.Owner, true
+		}
+	}
+	for _, c := range candidates {
+		if c.Owner.Instance != g.self.Instance {
+			return c.Owner, true
+		}
+	}
+	return keyrange.Owner{}, false
+}
+
+// claim gives away the ranges of suspected instances once their leases and holds have surely ended.
+func (g *Gateway) claim(t *keyrange.Table, candidates []keyrange.Candidate) bool {
+	changed := false
+	now := g.deps.Now()
+	for instance, s := range t.Suspicions {
+		if instance == g.self.Instance || g.ranges.openFor(g.self.Service, instance, s.Number, now) < keyrange.ClaimWait {
+			continue
+		}
+		g.events.Emit(eventlog.KeysClaimed, eventlog.Name("from_instance", instance))
+		t.Vacate(instance)
+		t.Fill(candidates)
+		changed = true
+	}
+	return changed
+}
+
+// lost reports whether the backend server beside the node has surely ended or lost its keys: it ended, or is silent, and
+// its last grant is over. A node that has heard no heartbeat since its start waits for the longest hold.
+func (t *serverTable) lost(now keyrange.Instant, started time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.beat.Server == "" {
+		return time.Since(started) > silence+keyrange.HoldTime
+	}
+	return now >= t.holdEnds
+}
+
+// leaving reports whether the backend server drains.
+func (t *serverTable) leaving(now keyrange.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.beat.Draining || t.drainUntil > 0
+}
+
+// freed returns the parts of the leaving ranges that the backend server no longer holds or works on, with the tokens that
+// it gave for them. A range counts only if the last reply did not grant it.
+func (t *serverTable) freed(leaving []keyrange.Range, now keyrange.Instant) []heartbeat.Freed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var free []heartbeat.Freed
+	var kept []heartbeat.Freed
+	for _, f := range t.released {
+		used := false
+		for _, r := range leaving {
+			if r.Overlaps(f.From, f.To) && !t.busy(max(r.From, f.From), min(r.To, f.To), now) {
+				free = append(free, heartbeat.Freed{From: max(r.From, f.From), To: min(r.To, f.To), Handover: f.Handover})
+				used = true
+			}
+		}
+		if !used {
+			kept = append(kept, f)
+		}
+	}
+	for _, r := range leaving {
+		if !t.busy(r.From, r.To, now) && !covered(r, free) {
+			free = append(free, heartbeat.Freed{From: r.From, To: r.To})
+		}
+	}
+	t.released = kept
+	return free
+}
+
+// covered reports whether any of the freed ranges lies in r; the rest of r follows once the table has changed.
+func covered(r keyrange.Range, free []heartbeat.Freed) bool {
+	return slices.ContainsFunc(free, func(f heartbeat.Freed) bool { return r.Overlaps(f.From, f.To) })
+}
+
+// busy reports whether the backend server may hold a key of the span. The caller holds mu.
+func (t *serverTable) busy(from, to uint16, now keyrange.Instant) bool {
+	if now < t.holdEnds && slices.ContainsFunc(t.granted, func(r keyrange.Range) bool { return r.Overlaps(from, to) }) {
+		return true
+	}
+	return slices.ContainsFunc(t.beat.Holds, func(h heartbeat.Held) bool { return h.From <= to && from <= h.To })
+}
+
+// watchState belongs to the watch job, which never runs twice at once.
+type watchState struct {
+	watched  string
+	failures int
+}
+
+// watch probes the next instance that owns keys, and has it suspected when it does not answer.
+func (g *Gateway) watch() {
+	if !g.keyed() {
+		return
+	}
+	table, _ := g.ranges.get(g.self.Service)
+	next, ok := g.successor(table)
+	if !ok {
+		return
+	}
+	if next.Instance != g.watched.watched {
+		g.watched = watchState{watched: next.Instance}
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	instance, load, err := g.deps.Peers.Probe(ctx, next.Address)
+	if err == nil && instance == next.Instance {
+		g.watched.failures = 0
+		g.members.reported(instance, load, time.Now())
+		return
+	}
+	g.watched.failures++
+	if g.watched.failures < failedProbes {
+		return
+	}
+	g.watched.failures = 0
+	g.events.Emit(eventlog.OwnerSuspected, eventlog.Name("peer_instance", next.Instance), eventlog.Cause(err))
+	g.suspect.Store(&next.Instance)
+	g.upkeep.Fire()
+}
+
+// successor returns the owner of keys that follows the node in the ring of names and is not suspected.
+func (g *Gateway) successor(table *keyrange.Table) (registry.Member, bool) {
+	if !table.Founded() {
+		return registry.Member{}, false
+	}
+	var owners []registry.Member
+	for _, m := range g.members.ofService(g.self.Service) {
+		if _, suspected := table.Suspicions[m.Instance]; m.Instance != g.self.Instance && !suspected && table.Owns(m.Instance) {
+			owners = append(owners, m)
+		}
+	}
+	if len(owners) == 0 {
+		return registry.Member{}, false
+	}
+	slices.SortFunc(owners, func(a, b registry.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	for _, m := range owners {
+		if m.Instance > g.self.Instance {
+			return m, true
+		}
+	}
+	return owners[0], true
+}
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -62,12 +62,17 @@
 	Method string
 	// Address is an IP address and port.
 	Address string
+	// Host is the value of the header Host; empty for the address.
+	Host string
 	// Path is the escaped path.
 	Path   string
 	Header http.Header
 	Body   []byte
 	// MaxAnswer bounds the body of the answer, in bytes.
 	MaxAnswer int64
+	// Unframed accepts a body that ends with the connection. The caller must be able to tell such a body from one cut
+	// short.
+	Unframed bool
 }
 
 // Response is a whole answer.
@@ -119,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &http.Request{Method: c.Method, URL: u, Header: c.Header, Body: http.NoBody}
+	r := &http.Request{Method: c.Method, URL: u, Host: c.Host, Header: c.Header, Body: http.NoBody}
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
@@ -164,7 +169,7 @@
 
 // readWhole reads the body of answer and checks that it is complete.
 func readWhole(c Call, answer *http.Response) ([]byte, error) {
-	if !hasLength(c.Method, answer) {
+	if !c.Unframed && !hasLength(c.Method, answer) {
 		return nil, problem.New(problem.Unavailable, "have the server state the length of its answer", "the answer has no length")
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, c.MaxAnswer+1))
--- /dev/null
+++ b/internal/keyrange/table.go
@@ -0,0 +1,212 @@
+// Package keyrange decides which backend server of a service owns which range of keys.
+//
+// A Table is the agreed state of one service. It is stored whole in one keyed record and replaced only by a write that
+// is conditional on the end of its partition, so that all changes form one sequence. Invariants of each table:
+//
+//   - ranges are sorted and disjoint; together they cover all keys once the table is founded;
+//   - a range that changes its owner gets a fence above all fences given before;
+//   - a range with Next set is no longer granted to its owner, and has the same owner until the owner's node has seen
+//     the backend server release it.
+//
+// The package does no I/O and reads no clock.
+package keyrange
+
+import (
+	"slices"
+	"sort"
+)
+
+// Keys is the number of keys of a service.
+const Keys = 1 << 16
+
+// Owner is one life of the backend server beside an instance. The zero value is no owner.
+type Owner struct {
+	// Instance is the instance whose node grants the range.
+	Instance string
+	Server   string
+	// Born is the start of the backend server in Unix milliseconds.
+	Born int64
+}
+
+// Range is a span of neighbouring keys with one owner.
+type Range struct {
+	From, To uint16
+	Fence    uint64
+	Owner    Owner
+	// Handover is the token by which the previous owner passed on its state; empty if there is none.
+	Handover string
+	// Next is the instance that the range moves to; empty while it stays.
+	Next string
+}
+
+// size returns the number of keys of the range.
+func (r Range) size() int { return int(r.To) - int(r.From) + 1 }
+
+// Overlaps reports whether the range holds a key between from and to.
+func (r Range) Overlaps(from, to uint16) bool { return r.From <= to && from <= r.To }
+
+// Suspicion states that a node asks to end the ownership of another one.
+type Suspicion struct {
+	// Number is unique in its table.
+	Number uint64
+	By     string
+}
+
+// Table is the ownership of all keys of one service.
+type Table struct {
+	Service string
+	// LastFence is the highest fence that was ever given.
+	LastFence uint64
+	Ranges    []Range
+	// Suspicions are the open suspicions by the suspected instance.
+	Suspicions    map[string]Suspicion
+	LastSuspicion uint64
+}
+
+// Clone returns a copy that shares nothing with t.
+func (t *Table) Clone() *Table {
+	c := *t
+	c.Ranges = slices.Clone(t.Ranges)
+	c.Suspicions = make(map[string]Suspicion, len(t.Suspicions))
+	for k, v := range t.Suspicions {
+		c.Suspicions[k] = v
+	}
+	return &c
+}
+
+// Founded reports whether keys were given to owners.
+func (t *Table) Founded() bool { return t != nil && len(t.Ranges) > 0 }
+
+// Find returns the range of a key.
+func (t *Table) Find(key uint16) (Range, bool) {
+	if t == nil {
+		return Range{}, false
+	}
+	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= key })
+	if i == len(t.Ranges) || t.Ranges[i].From > key {
+		return Range{}, false
+	}
+	return t.Ranges[i], true
+}
+
+// Grants returns the ranges that the node of an owner may grant to it.
+func (t *Table) Grants(o Owner) []Range {
+	var granted []Range
+	if t == nil {
+		return granted
+	}
+	for _, r := range t.Ranges {
+		if r.Owner == o && r.Next == "" {
+			granted = append(granted, r)
+		}
+	}
+	return granted
+}
+
+// Leaving returns the ranges that the node of an instance must take back from its backend server and hand over.
+func (t *Table) Leaving(instance string) []Range {
+	var leaving []Range
+	if t == nil {
+		return leaving
+	}
+	for _, r := range t.Ranges {
+		if r.Owner.Instance == instance && r.Next != "" {
+			leaving = append(leaving, r)
+		}
+	}
+	return leaving
+}
+
+// Owns reports whether an instance owns any range, moving or not.
+func (t *Table) Owns(instance string) bool {
+	return t != nil && slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Owner.Instance == instance })
+}
+
+// give makes o the owner of range i under a new fence.
+func (t *Table) give(i int, o Owner, handover string) {
+	t.LastFence++
+	r := &t.Ranges[i]
+	r.Owner, r.Fence, r.Handover, r.Next = o, t.LastFence, handover, ""
+}
+
+// cut makes key the start of a range. It changes no owner.
+func (t *Table) cut(key uint16) {
+	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= key })
+	if i == len(t.Ranges) || t.Ranges[i].From >= key {
+		return
+	}
+	left, right := t.Ranges[i], t.Ranges[i]
+	left.To, right.From = key-1, key
+	t.Ranges[i] = left
+	t.Ranges = slices.Insert(t.Ranges, i+1, right)
+}
+
+// isolate makes from and to the ends of ranges.
+func (t *Table) isolate(from, to uint16) {
+	t.cut(from)
+	if to < Keys-1 {
+		t.cut(to + 1)
+	}
+}
+
+// Adopt gives the ranges of an instance to the present life of its backend server, when the life that owned them has
+// ended. Ranges on the move become its own as well. It returns the number of ranges given.
+func (t *Table) Adopt(o Owner) int {
+	n := 0
+	for i, r := range t.Ranges {
+		if r.Owner.Instance == o.Instance && r.Owner != o {
+			t.give(i, o, "")
+			n++
+		}
+	}
+	return n
+}
+
+// HandOver gives the parts of the span that leave an instance to their next owners, as found by ownerOf. Without an
+// owner for the next instance they go back to the instance. It returns the number of ranges given.
+func (t *Table) HandOver(instance string, from, to uint16, token string, ownerOf func(instance string) (Owner, bool)) int {
+	t.isolate(from, to)
+	n := 0
+	for i, r := range t.Ranges {
+		if r.Owner.Instance != instance || r.Next == "" || r.From < from || r.To > to {
+			continue
+		}
+		next, ok := ownerOf(r.Next)
+		if !ok {
+			next = r.Owner
+		}
+		t.give(i, next, token)
+		n++
+	}
+	return n
+}
+
+// Vacate takes all ranges from an instance whose backend server has ended or whose ownership has run out.
+func (t *Table) Vacate(instance string) int {
+	n := 0
+	for i := range t.Ranges {
+		if r := &t.Ranges[i]; r.Owner.Instance == instance {
+			r.Owner, r.Handover, r.Next = Owner{}, "", ""
+			n++
+		}
+	}
+	delete(t.Suspicions, instance)
+	return n
+}
+
+// Suspect opens a suspicion against an instance that owns ranges. It returns false if one is open or nothing is owned.
+func (t *Table) Suspect(instance, by string) bool {
+	if _, open := t.Suspicions[instance]; open || !t.Owns(instance) {
+		return false
+	}
+	t.LastSuspicion++
+	t.Suspicions[instance] = Suspicion{Number: t.LastSuspicion, By: by}
+	return true
+}
+
+// Refute closes the suspicion against an instance.
+func (t *Table) Refute(instance string) bool {
+	_, open := t.Suspicions[instance]
+	delete(t.Suspicions, instance)
+	return open
+}
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -11,6 +11,12 @@
 const (
 	// Ledger guards the replayed members, assignments and configurations.
 	Ledger Rank = 10
+	// Routes guards the configuration of routes and the evacuations in force.
+	Routes Rank = 12
+	// Members guards what a node knows of the other instances.
+	Members Rank = 14
+	// KeyRanges guards the ownership of keys as read from the store.
+	KeyRanges Rank = 16
 	// Lease guards the holder and witness state of this node.
 	Lease Rank = 20
 	// Handover guards whether keys whose home regions changed may be served.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -83,7 +83,7 @@
 }
 
 // flush sends what the stream holds back.
-func flush(stream nodepb.DRPCNode_ForwardStream) error {
+func flush(stream any) error {
 	holder, ok := stream.(interface{ GetStream() drpc.Stream })
 	if !ok {
 		return nil
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -118,6 +118,16 @@
 	DeadlineExceeded Reason = "deadline_exceeded"
 	// MayHaveRun means that an earlier attempt with the same request id may have run at an owner that was lost.
 	MayHaveRun Reason = "may_have_run"
+	// NoRoute means that the configuration has no route for the request.
+	NoRoute Reason = "no_route"
+	// NoServer means that no backend server may serve the request now.
+	NoServer Reason = "no_server"
+	// BackendFull means that the backend server had no room.
+	BackendFull Reason = "backend_full"
+	// BackendChanged means that another backend server answered at the address, or that the key has left it.
+	BackendChanged Reason = "backend_changed"
+	// AnswerInvalid means that the backend server's answer was cut short or is not the answer to the request.
+	AnswerInvalid Reason = "answer_invalid"
 	// AnswerTooLarge means that the request ran and its answer is over the limit of the router.
 	AnswerTooLarge Reason = "answer_too_large"
 )
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,81 @@
+package route
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"heatherreel/internal/problem"
+)
+
+func table(t *testing.T, routes ...Route) *Table {
+	t.Helper()
+	got, err := Build(3, routes, []Service{{Name: "a"}, {Name: "b"}}, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+func to(service string) []Part { return []Part{{Service: service, Weight: 1}} }
+
+// Guards against a request that a shorter prefix, another host or a query takes to a wrong service.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	routes := table(t,
+		Route{Name: "short", Host: "x.example", Prefix: "/a/", Parts: to("a")},
+		Route{Name: "long", Host: "x.example", Prefix: "/a/b/", Parts: to("b")},
+		Route{Name: "other", Host: "y.example", Prefix: "/", Parts: to("a")})
+	for _, c := range []struct{ host, path, want string }{
+		{"x.example", "/a/1", "short"},
+		{"X.Example:80", "/a/b/1", "long"},
+		{"x.example", "/a/c?to=/a/b/", "short"},
+		{"x.example", "/b/", ""},
+		{"y.example", "/b/", "other"},
+		{"z.example", "/a/", ""},
+	} {
+		got := ""
+		if r := routes.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against a configuration that takes effect although a route leads nowhere.
+func TestBuildRefusesRoutesWithoutService(t *testing.T) {
+	for _, parts := range [][]Part{nil, {{Service: "a"}}, {{Service: "c", Weight: 1}}, {{Service: "a", Weight: -1}}} {
+		_, err := Build(1, []Route{{Name: "r", Parts: parts}}, []Service{{Name: "a"}}, Limits{})
+		if !errors.Is(err, problem.Invalid) && !errors.Is(err, problem.UnknownService) {
+			t.Errorf("parts %v: error %v", parts, err)
+		}
+	}
+}
+
+// Guards against shares that differ from the weights, at any moment.
+func TestSplitterKeepsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &Route{Name: "r"}
+		total := 0
+		for i := range rapid.IntRange(2, 5).Draw(t, "parts") {
+			w := rapid.IntRange(0, 100).Draw(t, "weight")
+			r.Parts = append(r.Parts, Part{Service: string(rune('a' + i)), Weight: w})
+			total += w
+		}
+		if total == 0 {
+			r.Parts[0].Weight, total = 1, 1
+		}
+		s, got := NewSplitter(), map[string]int{}
+		for n := 1; n <= 300; n++ {
+			got[s.Pick(r)]++
+			for _, p := range r.Parts {
+				want := float64(n*p.Weight) / float64(total)
+				if d := float64(got[p.Service]) - want; d > float64(len(r.Parts)) || d < -float64(len(r.Parts)) {
+					t.Fatalf("after %d requests %s had %d, want %.1f", n, p.Service, got[p.Service], want)
+				}
+			}
+		}
+	})
+}
--- a/internal/shape/goroutines_test.go
+++ b/internal/shape/goroutines_test.go
@@ -18,6 +18,8 @@
 var goroutinePlaces = []goroutinePlace{
 	{"internal/worker", "the workers of the pools and the timers that enqueue jobs"},
 	{"internal/engine/engine.go:Start", "one reader blocks in the long poll of the log"},
+	{"internal/gateway/gateway.go:startReader", "one reader blocks in the long poll of each topic of the store"},
+	{"internal/daemon/gateway.go:goServe", "accept loops block in the operating system"},
 	{"internal/daemon/daemon.go:goServe", "accept loops and the datagram reader block in the operating system"},
 	{"internal/fake", "stand-ins serve and announce outside the node that is tested"},
 	{"cmd/heatherreel-standin/log.go:runLog", "closes the server of the stand-in when its context ends"},
--- a/internal/shape/locks_test.go
+++ b/internal/shape/locks_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // lockedPackages use mutexes with a rank only.
-var lockedPackages = []string{"internal/daemon", "internal/engine", "internal/worker"}
+var lockedPackages = []string{"internal/daemon", "internal/engine", "internal/gateway", "internal/worker"}
 
 // Guards against a mutex without a rank, whose order the tag lockcheck cannot check.
 func TestMutexesHaveRanks(t *testing.T) {
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -3,8 +3,11 @@
 // decisionPackages turn typed values and the current time into typed values. They do no I/O.
 var decisionPackages = []string{
 	"internal/admission",
+	"internal/choice",
 	"internal/config",
 	"internal/handover",
+	"internal/heartbeat",
+	"internal/keyrange",
 	"internal/keyspace",
 	"internal/lease",
 	"internal/ledger",
@@ -13,6 +16,8 @@
 	"internal/placement",
 	"internal/request",
 	"internal/retry",
+	"internal/route",
+	"internal/routed",
 	"internal/routing",
 	"internal/serving",
 }
@@ -24,10 +29,13 @@
 	"internal/node",
 	"internal/operator",
 	"internal/platformlog",
+	"platform/backend",
+	"platform/caller",
+	"platform/store",
 }
 
 // wiringPackages call decision and peer packages; neither may import them.
-var wiringPackages = []string{"internal/daemon", "internal/engine"}
+var wiringPackages = []string{"internal/daemon", "internal/engine", "internal/gateway"}
 
 // ownedBy returns the package of the list that holds the directory, or "".
 func ownedBy(dir string, packages []string) string {
--- a/internal/shape/source_test.go
+++ b/internal/shape/source_test.go
@@ -67,7 +67,8 @@
 		return err
 	}
 	err := errors.Join(filepath.WalkDir(filepath.Join(root, "cmd"), add),
-		filepath.WalkDir(filepath.Join(root, "internal"), add))
+		filepath.WalkDir(filepath.Join(root, "internal"), add),
+		filepath.WalkDir(filepath.Join(root, "platform"), add))
 	return files, err
 })
 
