Stop a gateway in order, and refuse queued requests before their deadline

Queued writes were sent after their caller had left (GONE).

Change: callers' connections close 2.5 s after SIGTERM, other nodes are refused from then on; ingress nodes await the answer for 100 ms past the deadline; a request leaves the queue when it could not finish any more, or when its caller has gone.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,6 +55,7 @@
 	store    *store.Client
 	peers    *node.Client
 	backend  *backend.Client
+	callers  *http.Server
 	servers  []*http.Server
 	serving  sync.WaitGroup
 }
@@ -74,7 +75,10 @@
 	}
 	d.gateway.Start()
 	<-ctx.Done()
-	d.drain()
+	if !d.drain() {
+		// The end of the process cuts the requests that still run; to wait for them would take longer than the time for a stop.
+		return problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
+	}
 	d.close(stopServing)
 	return nil
 }
@@ -131,6 +135,9 @@
 			return err
 		}
 		server := caller.NewServer(h.handler)
+		if d.callers == nil {
+			d.callers = server
+		}
 		d.servers = append(d.servers, server)
 		d.goServe(func() { _ = server.Serve(listener) })
 	}
@@ -158,17 +165,19 @@
 }
 
 // drain makes a planned stop within the time for it.
-func (d *gatewayDaemon) drain() {
+func (d *gatewayDaemon) drain() bool {
 	limit := d.settings.Shutdown()
 	ctx, cancel := context.WithTimeout(context.Background(), limit-min(shutdownMargin, limit/2))
 	defer cancel()
-	d.gateway.Drain(ctx)
-	for _, s := range d.servers {
-		// Shutdown lets the requests of callers that are in progress finish.
-		if err := s.Shutdown(ctx); err != nil {
-			d.events.Emit(eventlog.ShutdownTimedOut, eventlog.Cause(err))
-		}
+	d.gateway.Leave(ctx)
+	// Shutdown ends idle connections at once and lets the requests of callers that are in progress finish. Heartbeats are
+	// answered until the end, so that the backend server keeps its keys while the node starts again.
+	if err := d.callers.Shutdown(ctx); err != nil || !d.gateway.Finish(ctx) {
+		d.events.Emit(eventlog.ShutdownTimedOut)
+		d.events.Flush()
+		return false
 	}
+	return true
 }
 
 // close ends all parts.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -26,9 +26,9 @@
 )
 
 // execute runs a request at the backend server beside the node.
+// When ctx ends, the caller has gone: the request leaves the queue, and is broken off at the backend server only if it may
+// run again.
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
 	answer := g.admit(ctx, r, p)
 	answer.Instance = g.self.Instance
 	answer.Load = g.server.load(time.Now())
@@ -80,6 +80,9 @@
 	if r.Service != g.self.Service {
 		return request.BackendChanged
 	}
+	if g.closed.Load() {
+		return request.Draining
+	}
 	if !allows(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
 	}
@@ -114,7 +117,7 @@
 
 // awaitKey waits until the backend server holds the key; it returns why it will not.
 func (g *Gateway) awaitKey(ctx context.Context, r routed.Request, p node.DispatchProgress) request.Reason {
-	limit := time.NewTimer(keyWait)
+	limit := time.NewTimer(min(keyWait, time.Until(r.Deadline)-leastRun))
 	defer limit.Stop()
 	progress := progressTicker(p)
 	defer progress.Stop()
@@ -151,7 +154,7 @@
 	return t
 }
 
-// enter waits for a slot. A non-empty reason tells that the request has none and will not run.
+// enter waits for a slot until the request could not finish in time any more. A non-empty reason tells that the request has none and will not run.
 func (g *Gateway) enter(ctx context.Context, r routed.Request, p node.DispatchProgress) (admission.Ticket, request.Reason) {
 	g.server.mu.Lock()
 	now := time.Now()
@@ -159,6 +162,7 @@
 		g.server.mu.Unlock()
 		return 0, request.BackendFull
 	}
+	giveUp := r.Deadline.Add(-max(leastRun, g.server.queue.Usage().ServiceTime))
 	d := g.server.queue.Offer(now, admission.Job{Class: request.Class(min(r.Priority, 255)), Deadline: r.Deadline})
 	var waiter chan request.Reason
 	if d.Verdict == admission.Queued {
@@ -173,6 +177,8 @@
 	if waiter == nil {
 		return d.Ticket, ""
 	}
+	ctx, cancel := context.WithDeadline(ctx, giveUp)
+	defer cancel()
 	return d.Ticket, g.awaitSlot(ctx, d.Ticket, waiter, p)
 }
 
@@ -231,7 +237,12 @@
 	g.server.mu.Unlock()
 	result := make(chan routed.Answer, 1)
 	g.requests.Sent.Add(1)
+	if !r.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
 	err := g.backend.Submit(func() {
+		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
 		answer := g.deps.Backend.Exchange(ctx, e)
 		g.leave(ticket, answer.Outcome == request.Done)
 		result <- answer
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -38,7 +38,7 @@
 
 // run reads until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	from, lost, pause := int64(-1), false, leastPause
+	from, lost, rest := int64(-1), false, leastPause
 	for ctx.Err() == nil {
 		sent := f.g.deps.Now()
 		page, err := f.read(ctx, from)
@@ -55,7 +55,7 @@
 			if lost {
 				f.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", f.topic))
 			}
-			lost, pause = false, leastPause
+			lost, rest = false, leastPause
 			continue
 		case problem.KindOf(err) == problem.Forgotten:
 			from = -1
@@ -66,8 +66,8 @@
 			f.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", f.topic), eventlog.Cause(err))
 			lost = true
 		}
-		f.rest(ctx, pause)
-		pause = min(2*pause, mostPause)
+		pause(ctx, rest/2+rand.N(rest))
+		rest = min(2*rest, mostPause)
 	}
 }
 
@@ -78,16 +78,6 @@
 	return f.g.deps.Store.Read(ctx, f.topic, from, f.wait())
 }
 
-// rest waits for about pause.
-func (f *follower) rest(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause/2 + rand.N(pause))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // applyOperator takes a record of the operators.
 func (g *Gateway) applyOperator(r registry.Record) {
 	word, ok, err := g.deps.DecodeOperator(r)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,12 +102,13 @@
 	watched watchState
 	suspect atomic.Pointer[string]
 
-	stopping  atomic.Bool
-	readers   sync.WaitGroup
-	stop      context.CancelFunc
-	stopTicks []func()
-	ctx       context.Context
-	started   time.Time
+	// stopping is set when the node is to end, and closed when it takes no more requests for its backend server.
+	stopping, closed atomic.Bool
+	readers          sync.WaitGroup
+	stop             context.CancelFunc
+	stopTicks        []func()
+	ctx              context.Context
+	started          time.Time
 	// inProgress counts requests of callers and of other nodes.
 	inProgress atomic.Int64
 	requests   Counters
@@ -172,36 +173,44 @@
 	return !g.stopping.Load() && g.routes.current() != nil && g.members.known()
 }
 
-// Drain stops a node that is to end: it is no longer ready, and running requests finish. It returns when none is left
-// and the callers had time to learn of it, or when ctx ends.
-func (g *Gateway) Drain(ctx context.Context) {
+// Leave begins a planned stop: the node is no longer ready, and requests are served until callers have learnt of it. It
+// returns after that time, or when ctx ends.
+func (g *Gateway) Leave(ctx context.Context) {
 	g.stopping.Store(true)
 	g.events.Emit(eventlog.Stopping)
 	g.upkeep.Fire()
-	quiet := time.NewTimer(leaveTime)
-	defer quiet.Stop()
-	select {
-	case <-quiet.C:
-	case <-ctx.Done():
-		return
-	}
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
+	pause(ctx, leaveTime)
+	g.closed.Store(true)
+}
+
+// Finish waits until no request is in progress. It returns false if ctx ends first.
+func (g *Gateway) Finish(ctx context.Context) bool {
 	for g.inProgress.Load() > 0 {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
+		if !pause(ctx, finishPoll) {
+			return false
 		}
 	}
+	return true
 }
 
 const (
 	// leaveTime is how long a stopping node still takes requests: readiness is asked once a second, and two misses count.
-	leaveTime = 2200 * time.Millisecond
-	drainPoll = 100 * time.Millisecond
+	leaveTime  = 2500 * time.Millisecond
+	finishPoll = 50 * time.Millisecond
 )
 
+// pause waits for d; it returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Close ends all work.
 func (g *Gateway) Close() {
 	for _, stop := range g.stopTicks {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -24,6 +24,9 @@
 	ownerPatience = 1500 * time.Millisecond
 	// patienceShare is the part of a caller's time for which a request is kept without being offered to anyone.
 	patienceShare = 3
+	// answerGrace is how long an answer is awaited after the deadline: the node that ran the request, or refused it, knows
+	// more than that time has passed.
+	answerGrace = 100 * time.Millisecond
 	// mostSends bounds the nodes that are asked for one request.
 	mostSends = 6
 )
@@ -62,16 +65,12 @@
 	}
 	a := &attempt{request: r, route: found, started: now, keyed: table.Services[service].Keyed && r.Keyed}
 	g.members.first(service)
-	if a.request.Idempotent {
-		// The backend server stops when the caller has gone.
-		return g.decided(a, g.serve(ctx, a))
-	}
-	return g.decided(a, g.serve(context.WithoutCancel(ctx), a))
+	return g.decided(a, g.serve(ctx, a))
 }
 
 // serve asks one node after the other until the request has its answer.
 func (g *Gateway) serve(ctx context.Context, a *attempt) routed.Answer {
-	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline.Add(answerGrace))
 	defer cancel()
 	a.last = routed.Refuse(request.NoServer, overloadRetry)
 	for {
@@ -205,14 +204,7 @@
 	if now.Sub(a.started) > patience {
 		return false
 	}
-	timer := time.NewTimer(ownerPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, ownerPause)
 }
 
 // decided logs the answer of a request.
--- a/internal/keyrange/plan.go
+++ b/internal/keyrange/plan.go
@@ -54,7 +54,6 @@
 	return best
 }
 
-
 // Found gives all keys of a table without ranges to the candidates, in neighbouring ranges by weight.
 func (t *Table) Found(candidates []Candidate) bool {
 	if t.Founded() || len(candidates) == 0 {
