--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/eventlog"
@@ -11,16 +13,21 @@
 	"heatherreel/internal/registry"
 )
 
-// longPoll is the wait of a reader with nothing to prove. A connection that fell silent is found by the keep-alive of the
-// store's client, or at the latest after this time.
-const longPoll = 8 * time.Second
+// Waits of the readers. A read that the store has lost ends only after its wait. The operators' topic has the shorter one:
+// a configuration must be in force 2 s after the store is steady, which it counts as 3 s after its return.
+const (
+	operatorPoll = 4 * time.Second
+	memberPoll   = 10 * time.Second
+)
 
-func longWait() time.Duration { return longPoll }
+func operatorWait() time.Duration { return operatorPoll }
+
+func memberWait() time.Duration { return memberPoll }
 
 // Pauses of a reader after a failed call: the store is loaded by all nodes at once when it returns.
 const (
 	leastPause = 100 * time.Millisecond
-	mostPause  = 800 * time.Millisecond
+	mostPause  = 500 * time.Millisecond
 )
 
 // follower applies the records of one topic in order.
@@ -34,6 +41,8 @@
 	begin  func()
 	apply  func(registry.Record)
 	synced func(sent keyrange.Instant, end int64)
+	// reading ends the read in progress.
+	reading atomic.Pointer[context.CancelFunc]
 }
 
 // run reads until ctx ends.
@@ -53,6 +62,7 @@
 			from = page.End
 			f.synced(sent, page.End)
 			if lost {
+				f.g.interruptReaders(f)
 				f.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", f.topic))
 			}
 			lost, rest = false, leastPause
@@ -62,6 +72,9 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, context.Canceled):
+			// Another reader found that the store is back; this read may have been lost.
+			continue
 		case !lost:
 			f.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", f.topic), eventlog.Cause(err))
 			lost = true
@@ -72,12 +85,24 @@
 }
 
 func (f *follower) read(ctx context.Context, from int64) (registry.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.reading.Store(&cancel)
 	if from < 0 {
 		return f.g.deps.Store.Newest(ctx, f.topic)
 	}
 	return f.g.deps.Store.Read(ctx, f.topic, from, f.wait())
 }
 
+// interruptReaders makes the other readers ask again, after one of them found that the store is back.
+func (g *Gateway) interruptReaders(except *follower) {
+	for _, f := range g.followers {
+		if cancel := f.reading.Load(); f != except && cancel != nil {
+			(*cancel)()
+		}
+	}
+}
+
 // applyOperator takes a record of the operators.
 func (g *Gateway) applyOperator(r registry.Record) {
 	word, ok, err := g.deps.DecodeOperator(r)
@@ -155,7 +180,7 @@
 	if g.keyed() {
 		return leasePoll
 	}
-	return longPoll
+	return memberPoll
 }
 
 // keyed reports whether the service of the instance holds each key on one backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 
 	// stopping is set when the node is to end, and closed when it takes no more requests for its backend server.
 	stopping, closed atomic.Bool
+	followers        []*follower
 	readers          sync.WaitGroup
 	stop             context.CancelFunc
 	stopTicks        []func()
@@ -146,11 +147,12 @@
 	g.control = worker.NewPool("control", controlWorkers, controlQueue)
 	g.upkeep = worker.NewTrigger(g.control, g.runUpkeep)
 	g.events.Emit(eventlog.Started)
-	for _, f := range []*follower{
-		{g: g, topic: g.deps.OperatorTopic, wait: longWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
-		{g: g, topic: registry.Members, wait: longWait, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
+	g.followers = []*follower{
+		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
+		{g: g, topic: registry.Members, wait: memberWait, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
 		{g: g, topic: registry.Ranges, wait: g.rangesWait, begin: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
-	} {
+	}
+	for _, f := range g.followers {
 		g.startReader(f)
 	}
 	g.stopTicks = []func(){
