Read the configuration again when another node has a newer one

Change: answers carry the revision in force; a node that hears of a newer one, or whose owner of a key was refused, reads the topic again at once.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -29,9 +29,11 @@
 // When ctx ends, the caller has gone: the request leaves the queue, and is broken off at the backend server only if it may
 // run again.
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+	g.heard(r.Revision)
 	answer := g.admit(ctx, r, p)
 	answer.Instance = g.self.Instance
 	answer.Load = g.server.load(time.Now())
+	answer.Revision = g.routes.revision()
 	return answer
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -41,8 +41,9 @@
 	begin  func()
 	apply  func(registry.Record)
 	synced func(sent keyrange.Instant, end int64)
-	// reading ends the read in progress.
-	reading atomic.Pointer[context.CancelFunc]
+	// reading ends the read in progress, and interrupted is when it was last ended so, in Unix nanoseconds.
+	reading     atomic.Pointer[context.CancelFunc]
+	interrupted atomic.Int64
 }
 
 // run reads until ctx ends.
@@ -97,12 +98,41 @@
 // interruptReaders makes the other readers ask again, after one of them found that the store is back.
 func (g *Gateway) interruptReaders(except *follower) {
 	for _, f := range g.followers {
-		if cancel := f.reading.Load(); f != except && cancel != nil {
-			(*cancel)()
+		if f != except {
+			f.interrupt()
 		}
 	}
 }
 
+// interrupt ends the read in progress, so that the store is asked again.
+func (f *follower) interrupt() {
+	if cancel := f.reading.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// askAgainPause bounds the reads that other nodes' news cause.
+const askAgainPause = 400 * time.Millisecond
+
+// askAgain reads a topic again after another node showed that it knows more than this one.
+func (g *Gateway) askAgain(topic string) {
+	now := time.Now().UnixNano()
+	for _, f := range g.followers {
+		last := f.interrupted.Load()
+		if f.topic == topic && now-last > int64(askAgainPause) && f.interrupted.CompareAndSwap(last, now) {
+			f.interrupt()
+		}
+	}
+}
+
+// heard takes the revision that another node has in force. A newer one is read at once: the store may have answered this
+// node's read a moment before the record came, and the next read may be lost.
+func (g *Gateway) heard(revision uint64) {
+	if revision > g.routes.revision() {
+		g.askAgain(g.deps.OperatorTopic)
+	}
+}
+
 // applyOperator takes a record of the operators.
 func (g *Gateway) applyOperator(r registry.Record) {
 	word, ok, err := g.deps.DecodeOperator(r)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -8,6 +8,7 @@
 	"heatherreel/internal/choice"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/node"
+	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/retry"
 	"heatherreel/internal/route"
@@ -125,6 +126,10 @@
 		answer = g.failed(ctx, a, instance, err)
 	} else {
 		g.members.answered(instance, answer.Load, true, time.Now())
+		g.heard(answer.Revision)
+		if answer.Reason == request.NotOwner {
+			g.askAgain(registry.Ranges)
+		}
 	}
 	a.note(answer)
 	return answer
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -31,6 +31,16 @@
 	return t.table
 }
 
+// revision returns the revision in force, 0 if none is.
+func (t *routeTable) revision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table == nil {
+		return 0
+	}
+	return t.table.Revision
+}
+
 // put takes a table of a higher revision; a lower one never replaces it.
 func (t *routeTable) put(table *route.Table) bool {
 	t.mu.Lock()
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -84,7 +84,7 @@
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: microseconds(a.RetryAfter),
 		Status: uint32(a.Status), Header: encodeFields(a.Header), Body: a.Body, Offered: a.Offered,
-		Instance: a.Instance, Load: encodeLoad(a.Load),
+		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision,
 	}
 }
 
@@ -92,7 +92,7 @@
 	return routed.Answer{
 		Outcome: decodeOutcome(m.Outcome), Reason: request.Reason(m.Reason), RetryAfter: duration(m.RetryAfterUs),
 		Status: int(m.Status), Header: decodeFields(m.Header), Body: m.Body, Offered: m.Offered,
-		Instance: m.Instance, Load: decodeLoad(m.Load),
+		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision,
 	}
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -68,6 +68,8 @@
 	// Instance is the node that gave the answer; empty if none did.
 	Instance string
 	Load     Load
+	// Revision is the configuration in force at that node.
+	Revision uint64
 }
 
 // Refuse returns an answer to a request that did not run.
