Refuse requests for unreachable owners at once, and leave room where others are confined

Change: an owner that could not be reached a moment ago is not dialled again; requests that may go anywhere pay for places in regions that others are confined to.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -41,6 +41,9 @@
 // coldPenalty is added for a cold backend server, which takes about twice as long.
 const coldPenalty = 100 * time.Millisecond
 
+// scarceCost is added for a scarce backend server in proportion to its load, so that confined requests find room there.
+const scarceCost = 80 * time.Millisecond
+
 // Candidate is one backend server that may serve a request.
 type Candidate struct {
 	Instance string
@@ -52,6 +55,8 @@
 	Pending int
 	// Failures is the number of failures in a row.
 	Failures int
+	// Scarce marks a backend server that other requests are confined to, while this one is not.
+	Scarce bool
 }
 
 // Cost returns the expected time until an answer of the candidate.
@@ -70,6 +75,9 @@
 	fresh := 1 - float64(min(c.Age, reportLife))/float64(reportLife)
 	ahead := float64(c.Load.Running+c.Load.Waiting)*fresh + float64(c.Pending)
 	load := (ahead + 1) / float64(slots)
+	if c.Scarce {
+		cost += time.Duration(float64(scarceCost) * load)
+	}
 	// Backend servers slow down when they are nearly full, so that load counts before all slots are taken.
 	return cost + time.Duration(float64(service)*(1+max(0, load-1)+load*load/4))
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -41,6 +41,8 @@
 	request routed.Request
 	route   *route.Route
 	keyed   bool
+	// scarce are the regions whose backend servers other routes of the service are confined to.
+	scarce  []string
 	started time.Time
 	// offered is the number of backend servers that the request reached, and sends the number of nodes that were asked.
 	offered, sends int
@@ -72,6 +74,9 @@
 		r.Objective = now.Add(found.Objective)
 	}
 	a := &attempt{request: r, route: found, started: now, keyed: table.Services[service].Keyed && r.Keyed}
+	if len(r.HomeRegions) == 0 {
+		a.scarce = table.Homes(service)
+	}
 	g.members.first(service)
 	return g.decided(a, g.serve(ctx, a))
 }
@@ -101,9 +106,14 @@
 			return "", false
 		}
 		a.chosen, a.chosenAge = r.Owner.Instance, 0
+		if wait := g.members.unreachableFor(r.Owner.Instance, now); wait > 0 {
+			a.last = routed.Refuse(request.OwnerUnreachable, max(wait, overloadRetry))
+			return "", false
+		}
 		return r.Owner.Instance, true
 	}
-	found := g.members.candidates(a.request.Service, a.request.HomeRegions, g.routes.evacuations(), a.tried, now)
+	found := g.members.candidates(candidateQuery{service: a.request.Service, homes: a.request.HomeRegions,
+		scarce: a.scarce, evacuated: g.routes.evacuations(), tried: a.tried}, now)
 	i := choice.Choose(found, draw)
 	if i < 0 {
 		return "", false
@@ -194,7 +204,8 @@
 // awaitOwner pauses a request whose key has no reachable owner or is moving.
 func (g *Gateway) awaitOwner(ctx context.Context, a *attempt, now time.Time) bool {
 	switch a.last.Reason {
-	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
+	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull, request.OwnerUnreachable:
+		// Nothing is known to change soon; the caller learns at once when to come back.
 		return false
 	}
 	if now.Sub(a.started) > a.request.Deadline.Sub(a.started)*ownerPatience/100 {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -255,18 +255,39 @@
 	maxUnreachablePause = 2 * time.Second
 )
 
-// candidates returns the members that may serve a request of the service, without those named in tried.
-func (t *memberTable) candidates(service string, homes []string, evacuated map[string]bool, tried []string, now time.Time) []choice.Candidate {
+// unreachableFor returns how long an instance that could not be reached is left alone; zero if it may be asked.
+func (t *memberTable) unreachableFor(instance string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[instance]
+	if p == nil {
+		return 0
+	}
+	return max(0, p.retryAt.Sub(now))
+}
+
+// candidateQuery names the members that may serve a request.
+type candidateQuery struct {
+	service string
+	// homes are the regions that may serve it, empty for all; scarce those that others need more.
+	homes, scarce []string
+	evacuated     map[string]bool
+	// tried are the instances that have refused it.
+	tried []string
+}
+
+// candidates returns the members that a query names.
+func (t *memberTable) candidates(q candidateQuery, now time.Time) []choice.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []choice.Candidate
 	for name, p := range t.peers {
-		if p.Service != service || !p.Server.Ready || p.Server.Draining || evacuated[p.DataCentre] ||
-			!allows(homes, p.Region) || contains(tried, name) || now.Before(p.retryAt) {
+		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || q.evacuated[p.DataCentre] ||
+			!allows(q.homes, p.Region) || contains(q.tried, name) || now.Before(p.retryAt) {
 			continue
 		}
 		found = append(found, choice.Candidate{Instance: name, Distance: t.distance(&p.Member), Load: p.load,
-			Age: now.Sub(p.loadAt), Pending: p.pending, Failures: p.failures})
+			Age: now.Sub(p.loadAt), Pending: p.pending, Failures: p.failures, Scarce: contains(q.scarce, p.Region)})
 	}
 	return found
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -65,11 +65,14 @@
 	Services map[string]Service
 	Limits   Limits
 	hosts    map[string][]*Route
+	// homes are the regions to which routes of a service are confined.
+	homes map[string][]string
 }
 
 // Build returns the table of the routes. It refuses a route without a usable part or with an unknown service.
 func Build(revision uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
-	t := &Table{Revision: revision, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{}}
+	t := &Table{Revision: revision, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{},
+		homes: map[string][]string{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -80,6 +83,7 @@
 		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.confine(r)
 	}
 	// The longest prefix comes first, so that the first match is the one to take.
 	for _, list := range t.hosts {
@@ -88,6 +92,20 @@
 	return t, nil
 }
 
+// confine notes the regions to which a route confines its services.
+func (t *Table) confine(r *Route) {
+	for _, p := range r.Parts {
+		for _, home := range r.HomeRegions {
+			if !slices.Contains(t.homes[p.Service], home) {
+				t.homes[p.Service] = append(t.homes[p.Service], home)
+			}
+		}
+	}
+}
+
+// Homes returns the regions to which some route confines requests for the service.
+func (t *Table) Homes(service string) []string { return t.homes[service] }
+
 func (t *Table) check(r *Route) error {
 	total := 0
 	for _, p := range r.Parts {
