Withhold grants that a pending write takes away, and give lost instances no keys until they return

A backend server that went on after draining was refused for good.

Ruled out: waiting for the write's answer before the next grant; the store may carry it out 6 s later.

Change: what a write takes away is not granted from before the write until the partition has passed its end; a claim marks the instance as lost until it reads so; the neighbour watches all members.

--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,394 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/request"
+)
+
+// settled is the time after which a new fleet has given out its keys.
+const settled = 6 * time.Second
+
+// fleet makes four instances of the keyed service and two of the other, in two regions.
+func fleet(t *testing.T) *world {
+	w := newWorld(t)
+	w.publish(1, true)
+	for i := range 4 {
+		w.add(fmt.Sprintf("k%d", i), "keyed", fmt.Sprintf("r%d", i%2+1))
+	}
+	w.add("f0", "free", "r1")
+	w.add("f1", "free", "r2")
+	time.Sleep(settled)
+	return w
+}
+
+// inBubble runs a scenario in virtual time.
+func inBubble(t *testing.T, scenario func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, scenario)
+}
+
+// Guards against requests that are not served on a quiet day, or by a backend server that may not.
+func TestQuietDay(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		if got := w.served("f1"); got != 1 {
+			t.Errorf("%.2f of the keys are served", got)
+		}
+		for i := range 20 {
+			if a := w.ask("k1", fmt.Sprintf("home-%d", i), "/home/", -1, time.Second); a.Outcome != request.Done || string(a.Body) != "f0" {
+				t.Errorf("a request confined to r1 got %q from %q", a.Reason, a.Body)
+			}
+		}
+		if a := w.ask("k0", "x", "/other/", -1, time.Second); a.Reason != request.NoRoute {
+			t.Errorf("a request without route got %q", a.Reason)
+		}
+	})
+}
+
+// Guards against a node that answers 404 for routes that it has not read yet, or calls itself ready.
+func TestNodeWithoutConfigurationRefuses(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		w.log.SetDown(true)
+		w.add("k0", "keyed", "r1")
+		time.Sleep(2 * time.Second)
+		if a := w.ask("k0", "x", "/free/", -1, time.Second); a.Outcome != request.NotRun || a.Reason != request.NotConfigured {
+			t.Errorf("got %v %q", a.Outcome, a.Reason)
+		}
+		if w.hosts["k0"].gateway.Ready() {
+			t.Error("a node without configuration is ready")
+		}
+	})
+}
+
+// Guards against an outage of the store that ends the service of keys before the lease, and two owners afterwards.
+func TestStoreOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.log.SetDown(true)
+		time.Sleep(5 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served 5 s into the outage", got)
+		}
+		time.Sleep(15 * time.Second)
+		w.log.SetDown(false)
+		w.publish(2, true)
+		time.Sleep(3 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served after the outage", got)
+		}
+		if got := w.hosts["f0"].gateway.routes.revision(); got != 2 {
+			t.Errorf("revision %d is in force", got)
+		}
+	})
+}
+
+// Guards against keys that stay with an instance that never returns, and against two owners while it is only cut off.
+func TestLostInstanceLosesKeysAfterItsLease(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		t.Run(fmt.Sprintf("gone=%v", gone), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := fleet(t)
+				defer w.close()
+				if gone {
+					w.stopServer("k1")
+					w.kill("k1")
+				} else {
+					w.mu.Lock()
+					w.cut["k1"] = true
+					w.mu.Unlock()
+					w.log.SetRefused("k1", true)
+				}
+				time.Sleep(13 * time.Second)
+				if got := w.served("f0"); got != 1 {
+					t.Errorf("%.2f of the keys are served 13 s after the loss", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a backend server that ended beside a living node and whose keys wait for a claim.
+func TestEndedServerLosesKeysSoon(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.stopServer("k2")
+		time.Sleep(6 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served 6 s after the end", got)
+		}
+		w.startServer("k2")
+		time.Sleep(6 * time.Second)
+		w.mu.Lock()
+		held := len(w.hosts["k2"].server.held)
+		w.mu.Unlock()
+		if held == 0 {
+			t.Error("the backend server that returned holds no keys")
+		}
+	})
+}
+
+// Guards against keys that a node cannot grant again after it started anew, with or without its backend server.
+func TestRestartedProcessKeepsKeys(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		for _, both := range []bool{false, true} {
+			w.kill("k0")
+			if both {
+				w.stopServer("k0")
+			}
+			time.Sleep(time.Second)
+			if both {
+				w.startServer("k0")
+			}
+			w.start("k0")
+			time.Sleep(3 * time.Second)
+			if got := w.served("f0"); got != 1 {
+				t.Errorf("server restarted too %v: %.2f of the keys are served", both, got)
+			}
+		}
+	})
+}
+
+// Guards against a fleet that does not serve again by itself after all processes and backend servers ended at once.
+func TestTotalLoss(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		for name := range w.hosts {
+			w.kill(name)
+			w.stopServer(name)
+		}
+		time.Sleep(900 * time.Millisecond)
+		for name := range w.hosts {
+			if name == "k3" {
+				continue // never returns
+			}
+			w.startServer(name)
+			w.start(name)
+		}
+		time.Sleep(4 * time.Second)
+		if got := w.served("f0"); got < 0.7 {
+			t.Errorf("%.2f of the keys are served 4 s after the loss", got)
+		}
+		time.Sleep(10 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served 14 s after the loss", got)
+		}
+	})
+}
+
+// Guards against a draining backend server that gets requests after its time, and keys that move without their token.
+func TestDrainHandsKeysOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.mu.Lock()
+		leaver := w.hosts["k1"].server
+		leaver.draining = true
+		w.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served after the drain", got)
+		}
+		table, _ := w.hosts["k0"].gateway.ranges.get("keyed")
+		tokens := 0
+		for _, r := range table.Ranges {
+			if r.Owner.Instance == "k1" {
+				t.Errorf("the leaver owns %+v", r)
+			}
+			if r.Handover == "from-"+leaver.id {
+				tokens++
+			}
+		}
+		if tokens == 0 {
+			t.Error("no range moved with a token")
+		}
+	})
+}
+
+// Guards against an evacuated data centre whose backend servers get requests, and keys that do not come back.
+func TestEvacuation(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.operate("evacuate/dc-f0", "{}")
+		w.operate("evacuate/dc-k0", "{}")
+		time.Sleep(4 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served", got)
+		}
+		for i := range 10 {
+			if a := w.ask("f0", fmt.Sprintf("e%d", i), "/free/", -1, time.Second); string(a.Body) != "f1" {
+				t.Errorf("served by %q, %q", a.Body, a.Reason)
+			}
+		}
+		if table, _ := w.hosts["k1"].gateway.ranges.get("keyed"); table.Owns("k0") {
+			t.Error("the evacuated instance owns keys")
+		}
+		w.operate("evacuate/dc-k0", "")
+		time.Sleep(4 * time.Second)
+		if table, _ := w.hosts["k1"].gateway.ranges.get("keyed"); !table.Owns("k0") {
+			t.Error("no keys came back after the evacuation")
+		}
+	})
+}
+
+// Guards against writes whose answers are lost and that are decided twice, or never.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.log.SetLost(true)
+		w.mu.Lock()
+		w.hosts["k3"].server.draining = true
+		w.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		w.log.SetLost(false)
+		time.Sleep(4 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served", got)
+		}
+	})
+}
+
+// schedules is the number of random fault schedules; HEATHERREEL_GATEWAY_SCHEDULES raises it for a soak.
+func schedules(t *testing.T) int {
+	text := os.Getenv("HEATHERREEL_GATEWAY_SCHEDULES")
+	if text == "" {
+		return 12
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// Guards against two owners, fences that fall, writes that run twice, refusals of what has run, and keys that stay
+// unserved, under random faults that overlap.
+func TestRandomFaults(t *testing.T) {
+	for seed := range schedules(t) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 1))) })
+		})
+	}
+}
+
+func randomFaults(t *testing.T, random *rand.Rand) {
+	w := fleet(t)
+	defer w.close()
+	w.publish(2, false)
+	time.Sleep(time.Second)
+	end := make(chan struct{})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	answers := map[string]request.Outcome{}
+	for c := range 6 {
+		own := rand.New(rand.NewPCG(random.Uint64(), uint64(c)))
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(time.Duration(own.IntN(200)) * time.Millisecond):
+				}
+				id := fmt.Sprintf("w-%d-%d", c, n)
+				path, key := "/keyed/", own.IntN(65536)
+				if own.IntN(2) == 0 {
+					path, key = "/free/", -1
+				}
+				a := w.ask(fmt.Sprintf("k%d", own.IntN(4)), id, path, key, 1500*time.Millisecond)
+				mu.Lock()
+				answers[id] = a.Outcome
+				mu.Unlock()
+			}
+		})
+	}
+	for range 8 {
+		w.fault(random)
+		time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
+	}
+	w.heal()
+	time.Sleep(16 * time.Second)
+	close(end)
+	callers.Wait()
+	if got := w.served("f0"); got != 1 {
+		t.Errorf("%.2f of the keys are served after the faults", got)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, outcome := range answers {
+		if n := w.runs[id]; n > 1 || n > 0 && outcome == request.NotRun || n == 0 && outcome == request.Done {
+			t.Errorf("%s ran %d times and was answered %v", id, n, outcome)
+		}
+	}
+}
+
+// fault makes one random fault.
+func (w *world) fault(random *rand.Rand) {
+	name := fmt.Sprintf("k%d", random.IntN(4))
+	w.mu.Lock()
+	h := w.hosts[name]
+	up, alive := h.gateway != nil, h.server != nil
+	w.mu.Unlock()
+	switch kind := random.IntN(9); {
+	case kind == 0 && up:
+		w.kill(name)
+	case kind == 1 && !up:
+		w.start(name)
+	case kind == 2 && alive:
+		w.stopServer(name)
+	case kind == 3 && !alive:
+		w.startServer(name)
+	case kind == 4:
+		w.mu.Lock()
+		w.cut[name] = !w.cut[name]
+		w.mu.Unlock()
+	case kind == 5:
+		w.log.SetRefused(name, random.IntN(2) == 0)
+	case kind == 6:
+		w.log.SetDown(random.IntN(3) == 0)
+	case kind == 7:
+		w.log.SetLost(random.IntN(2) == 0)
+	case kind == 8 && alive:
+		w.mu.Lock()
+		h.server.draining = true
+		w.mu.Unlock()
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.log.SetDown(false)
+	w.log.SetLost(false)
+	for name, h := range w.hosts {
+		w.log.SetRefused(name, false)
+		w.mu.Lock()
+		w.cut[name] = false
+		up, alive := h.gateway != nil, h.server != nil
+		if alive {
+			h.server.draining = false
+		}
+		w.mu.Unlock()
+		if !alive {
+			w.startServer(name)
+		}
+		if !up {
+			w.start(name)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -44,6 +44,8 @@
 	holdEnds keyrange.Instant
 	// released are tokens of ranges that the backend server has freed and whose next owner does not stand in the table.
 	released []heartbeat.Freed
+	// version grows with each heartbeat and each grant.
+	version uint64
 	// changed is closed and replaced when the ranges that may be served change.
 	changed chan struct{}
 	queue   *admission.Queue
@@ -67,6 +69,13 @@
 	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: true, Draining: t.beat.Draining, Slots: t.beat.Slots}
 }
 
+// versionNow returns the version.
+func (t *serverTable) versionNow() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // load returns the report of the backend server.
 func (t *serverTable) load(now time.Time) routed.Load {
 	t.mu.Lock()
@@ -166,8 +175,11 @@
 	}
 	news = news || b.Draining != t.beat.Draining || b.Slots != t.beat.Slots
 	t.beat, t.beatAt = b, now
+	t.version++
 	if b.Draining {
 		t.drain(now, drainTime)
+	} else {
+		t.drainUntil = 0
 	}
 	t.released = append(t.released, b.Freed...)
 	t.setCold(b.ColdFor)
@@ -223,7 +235,7 @@
 		g.events.Emit(eventlog.GrantWithheld, eventlog.Name("server", b.Server))
 		return heartbeat.Reply{}
 	}
-	ranges := table.Grants(keyrange.Owner{Instance: g.self.Instance, Server: b.Server, Born: b.Born})
+	ranges := g.ranges.grants(keyrange.Owner{Instance: g.self.Instance, Server: b.Server, Born: b.Born}, g.self.Service)
 	g.server.granting(ranges, keyrange.HoldEnds(now, hold))
 	return heartbeat.Reply{Hold: hold, Ranges: ranges}
 }
@@ -233,6 +245,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.granted, t.holdEnds = ranges, ends
+	t.version++
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"heatherreel/internal/choice"
@@ -353,6 +354,10 @@
 	changed chan struct{}
 	// end is the end of the partition up to which the tables are read; -1 before the first read.
 	end int64
+	// intended are the tables that this node has tried to write at the end intendedAt and that may still take effect. What
+	// one of them takes away is not granted any more, since nobody can tell when the write takes effect.
+	intended   []*keyrange.Table
+	intendedAt int64
 }
 
 // suspicionKey names one suspicion of a service.
@@ -393,6 +398,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.end = end
+	if end > t.intendedAt {
+		t.intended = nil
+	}
 	if table := t.tables[self.Service]; table != nil {
 		if _, suspected := table.Suspicions[self.Instance]; suspected {
 			return
@@ -408,6 +416,45 @@
 	return t.tables[service], t.end
 }
 
+// intend notes a table before it is written at the end of the partition.
+func (t *rangeTable) intend(table *keyrange.Table, end int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.intendedAt != end {
+		t.intended = nil
+	}
+	t.intended, t.intendedAt = append(t.intended, table), end
+}
+
+// abandon notes that the last intended write surely has no effect.
+func (t *rangeTable) abandon(end int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.intendedAt == end && len(t.intended) > 0 {
+		t.intended = t.intended[:len(t.intended)-1]
+	}
+}
+
+// undecided reports whether a write may still take effect.
+func (t *rangeTable) undecided() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.intended) > 0
+}
+
+// grants returns the ranges that may be granted to an owner: those of the table that no write of this node takes away.
+func (t *rangeTable) grants(o keyrange.Owner, service string) []keyrange.Range {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var kept []keyrange.Range
+	for _, r := range t.tables[service].Grants(o) {
+		if !slices.ContainsFunc(t.intended, func(next *keyrange.Table) bool { return !next.Keeps(r) }) {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
 // change returns a channel that is closed when a table changes.
 func (t *rangeTable) change() <-chan struct{} {
 	t.mu.Lock()
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -77,7 +77,7 @@
 	var found []keyrange.Candidate
 	for _, m := range g.members.ofService(g.self.Service) {
 		_, suspected := table.Suspicions[m.Instance]
-		if !m.Server.Ready || m.Server.Draining || suspected || g.routes.isEvacuated(m.DataCentre) {
+		if !m.Server.Ready || m.Server.Draining || suspected || table.Lost[m.Instance] || g.routes.isEvacuated(m.DataCentre) {
 			continue
 		}
 		found = append(found, keyrange.Candidate{Owner: ownerOf(m), Weight: max(1, m.Server.Slots)})
@@ -96,11 +96,21 @@
 	if end < 0 || end < g.state.rangesEnd && time.Since(g.state.writtenAt) < writeTimeout {
 		return
 	}
-	next := &keyrange.Table{Service: g.self.Service, Suspicions: map[string]keyrange.Suspicion{}}
+	next := &keyrange.Table{Service: g.self.Service, Suspicions: map[string]keyrange.Suspicion{}, Lost: map[string]bool{}}
 	if table != nil {
 		next = table.Clone()
 	}
-	if !g.change(next) {
+	version := g.server.versionNow()
+	changed := g.change(next)
+	// A write whose outcome is unknown may still take effect, until any other write does.
+	if !changed && !(g.ranges.undecided() && time.Since(g.state.writtenAt) > writeTimeout) {
+		return
+	}
+	g.ranges.intend(next, end)
+	if g.server.versionNow() != version {
+		// A heartbeat was answered by the present table meanwhile; what it granted must stand.
+		g.ranges.abandon(end)
+		g.upkeep.Fire()
 		return
 	}
 	g.write(next, end)
@@ -119,7 +129,10 @@
 	case err == nil:
 		g.events.Emit(eventlog.RangesWritten, eventlog.Count("last_fence", int(next.LastFence)), eventlog.Count("ranges", len(next.Ranges)))
 	case problem.KindOf(err) == problem.Conflict:
-		// Another node was first. The reader has its table soon, and upkeep runs again then.
+		// Another node was first, or an earlier write of this one has taken effect. The reader has its table soon, and upkeep runs again then.
+	case problem.KindOf(err) == problem.Overloaded || notSent(err):
+		g.ranges.abandon(end)
+		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
 	default:
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
 	}
@@ -205,7 +218,7 @@
 			continue
 		}
 		g.events.Emit(eventlog.KeysClaimed, eventlog.Name("from_instance", instance))
-		t.Vacate(instance)
+		t.Claim(instance)
 		t.Fill(candidates)
 		changed = true
 	}
@@ -274,7 +287,7 @@
 	failures int
 }
 
-// watch probes the next instance that owns keys, and has it suspected when it does not answer.
+// watch probes the next instance of the service, and has it suspected when it does not answer.
 func (g *Gateway) watch() {
 	if !g.keyed() {
 		return
@@ -305,25 +318,26 @@
 	g.upkeep.Fire()
 }
 
-// successor returns the owner of keys that follows the node in the ring of names and is not suspected.
+// successor returns the member of the service that follows the node in the ring of names and is neither suspected nor lost.
 func (g *Gateway) successor(table *keyrange.Table) (registry.Member, bool) {
 	if !table.Founded() {
 		return registry.Member{}, false
 	}
-	var owners []registry.Member
+	var others []registry.Member
 	for _, m := range g.members.ofService(g.self.Service) {
-		if _, suspected := table.Suspicions[m.Instance]; m.Instance != g.self.Instance && !suspected && table.Owns(m.Instance) {
-			owners = append(owners, m)
+		_, suspected := table.Suspicions[m.Instance]
+		if m.Instance != g.self.Instance && !suspected && !table.Lost[m.Instance] && (m.Server.Ready || table.Owns(m.Instance)) {
+			others = append(others, m)
 		}
 	}
-	if len(owners) == 0 {
+	if len(others) == 0 {
 		return registry.Member{}, false
 	}
-	slices.SortFunc(owners, func(a, b registry.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	for _, m := range owners {
+	slices.SortFunc(others, func(a, b registry.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	for _, m := range others {
 		if m.Instance > g.self.Instance {
 			return m, true
 		}
 	}
-	return owners[0], true
+	return others[0], true
 }
--- a/internal/keyrange/keyrange_test.go
+++ b/internal/keyrange/keyrange_test.go
@@ -29,7 +29,9 @@
 	return Owner{}, false
 }
 
-func empty() *Table { return &Table{Service: "a", Suspicions: map[string]Suspicion{}} }
+func empty() *Table {
+	return &Table{Service: "a", Suspicions: map[string]Suspicion{}, Lost: map[string]bool{}}
+}
 
 func keysOf(t *Table) map[string]int {
 	n := map[string]int{}
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -61,6 +61,8 @@
 	// Suspicions are the open suspicions by the suspected instance.
 	Suspicions    map[string]Suspicion
 	LastSuspicion uint64
+	// Lost are the instances that a claim has ended and that have not returned since.
+	Lost map[string]bool
 }
 
 // Clone returns a copy that shares nothing with t.
@@ -71,6 +73,10 @@
 	for k, v := range t.Suspicions {
 		c.Suspicions[k] = v
 	}
+	c.Lost = make(map[string]bool, len(t.Lost))
+	for k, v := range t.Lost {
+		c.Lost[k] = v
+	}
 	return &c
 }
 
@@ -103,6 +109,12 @@
 	return granted
 }
 
+// Keeps reports whether a range of another version of the table stays granted to its owner as it is.
+func (t *Table) Keeps(r Range) bool {
+	now, ok := t.Find(r.From)
+	return ok && now.Owner == r.Owner && now.Fence == r.Fence && now.Next == "" && now.To >= r.To
+}
+
 // Leaving returns the ranges that the node of an instance must take back from its backend server and hand over.
 func (t *Table) Leaving(instance string) []Range {
 	var leaving []Range
@@ -194,9 +206,9 @@
 	return n
 }
 
-// Suspect opens a suspicion against an instance that owns ranges. It returns false if one is open or nothing is owned.
+// Suspect opens a suspicion against an instance. It returns false if one is open or the instance is lost.
 func (t *Table) Suspect(instance, by string) bool {
-	if _, open := t.Suspicions[instance]; open || !t.Owns(instance) {
+	if _, open := t.Suspicions[instance]; open || t.Lost[instance] {
 		return false
 	}
 	t.LastSuspicion++
@@ -204,9 +216,17 @@
 	return true
 }
 
-// Refute closes the suspicion against an instance.
+// Refute closes the suspicion against an instance, or ends its loss.
 func (t *Table) Refute(instance string) bool {
 	_, open := t.Suspicions[instance]
+	open = open || t.Lost[instance]
 	delete(t.Suspicions, instance)
+	delete(t.Lost, instance)
 	return open
 }
+
+// Claim ends the ownership of an instance whose suspicion was open for long enough. It owns nothing until it returns.
+func (t *Table) Claim(instance string) {
+	t.Vacate(instance)
+	t.Lost[instance] = true
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -107,6 +107,9 @@
 	if t.Suspicions == nil {
 		t.Suspicions = map[string]keyrange.Suspicion{}
 	}
+	if t.Lost == nil {
+		t.Lost = map[string]bool{}
+	}
 	return &t, err
 }
 
