--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/keyrange"
 	"heatherreel/internal/request"
 )
 
@@ -265,6 +266,32 @@
 	})
 }
 
+// Guards against a grant of what a write of unknown outcome takes away.
+func TestPendingWriteWithholdsGrants(t *testing.T) {
+	own := keyrange.Owner{Instance: "k0", Server: "s", Born: 1}
+	table := &keyrange.Table{Service: "keyed", Suspicions: map[string]keyrange.Suspicion{}, Lost: map[string]bool{}}
+	table.Found([]keyrange.Candidate{{Owner: own, Weight: 1}})
+	ranges := newRangeTable()
+	ranges.put(table, 0)
+	ranges.confirm(Self{Instance: "k0", Service: "keyed"}, 0, 4)
+	next := table.Clone()
+	next.Vacate("k0")
+	ranges.intend(next, 4)
+	if got := ranges.grants(own, "keyed"); len(got) != 0 {
+		t.Errorf("granted %v while the write is pending", got)
+	}
+	// A second write of which nothing was done leaves the first one pending.
+	ranges.intend(table.Clone(), 4)
+	ranges.abandon(4)
+	if got := ranges.grants(own, "keyed"); len(got) != 0 {
+		t.Errorf("granted %v after the second write was refused", got)
+	}
+	ranges.confirm(Self{Instance: "k0", Service: "keyed"}, 0, 5)
+	if got := ranges.grants(own, "keyed"); len(got) != 1 {
+		t.Errorf("granted %v after another write took the place", got)
+	}
+}
+
 // schedules is the number of random fault schedules; HEATHERREEL_GATEWAY_SCHEDULES raises it for a soak.
 func schedules(t *testing.T) int {
 	text := os.Getenv("HEATHERREEL_GATEWAY_SCHEDULES")
@@ -293,6 +320,9 @@
 	defer w.close()
 	w.publish(2, false)
 	time.Sleep(time.Second)
+	w.mu.Lock()
+	w.loseEvery = 5
+	w.mu.Unlock()
 	end := make(chan struct{})
 	var callers sync.WaitGroup
 	var mu sync.Mutex
@@ -373,6 +403,9 @@
 
 // heal ends all faults.
 func (w *world) heal() {
+	w.mu.Lock()
+	w.loseEvery = 0
+	w.mu.Unlock()
 	w.log.SetDown(false)
 	w.log.SetLost(false)
 	for name, h := range w.hosts {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -32,6 +32,8 @@
 	runs map[string]int
 	// cut are instances that no other one reaches.
 	cut map[string]bool
+	// loseEvery makes each so many-th answer of a backend server get lost; 0 for none.
+	loseEvery, exchanges int
 	// tables are the published configurations by their record.
 	tables []*route.Table
 	stop   chan struct{}
@@ -311,11 +313,16 @@
 		return refused
 	}
 	h.w.runs[e.Request.ID]++
+	h.w.exchanges++
+	lost := h.w.loseEvery > 0 && h.w.exchanges%h.w.loseEvery == 0
 	h.w.mu.Unlock()
 	timer := time.NewTimer(s.work)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if lost {
+			return routed.Uncertain(request.ConnectionLost)
+		}
 		return routed.Answer{Outcome: request.Done, Status: 200, Body: []byte(h.self.Instance), Offered: true}
 	case <-ctx.Done():
 		return routed.Uncertain(request.DeadlineExceeded)
