Serve metrics and the state of a gateway, and show them with heatherreelctl

Cause: a gateway had no metrics and no view for operators.

Change: the counters and histograms of package telemetry count requests of routes too; the metrics address answers /v1/gateway, and heatherreelctl gateway writes it.

--- a/cmd/heatherreelctl/command.go
+++ b/cmd/heatherreelctl/command.go
@@ -70,7 +70,7 @@
 	p.StringVar(&t.flags.stream, "stream", defaultStream, "stream of the log")
 	p.StringVarP(&t.flags.output, "output", "o", outputTable, "output form, table or json")
 	p.DurationVar(&t.flags.timeout, "timeout", defaultTimeout, "time to wait for an answer or for the outcome of publish")
-	root.AddCommand(t.validate(), t.publish(), t.show(), t.diff(), t.history(), t.explain(), t.status(), t.version())
+	root.AddCommand(t.validate(), t.publish(), t.show(), t.diff(), t.history(), t.explain(), t.status(), t.gateway(), t.version())
 	annotateEnvironment(root)
 	return root
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,8 +19,10 @@
 	"heatherreel/internal/gateway"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
+	"heatherreel/internal/operator"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/settings"
+	"heatherreel/internal/telemetry"
 	"heatherreel/platform/backend"
 	"heatherreel/platform/caller"
 	"heatherreel/platform/store"
@@ -51,6 +53,7 @@
 type gatewayDaemon struct {
 	settings settings.Gateway
 	events   *eventlog.Logger
+	metrics  *telemetry.Metrics
 	gateway  *gateway.Gateway
 	store    *store.Client
 	peers    *node.Client
@@ -67,7 +70,10 @@
 	dropped := func(n int) { fmt.Fprintf(out, "{\"name\":\"log_lines_dropped\",\"count\":%d}\n", n) }
 	log := diode.NewWriter(out, logLines, logPoll, dropped)
 	defer log.Close()
-	d := newGatewayDaemon(s, log)
+	d, err := newGatewayDaemon(s, log)
+	if err != nil {
+		return err
+	}
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	if err := d.listen(serving); err != nil {
@@ -83,9 +89,13 @@
 	return nil
 }
 
-func newGatewayDaemon(s settings.Gateway, out io.Writer) *gatewayDaemon {
+func newGatewayDaemon(s settings.Gateway, out io.Writer) (*gatewayDaemon, error) {
 	d := &gatewayDaemon{settings: s, store: store.New(s.StoreAddress), peers: node.NewClient(), backend: backend.New(gatewayBackendWorkers)}
 	d.events = eventlog.New(out, zerolog.InfoLevel, eventlog.Node{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region})
+	var err error
+	if d.metrics, err = telemetry.NewMetrics(); err != nil {
+		return nil, err
+	}
 	d.gateway = gateway.New(gateway.Options{
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
@@ -96,9 +106,9 @@
 		DrainTime: s.Drain() - min(drainMargin, s.Drain()/2),
 	}, gateway.Dependencies{
 		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorWord,
-		Peers: d.peers, Backend: d.backend, Events: d.events, Now: boottime,
+		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Now: boottime,
 	})
-	return d
+	return d, nil
 }
 
 // boottime reads the clock that counts the time during which the machine is suspended.
@@ -129,6 +139,7 @@
 		{"callers", d.settings.CallersAddress, caller.NewRequestHandler(d.gateway)},
 		{"heartbeats", d.settings.HeartbeatsAddress, caller.NewHeartbeatHandler(d.gateway)},
 		{"ready", d.settings.ReadyAddress, caller.NewReadyHandler(d.gateway)},
+		{"metrics", d.settings.MetricsAddress, operator.NewGatewayHandler(d.gateway.State, d.metrics.Handler())},
 	} {
 		listener, err := d.open(h.name, h.address)
 		if err != nil {
@@ -187,7 +198,7 @@
 	}
 	stopServing()
 	d.gateway.Close()
-	if err := errors.Join(d.peers.Close()); err != nil {
+	if err := errors.Join(d.peers.Close(), d.metrics.Shutdown(context.Background())); err != nil {
 		d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
 	}
 	d.store.Close()
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -11,6 +11,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
 )
 
 // Waits of a request at the node beside the backend server.
@@ -29,8 +30,10 @@
 // When ctx ends, the caller has gone: the request leaves the queue, and is broken off at the backend server only if it may
 // run again.
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+	started := time.Now()
 	g.heard(r.Revision)
 	answer := g.admit(ctx, r, p)
+	g.deps.Metrics.Request(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
 	answer.Instance = g.self.Instance
 	answer.Load = g.server.load(time.Now())
 	answer.Revision = g.routes.revision()
@@ -247,7 +250,6 @@
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.beat.Server}
 	g.server.mu.Unlock()
 	result := make(chan routed.Answer, 1)
-	g.requests.Sent.Add(1)
 	if !r.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -150,6 +152,7 @@
 		return
 	}
 	if g.routes.put(word.Table) {
+		g.deps.Metrics.SetServices(slices.Sorted(maps.Keys(word.Table.Services)))
 		g.events.Emit(eventlog.RoutesInForce, eventlog.Count("revision", int(word.Table.Revision)),
 			eventlog.Count("routes", word.Table.Routes()))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
 	"heatherreel/internal/worker"
 )
 
@@ -76,6 +77,7 @@
 	Peers          Peers
 	Backend        Backend
 	Events         *eventlog.Logger
+	Metrics        *telemetry.Metrics
 	// Now reads a clock that counts the time during which the machine is suspended.
 	Now func() keyrange.Instant
 }
@@ -115,12 +117,6 @@
 	started          time.Time
 	// inProgress counts requests of callers and of other nodes.
 	inProgress atomic.Int64
-	requests   Counters
-}
-
-// Counters are the totals since the start.
-type Counters struct {
-	Done, NotRun, Unknown, Sent, Retried atomic.Int64
 }
 
 // Sizes of the control pool, whose jobs are rare.
@@ -239,25 +235,12 @@
 	if err := g.ingress.Submit(func() { result <- g.route(ctx, r) }); err != nil {
 		return routed.Refuse(request.QueueFull, overloadRetry)
 	}
-	answer := <-result
-	g.count(answer)
-	return answer
+	return <-result
 }
 
 // overloadRetry is when a caller may return after the queue of the ingress pool was full.
 const overloadRetry = 500 * time.Millisecond
 
-func (g *Gateway) count(a routed.Answer) {
-	switch a.Outcome {
-	case request.Done:
-		g.requests.Done.Add(1)
-	case request.NotRun:
-		g.requests.NotRun.Add(1)
-	default:
-		g.requests.Unknown.Add(1)
-	}
-}
-
 // Dispatch implements node.RouterService.
 func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	g.inProgress.Add(1)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -13,6 +13,7 @@
 	"heatherreel/internal/retry"
 	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
 )
 
 // Times of a request at the ingress node.
@@ -138,6 +139,7 @@
 		g.members.answered(instance, routed.Load{}, true, time.Now())
 		return routed.Refuse(request.NoServer, overloadRetry)
 	}
+	g.deps.Metrics.Forwarded(a.request.Service)
 	answer, err := g.deps.Peers.Dispatch(ctx, member.Address, a.request)
 	if err != nil {
 		answer = g.failed(ctx, a, instance, err)
@@ -189,7 +191,7 @@
 		if !g.members.mayRepeat(a.request.Service, now) {
 			return false
 		}
-		g.requests.Retried.Add(1)
+		g.deps.Metrics.Retried(a.request.Service)
 		return true
 	}
 	if a.keyed {
@@ -243,6 +245,7 @@
 
 // decided logs the answer of a request.
 func (g *Gateway) decided(a *attempt, answer routed.Answer) routed.Answer {
+	g.deps.Metrics.Request(telemetry.Ingress, a.request.Service, answer.Outcome, answer.Reason, time.Since(a.started))
 	event := eventlog.RequestServed
 	if answer.Outcome != request.Done {
 		event = eventlog.RequestFailed
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"heatherreel/internal/choice"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/lockorder"
+	"heatherreel/internal/operator"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/retry"
 	"heatherreel/internal/route"
@@ -510,3 +512,20 @@
 		p.load, p.loadAt = load, now
 	}
 }
+
+// describe fills in the lease and the ownership of all services.
+func (t *rangeTable) describe(s *operator.GatewayState, own string, now keyrange.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.LeaseLeftMS = t.lease.Left(now).Milliseconds()
+	for service, table := range t.tables {
+		for _, r := range table.Ranges {
+			s.Ranges = append(s.Ranges, operator.GatewayRange{Service: service, From: r.From, To: r.To, Fence: r.Fence,
+				Instance: r.Owner.Instance, Server: r.Owner.Server, Next: r.Next})
+		}
+		if service == own {
+			s.Suspected = slices.Sorted(maps.Keys(table.Suspicions))
+			s.Lost = slices.Sorted(maps.Keys(table.Lost))
+		}
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -20,6 +20,7 @@
 	"heatherreel/internal/request"
 	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
 )
 
 // world is a fleet of gateways with backend servers beside them, in virtual time.
@@ -143,9 +144,13 @@
 	h.process++
 	self := h.self
 	self.Incarnation = h.process
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		w.t.Fatal(err)
+	}
 	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32, RetryRatio: 0.2, RetryFloor: 1, DrainTime: 1500 * time.Millisecond},
 		Dependencies{Store: w.log.For(name), OperatorTopic: "operators", DecodeOperator: w.decode, Peers: &peers{w, name},
-			Backend: h, Events: eventlog.Discard(), Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()) }})
+			Backend: h, Events: eventlog.Discard(), Metrics: metrics, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()) }})
 	w.mu.Unlock()
 	g.Start()
 	w.mu.Lock()
