--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,7 +31,7 @@
 // Sizes of a gateway.
 const (
 	// gatewayIngressWorkers is the number of requests of callers in progress; each waits for its answer on a worker.
-	gatewayIngressWorkers = 256
+	gatewayIngressWorkers = 192
 	gatewayIngressQueue   = 256
 	// gatewayBackendWorkers bounds the exchanges at once; it is above the slots of any backend server in use.
 	gatewayBackendWorkers = 64
@@ -43,6 +43,9 @@
 	drainMargin = 500 * time.Millisecond
 	// shutdownMargin is left of the time for a planned stop when running requests are cut off.
 	shutdownMargin = 500 * time.Millisecond
+	// collectPercent is the growth of the heap between two collections. The heap is a few megabytes, so that a collection costs
+	// little, and memory is paid for on each instance.
+	collectPercent = 40
 	// memoryShare is the part of the memory limit that the collector keeps the heap below.
 	memoryShare = 0.6
 	// retryNodes is the least number of nodes that share the fleet's floor of second sends.
@@ -66,6 +69,7 @@
 // RunGateway runs a gateway until ctx ends, then stops it: it is no longer ready, and running requests finish. It writes
 // events to out and never waits for it.
 func RunGateway(ctx context.Context, s settings.Gateway, out io.Writer) error {
+	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	dropped := func(n int) { fmt.Fprintf(out, "{\"name\":\"log_lines_dropped\",\"count\":%d}\n", n) }
 	log := diode.NewWriter(out, logLines, logPoll, dropped)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -18,8 +18,6 @@
 const (
 	// keyWait is how long a request waits for a key that is on its way here: two heartbeats of 870 ms.
 	keyWait = 1800 * time.Millisecond
-	// keyRefusedPause lets a grant that crosses the request reach the backend server.
-	keyRefusedPause = 30 * time.Millisecond
 	// leastRun is the time below which a request is not worth sending.
 	leastRun = 10 * time.Millisecond
 	// coldBurst is how many requests a cold backend server gets at once.
