--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"time"
 
-	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/route"
 )
@@ -94,25 +93,6 @@
 	return m, err
 }
 
-// EncodeRanges returns the record of a table.
-func EncodeRanges(t *keyrange.Table) (Record, error) { return encode(t.Service, t) }
-
-// DecodeRanges returns the table of a record, or a problem.Malformed error.
-func DecodeRanges(r Record) (*keyrange.Table, error) {
-	var t keyrange.Table
-	err := decode(r, &t)
-	if err == nil && t.Service != r.Key {
-		err = problem.New(problem.Malformed, writerRemedy, "the ranges record %q names another service", r.Key)
-	}
-	if t.Suspicions == nil {
-		t.Suspicions = map[string]keyrange.Suspicion{}
-	}
-	if t.Lost == nil {
-		t.Lost = map[string]bool{}
-	}
-	return &t, err
-}
-
 const writerRemedy = "find the writer of the record; nothing but heatherreel may write to its topics"
 
 func encode(key string, value any) (Record, error) {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,71 @@
+package registry
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/problem"
+)
+
+// moved returns a table with moves, tokens, a suspicion and a lost instance.
+func moved() *keyrange.Table {
+	t := &keyrange.Table{Service: "orders", Suspicions: map[string]keyrange.Suspicion{}, Lost: map[string]bool{}}
+	var all []keyrange.Candidate
+	for _, name := range []string{"sidecar-west-a-1", "sidecar-west-b-1", "sidecar-central-a-1", "sidecar-central-b-1"} {
+		all = append(all, keyrange.Candidate{Owner: keyrange.Owner{Instance: name, Server: "i-" + name, Born: 1769827204538}, Weight: 9})
+	}
+	t.Found(all)
+	for i := range 24 {
+		from := uint16(i * 2500)
+		t.Move(t.Ranges[0].Owner.Instance, all[1+i%3].Owner.Instance, from, from+200)
+	}
+	t.HandOver(all[0].Owner.Instance, 2500, 2700, "5c0e7a21d94b36f8", func(string) (keyrange.Owner, bool) { return all[1].Owner, true })
+	t.Vacate(all[3].Owner.Instance)
+	t.Suspect(all[2].Owner.Instance, all[0].Owner.Instance)
+	t.Lost[all[3].Owner.Instance] = true
+	return t
+}
+
+// Guards against a table that changes on its way through the store, and one that grows over the links between regions.
+func TestRangesRoundTrip(t *testing.T) {
+	want := moved()
+	record, err := EncodeRanges(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeRanges(record)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, %v\nwant %+v", got, err, want)
+	}
+	if perRange := len(record.Value) / len(want.Ranges); perRange > 60 {
+		t.Errorf("%d bytes a range", perRange)
+	}
+}
+
+// Guards against a record of another writer that takes effect.
+func TestForeignRecordsAreRefused(t *testing.T) {
+	good, err := EncodeRanges(moved())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{
+		"bytes":        "\xff\xfe",
+		"other key":    `{"service":"other"}`,
+		"gap":          `{"service":"orders","ranges":"0,10,1,,,;12,65535,1,,,"}`,
+		"short":        `{"service":"orders","ranges":"0,10,1,,,"}`,
+		"no owner":     `{"service":"orders","ranges":"0,65535,1,3,,"}`,
+		"few fields":   `{"service":"orders","ranges":"0,65535,1"}`,
+		"large key":    `{"service":"orders","ranges":"0,65536,1,,,"}`,
+		"wrong number": strings.Replace(string(good.Value), `"ranges":"0,`, `"ranges":"x,`, 1),
+	} {
+		if _, err := DecodeRanges(Record{Key: "orders", Value: []byte(value)}); !errors.Is(err, problem.Malformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := DecodeMember(Record{Key: "i-1", Value: []byte(`{"Instance":"i-2","Address":"a"}`)}); !errors.Is(err, problem.Malformed) {
+		t.Errorf("a member under another key: %v", err)
+	}
+}
