Count the bytes between regions in the choice of a backend server, and wait for a key's range to change

Ruled out: compression; bodies do not get smaller.

Change: the choice weighs the request's size and the route's usual answer; a request that waits for a key asks again when that range changes.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -22,8 +22,27 @@
 )
 
 // Costs of a distance in time that a caller would wait instead. Round trips are 0.2 ms in a data centre, 2 ms in a region
-// and 16 ms between regions; the cost between regions is higher because a link of 30 Mbit/s is shared by all traffic.
-var distanceCost = [...]time.Duration{0, time.Millisecond, 4 * time.Millisecond, 80 * time.Millisecond}
+// and 16 ms between regions.
+var distanceCost = [...]time.Duration{0, time.Millisecond, 4 * time.Millisecond, 30 * time.Millisecond}
+
+// Costs of a byte between data centres and between regions. Traffic between regions shares links of 30 Mbit/s and is
+// billed; an answer of 5 KB there is worth about 200 ms of waiting.
+const (
+	zoneByteCost   = 3 * time.Microsecond
+	regionByteCost = 40 * time.Microsecond
+)
+
+// transferCost returns the cost of the bytes of a request and its answer.
+func transferCost(d Distance, bytes int) time.Duration {
+	switch d {
+	case SameRegion:
+		return time.Duration(bytes) * zoneByteCost
+	case OtherRegion:
+		return time.Duration(bytes) * regionByteCost
+	default:
+		return 0
+	}
+}
 
 // Defaults for a backend server that has not reported yet.
 const (
@@ -38,8 +57,8 @@
 // failurePenalty is added for each failure in a row; a second makes any backend server without failures the better one.
 const failurePenalty = time.Second
 
-// coldPenalty is added for a cold backend server, which takes about twice as long.
-const coldPenalty = 100 * time.Millisecond
+// coldPenalty is added for a cold backend server, which takes about twice as long and refuses what exceeds a low rate.
+const coldPenalty = 300 * time.Millisecond
 
 // scarceCost is added for a scarce backend server in proportion to its load, so that confined requests find room there.
 const scarceCost = 80 * time.Millisecond
@@ -57,6 +76,8 @@
 	Failures int
 	// Scarce marks a backend server that other requests are confined to, while this one is not.
 	Scarce bool
+	// Bytes is the expected size of the request and its answer.
+	Bytes int
 }
 
 // Cost returns the expected time until an answer of the candidate.
@@ -68,7 +89,7 @@
 	if slots <= 0 {
 		slots = unknownSlots
 	}
-	cost := distanceCost[c.Distance] + time.Duration(c.Failures)*failurePenalty
+	cost := distanceCost[c.Distance] + transferCost(c.Distance, c.Bytes) + time.Duration(c.Failures)*failurePenalty
 	if c.Load.ColdFor > c.Age {
 		cost += coldPenalty
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -7,6 +7,7 @@
 
 	"heatherreel/internal/choice"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
@@ -22,7 +23,7 @@
 	notConfiguredRetry = 500 * time.Millisecond
 	// ownerPause is the longest pause before a request whose key has no reachable owner is tried again, and ownerPatience
 	// the part of its time, in percent, for which it is kept: a key that moves is served again after about a second.
-	ownerPause    = 200 * time.Millisecond
+	ownerPause    = 400 * time.Millisecond
 	ownerPatience = 60
 	// serverPause is the pause before a request that no backend server may serve is tried again, and serverPatience how long
 	// it is kept: about the time a process takes to start again.
@@ -48,7 +49,9 @@
 	// offered is the number of backend servers that the request reached, and sends the number of nodes that were asked.
 	offered, sends int
 	tried          []string
-	last           routed.Answer
+	// owned is the range of the key when its owner was last asked.
+	owned keyrange.Range
+	last  routed.Answer
 	// chosen and chosenAge are the instance last asked and the age of the report that it was chosen by.
 	chosen    string
 	chosenAge time.Duration
@@ -111,10 +114,12 @@
 			a.last = routed.Refuse(request.OwnerUnreachable, max(wait, overloadRetry))
 			return "", false
 		}
+		a.owned = r
 		return r.Owner.Instance, true
 	}
 	found := g.members.candidates(candidateQuery{service: a.request.Service, homes: a.request.HomeRegions,
-		scarce: a.scarce, evacuated: g.routes.evacuations(), tried: a.tried}, now)
+		scarce: a.scarce, evacuated: g.routes.evacuations(), tried: a.tried,
+		bytes: len(a.request.Body) + g.routes.answerSize(a.route.Name)}, now)
 	i := choice.Choose(found, draw)
 	if i < 0 {
 		return "", false
@@ -215,13 +220,20 @@
 	}
 	timer := time.NewTimer(ownerPause)
 	defer timer.Stop()
-	select {
-	case <-g.ranges.change():
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
+	for {
+		changed := g.ranges.change()
+		table, _ := g.ranges.get(a.request.Service)
+		if r, ok := table.Find(a.request.Key); ok && (r.Owner != a.owned.Owner || r.Fence != a.owned.Fence) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return true
 }
 
 // awaitServer pauses a request that no node could be asked for, when nothing was full.
@@ -253,6 +265,9 @@
 	name := ""
 	if a.route != nil {
 		name = a.route.Name
+		if answer.Outcome == request.Done {
+			g.routes.measure(name, len(answer.Body))
+		}
 	}
 	g.events.Emit(event, eventlog.RequestID(a.request.ID), eventlog.Name("route", name), eventlog.Name("service", a.request.Service),
 		eventlog.Count("revision", int(a.request.Revision)), eventlog.Name("chosen", a.chosen), eventlog.Duration("report_age", a.chosenAge),
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -22,10 +22,13 @@
 	splitter *route.Splitter
 	// evacuated holds when the evacuation of a data centre became known.
 	evacuated map[string]time.Time
+	// sizes are the average sizes of answers by route, in bytes.
+	sizes map[string]int
 }
 
 func newRouteTable() *routeTable {
-	return &routeTable{mu: lockorder.New(lockorder.Routes), splitter: route.NewSplitter(), evacuated: map[string]time.Time{}}
+	return &routeTable{mu: lockorder.New(lockorder.Routes), splitter: route.NewSplitter(), evacuated: map[string]time.Time{},
+		sizes: map[string]int{}}
 }
 
 func (t *routeTable) current() *route.Table {
@@ -53,6 +56,8 @@
 	}
 	t.table = table
 	t.splitter.Keep(table)
+	// Routes come and go; their sizes are soon measured again.
+	t.sizes = map[string]int{}
 	return true
 }
 
@@ -97,6 +102,30 @@
 	return t.table, r, t.splitter.Pick(r)
 }
 
+// usualAnswer is the size of an answer that is assumed before the first, in bytes.
+const usualAnswer = 1000
+
+// answerSize returns the expected size of an answer of the route.
+func (t *routeTable) answerSize(route string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n, known := t.sizes[route]; known {
+		return n
+	}
+	return usualAnswer
+}
+
+// measure moves the expected size of a route's answers towards a measured one by 1/8.
+func (t *routeTable) measure(route string, size int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, known := t.sizes[route]
+	if !known {
+		n = usualAnswer
+	}
+	t.sizes[route] = n + (size-n)/8
+}
+
 // peer is what a node knows of one instance.
 type peer struct {
 	registry.Member
@@ -277,6 +306,8 @@
 	evacuated     map[string]bool
 	// tried are the instances that have refused it.
 	tried []string
+	// bytes is the expected size of the request and its answer.
+	bytes int
 }
 
 // candidates returns the members that a query names.
@@ -290,7 +321,7 @@
 			continue
 		}
 		found = append(found, choice.Candidate{Instance: name, Distance: t.distance(&p.Member), Load: p.load,
-			Age: now.Sub(p.loadAt), Pending: p.pending, Failures: p.failures, Scarce: contains(q.scarce, p.Region)})
+			Age: now.Sub(p.loadAt), Pending: p.pending, Failures: p.failures, Scarce: contains(q.scarce, p.Region), Bytes: q.bytes})
 	}
 	return found
 }
