Bind a node by the departure of its backend server across restarts of the process

A process that had just started acknowledged the last message of a backend server of which it had heard no heartbeat, forgot it, and served that backend server when its next heartbeat said ready.

Ruled out: refusing the message; the backend server then waits for an acknowledgement.

Change: departures are kept by id until a later life begins, and the member record carries them to the next process. A process that ends between the acknowledgement and the write of its record still forgets it; docs/platform.md lists that as open.

Test TestDepartureOutlivesProcess.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/request"
 )
@@ -221,6 +222,40 @@
 	})
 }
 
+// Guards against a backend server that gets requests after its end was acknowledged, when the process that gave the
+// acknowledgement, or got the message first, is a new one.
+func TestDepartureOutlivesProcess(t *testing.T) {
+	for _, restartLater := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restartLater=%v", restartLater), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				w := fleet(t)
+				defer w.close()
+				w.kill("f0")
+				w.start("f0")
+				h := w.hosts["f0"]
+				if _, err := h.gateway.Heartbeat(heartbeat.Message{Server: h.server.id, Ended: true}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2 * time.Second)
+				if restartLater {
+					w.kill("f0")
+					w.start("f0")
+					time.Sleep(2 * time.Second)
+				}
+				// Its heartbeats still say that it is ready.
+				if a := w.ask("k0", "late", "/home/", -1, time.Second); a.Outcome != request.NotRun || w.runs["late"] != 0 {
+					t.Errorf("got %v %q, ran %d times", a.Outcome, a.Reason, w.runs["late"])
+				}
+				w.startServer("f0")
+				time.Sleep(2 * time.Second)
+				if a := w.ask("k0", "new", "/home/", -1, time.Second); a.Outcome != request.Done {
+					t.Errorf("a new life got %v %q", a.Outcome, a.Reason)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an evacuated data centre whose backend servers get requests, and keys that do not come back.
 func TestEvacuation(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
@@ -413,9 +448,8 @@
 		w.mu.Lock()
 		w.cut[name] = false
 		up, alive := h.gateway != nil, h.server != nil
-		if alive {
-			h.server.draining = false
-		}
+		// A backend server that drains ends; another one takes its place.
+		alive = alive && !h.server.draining
 		w.mu.Unlock()
 		if !alive {
 			w.startServer(name)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -182,6 +182,9 @@
 		return
 	}
 	g.members.putStored(m)
+	if m.Instance == g.self.Instance && m.Incarnation < g.self.Incarnation {
+		g.server.inherit(m.Server, g.deps.Now())
+	}
 }
 
 func (g *Gateway) membersSynced(keyrange.Instant, int64) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,6 +39,8 @@
 	coldRate  float64
 	// drainUntil is when the backend server must get no more requests; zero while it does not drain.
 	drainUntil keyrange.Instant
+	// left are the backend servers that have said that they leave, by their id.
+	left map[string]departure
 	// granted are the ranges of the last reply, until holdEnds.
 	granted  []keyrange.Range
 	holdEnds keyrange.Instant
@@ -54,8 +56,40 @@
 	slots   int
 }
 
+// departure is the acknowledged end of one life of a backend server. It binds whatever its later heartbeats say.
+type departure struct {
+	// at is when the node learnt of it, in Unix milliseconds: a life that began later is another one.
+	at int64
+	// until is when the backend server must get no more requests.
+	until keyrange.Instant
+}
+
+// depart notes that a backend server leaves; the first notice counts. The caller holds mu.
+func (t *serverTable) depart(server string, until keyrange.Instant, at time.Time) departure {
+	d, known := t.left[server]
+	if !known {
+		d = departure{at: at.UnixMilli(), until: until}
+		t.left[server] = d
+	}
+	return d
+}
+
+// inherit takes over a departure that an earlier process of the node has acknowledged.
+func (t *serverTable) inherit(s registry.Server, now keyrange.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.ID == "" || !s.Draining || t.beat.Server == s.ID && t.beat.Born != s.Born {
+		return
+	}
+	d := t.depart(s.ID, now, time.UnixMilli(s.Born))
+	if t.beat.Server == s.ID {
+		t.drainUntil = d.until
+		t.beat.Draining = true
+	}
+}
+
 func newServerTable() *serverTable {
-	return &serverTable{mu: lockorder.New(lockorder.Backend), changed: make(chan struct{}),
+	return &serverTable{mu: lockorder.New(lockorder.Backend), left: map[string]departure{}, changed: make(chan struct{}),
 		queue: admission.NewQueue(admission.Options{}), waiting: map[admission.Ticket]chan request.Reason{}}
 }
 
@@ -63,10 +97,11 @@
 func (t *serverTable) record(now keyrange.Instant) registry.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.beat.Server == "" || t.ended || now.Sub(t.beatAt) > silence {
+	if t.beat.Server == "" || !t.ended && now.Sub(t.beatAt) > silence {
 		return registry.Server{}
 	}
-	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: true, Draining: t.beat.Draining, Slots: t.beat.Slots}
+	// The record of an ended life stays, so that a new process of the node knows of it.
+	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: !t.ended, Draining: t.beat.Draining || t.ended, Slots: t.beat.Slots}
 }
 
 // versionNow returns the version.
@@ -158,13 +193,15 @@
 	same := b.Server == t.beat.Server && (b.Born == t.beat.Born || b.Ended)
 	switch {
 	case b.Ended && !same:
-		return false, false
+		// The message reaches a process that has heard no heartbeat of this life yet.
+		t.depart(b.Server, now.Add(drainTime), time.Now())
+		return false, true
 	case b.Ended:
 		if t.ended {
 			return false, true
 		}
 		t.ended = true
-		t.drain(now, drainTime)
+		t.drainUntil = t.depart(b.Server, now.Add(drainTime), time.Now()).until
 		return true, true
 	case !same && t.beat.Server != "" && b.Born <= t.beat.Born, same && b.Sequence <= t.beat.Sequence:
 		return false, false
@@ -173,26 +210,23 @@
 		t.cold = nil
 		news = true
 	}
+	if d, leaving := t.left[b.Server]; leaving && b.Born <= d.at {
+		b.Draining = true
+	} else if leaving && !b.Draining {
+		delete(t.left, b.Server)
+	}
 	news = news || b.Draining != t.beat.Draining || b.Slots != t.beat.Slots
 	t.beat, t.beatAt = b, now
 	t.version++
+	t.drainUntil = 0
 	if b.Draining {
-		t.drain(now, drainTime)
-	} else {
-		t.drainUntil = 0
+		t.drainUntil = t.depart(b.Server, now.Add(drainTime), time.Now()).until
 	}
 	t.released = append(t.released, b.Freed...)
 	t.setCold(b.ColdFor)
 	return news, true
 }
 
-// drain starts the time after which the backend server gets no more requests. The caller holds mu.
-func (t *serverTable) drain(now keyrange.Instant, drainTime time.Duration) {
-	if t.drainUntil == 0 {
-		t.drainUntil = now.Add(drainTime)
-	}
-}
-
 // setCold notes how long the backend server stays cold. The caller holds mu.
 func (t *serverTable) setCold(coldFor time.Duration) {
 	if coldFor <= 0 {
@@ -253,5 +287,5 @@
 // owner returns the present life of the backend server; ok is false without one.
 func (g *Gateway) owner() (o keyrange.Owner, ok bool) {
 	s := g.server.record(g.deps.Now())
-	return keyrange.Owner{Instance: g.self.Instance, Server: s.ID, Born: s.Born}, s.ID != ""
+	return keyrange.Owner{Instance: g.self.Instance, Server: s.ID, Born: s.Born}, s.Ready
 }
