--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -20,6 +20,9 @@
 	keyWait = 1800 * time.Millisecond
 	// leastRun is the time below which a request is not worth sending.
 	leastRun = 10 * time.Millisecond
+	// queuePatience is the part of its remaining time, in percent, for which a request waits for a slot. A caller that is
+	// refused then has time to come back; one that is held to the end has not.
+	queuePatience = 45
 	// coldBurst is how many requests a cold backend server gets at once.
 	coldBurst = 2
 )
@@ -169,11 +172,10 @@
 func (g *Gateway) enter(ctx context.Context, r routed.Request, p node.DispatchProgress) (admission.Ticket, request.Reason) {
 	g.server.mu.Lock()
 	now := time.Now()
-	if !g.server.takeCold(now) {
-		g.server.mu.Unlock()
-		return 0, request.BackendFull
-	}
 	giveUp := r.Deadline.Add(-max(leastRun, g.server.queue.Usage().ServiceTime))
+	if patience := now.Add(r.Deadline.Sub(now) * queuePatience / 100); patience.Before(giveUp) {
+		giveUp = patience
+	}
 	d := g.server.queue.Offer(now, admission.Job{Class: request.Class(min(r.Priority, 255)), Deadline: r.Deadline,
 		Objective: r.Objective})
 	var waiter chan request.Reason
@@ -245,6 +247,12 @@
 		return g.refused(r, request.DeadlineTooClose)
 	}
 	g.server.mu.Lock()
+	if !g.server.takeCold(time.Now()) {
+		// What waited since before the backend server was known to be cold counts as well.
+		g.server.mu.Unlock()
+		g.leave(ticket, false)
+		return g.refused(r, request.BackendFull)
+	}
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.beat.Server}
 	g.server.mu.Unlock()
 	result := make(chan routed.Answer, 1)
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -256,6 +257,40 @@
 	}
 }
 
+// Guards against a cold backend server that gets more requests a second than it bears, also of those that waited before it
+// was known to be cold.
+func TestColdServerIsSpared(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.publishCold(2)
+		time.Sleep(time.Second)
+		w.stopServer("f0")
+		w.startServer("f0")
+		time.Sleep(50 * time.Millisecond)
+		var callers sync.WaitGroup
+		for i := range 100 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				w.ask("k0", fmt.Sprintf("cold-%d", i), "/home/", -1, 900*time.Millisecond)
+			})
+		}
+		callers.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		ran := 0
+		for id := range w.runs {
+			if strings.HasPrefix(id, "cold-") {
+				ran++
+			}
+		}
+		// Two seconds of requests, at most 5 a second and the burst.
+		if ran == 0 || ran > 2*5+coldBurst {
+			t.Errorf("%d requests ran", ran)
+		}
+	})
+}
+
 // Guards against an evacuated data centre whose backend servers get requests, and keys that do not come back.
 func TestEvacuation(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -106,6 +106,7 @@
 	if a.keyed {
 		table, _ := g.ranges.get(a.request.Service)
 		r, ok := table.Find(a.request.Key)
+		a.owned = r
 		if !ok || r.Owner.Instance == "" {
 			return "", false
 		}
@@ -114,7 +115,6 @@
 			a.last = routed.Refuse(request.OwnerUnreachable, max(wait, overloadRetry))
 			return "", false
 		}
-		a.owned = r
 		return r.Owner.Instance, true
 	}
 	found := g.members.candidates(candidateQuery{service: a.request.Service, homes: a.request.HomeRegions,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -178,11 +178,40 @@
 			eventlog.Duration("cold", b.ColdFor))
 		g.applySlots()
 	}
-	reply := g.grant(b, now)
 	if news || len(b.Freed) > 0 || g.moving() {
 		g.upkeep.Fire()
 	}
-	return reply, nil
+	if !b.Ended && !b.Draining {
+		g.awaitRanges(b)
+	}
+	return g.grant(b, now), nil
+}
+
+// replyWait is how long a reply is held back while keys are on their way to the backend server. A reply counts as
+// acknowledgement for 1 s; without the wait the keys would be granted with the next heartbeat, 870 ms later.
+const replyWait = 500 * time.Millisecond
+
+// awaitRanges waits until no keys are about to become the backend server's.
+func (g *Gateway) awaitRanges(b heartbeat.Message) {
+	if !g.keyed() {
+		return
+	}
+	limit := time.NewTimer(replyWait)
+	defer limit.Stop()
+	for {
+		changed := g.ranges.change()
+		table, _ := g.ranges.get(g.self.Service)
+		if !table.Expects(keyrange.Owner{Instance: g.self.Instance, Server: b.Server, Born: b.Born}) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return
+		case <-g.ctx.Done():
+			return
+		}
+	}
 }
 
 // take stores a heartbeat. news tells that the state or the life of the backend server changed; fresh is false for a
@@ -242,7 +271,12 @@
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
 	if table != nil {
-		g.server.coldRate = table.Services[g.self.Service].ColdRate
+		service := table.Services[g.self.Service]
+		g.server.coldRate = service.ColdRate
+		// A life is cold from its start on, whatever the first heartbeats say.
+		if until := time.UnixMilli(g.server.beat.Born).Add(service.ColdFor); until.After(g.server.coldUntil) {
+			g.server.coldUntil = until
+		}
 	}
 	slots := g.server.beat.Slots
 	if g.server.ended && now >= g.server.drainUntil {
@@ -264,6 +298,7 @@
 	if b.Ended || table == nil {
 		return heartbeat.Reply{}
 	}
+	// The reply may have been held back; the hold counts from when the heartbeat came all the same.
 	hold := g.ranges.hold(now)
 	if hold == 0 {
 		g.events.Emit(eventlog.GrantWithheld, eventlog.Name("server", b.Server))
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -87,14 +87,24 @@
 	w.group.Wait()
 }
 
-// publish puts a configuration in force: the routes /keyed/ and /free/, and /home/ that is confined to region r1.
+// publishCold puts a configuration in force in which backend servers are cold for 5 s and bear 5 requests a second then.
+func (w *world) publishCold(revision uint64) {
+	w.publishWith(revision, true, route.Service{Name: "free", ColdFor: 5 * time.Second, ColdRate: 5})
+}
+
+// publish puts a configuration in force; see publishWith.
 func (w *world) publish(revision uint64, idempotent bool) {
+	w.publishWith(revision, idempotent, route.Service{Name: "free"})
+}
+
+// publishWith puts a configuration in force: the routes /keyed/ and /free/, and /home/ that is confined to region r1.
+func (w *world) publishWith(revision uint64, idempotent bool, free route.Service) {
 	w.t.Helper()
 	table, err := route.Build(revision, []route.Route{
 		{Name: "keyed", Host: "h", Prefix: "/keyed/", Parts: []route.Part{{Service: "keyed", Weight: 1}}, Idempotent: idempotent, MaxAttempts: 2},
 		{Name: "free", Host: "h", Prefix: "/free/", Parts: []route.Part{{Service: "free", Weight: 1}}, Idempotent: idempotent, MaxAttempts: 2},
 		{Name: "home", Host: "h", Prefix: "/home/", Parts: []route.Part{{Service: "free", Weight: 1}}, HomeRegions: []string{"r1"}, MaxAttempts: 2},
-	}, []route.Service{{Name: "keyed", Keyed: true}, {Name: "free"}}, route.Limits{})
+	}, []route.Service{{Name: "keyed", Keyed: true}, free}, route.Limits{})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -129,6 +129,13 @@
 	return leaving
 }
 
+// Expects reports whether ranges are about to become an owner's: they move to its instance, or belong to an earlier life.
+func (t *Table) Expects(o Owner) bool {
+	return t != nil && slices.ContainsFunc(t.Ranges, func(r Range) bool {
+		return r.Next == o.Instance || r.Owner.Instance == o.Instance && r.Owner != o && r.Next == ""
+	})
+}
+
 // Owns reports whether an instance owns any range, moving or not.
 func (t *Table) Owns(instance string) bool {
 	return t != nil && slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Owner.Instance == instance })
