Send keyed requests only for keys that the backend server surely holds

Requests that waited for a slot were sent after their key had left, and those that waited for a key were sent before the reply that granted it had reached the backend server.

Ruled out: holds that ran out; most cases fell on the first second after a move.

Change: the key is checked again when the slot is there, and new ranges count 15 ms after the reply.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -8,6 +8,7 @@
 
 	"heatherreel/internal/admission"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -61,9 +62,20 @@
 		g.leave(ticket, false)
 		return g.refused(r, reason)
 	}
+	if r.Keyed && g.keyed() && !g.server.holdsNow(r.Key, g.deps.Now()) {
+		g.leave(ticket, false)
+		return g.refused(r, request.NotOwner)
+	}
 	return g.run(ctx, r, ticket, p)
 }
 
+// holdsNow reports whether the backend server holds a key.
+func (t *serverTable) holdsNow(key uint16, now keyrange.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holds(key, now)
+}
+
 // count counts a request for a key.
 func (t *serverTable) count(key uint16) {
 	t.mu.Lock()
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -201,9 +201,26 @@
 		defer w.close()
 		w.mu.Lock()
 		leaver := w.hosts["k1"].server
+		for _, h := range w.hosts {
+			h.server.work = 300 * time.Millisecond
+		}
 		leaver.draining = true
 		w.mu.Unlock()
-		time.Sleep(4 * time.Second)
+		// Requests wait for slots while their keys leave, and for keys on their way.
+		var callers sync.WaitGroup
+		for i := range 300 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				w.ask("f0", fmt.Sprintf("moving-%d", i), "/keyed/", 16384+i%16384, 3*time.Second)
+			})
+		}
+		callers.Wait()
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		if w.misdirected > 0 {
+			t.Errorf("%d requests came to a backend server that did not hold their key", w.misdirected)
+		}
+		w.mu.Unlock()
 		if got := w.served("f0"); got != 1 {
 			t.Errorf("%.2f of the keys are served after the drain", got)
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -44,6 +45,9 @@
 	// granted are the ranges of the last reply, until holdEnds.
 	granted  []keyrange.Range
 	holdEnds keyrange.Instant
+	// settling are those of them that the reply before did not grant; the backend server has them from settled on.
+	settling []keyrange.Range
+	settled  keyrange.Instant
 	// released are tokens of ranges that the backend server has freed and whose next owner does not stand in the table.
 	released []heartbeat.Freed
 	// version grows with each heartbeat and each grant.
@@ -148,15 +152,11 @@
 
 // holds reports whether the last reply granted a key of which the grant still lasts. The caller holds mu.
 func (t *serverTable) holds(key uint16, now keyrange.Instant) bool {
-	if now >= t.holdEnds {
+	covers := func(r keyrange.Range) bool { return r.Overlaps(key, key) }
+	if now >= t.holdEnds || now < t.settled && slices.ContainsFunc(t.settling, covers) {
 		return false
 	}
-	for _, r := range t.granted {
-		if r.Overlaps(key, key) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.granted, covers)
 }
 
 // Heartbeat takes a heartbeat of the backend server and returns what it is to hold.
@@ -305,16 +305,39 @@
 		return heartbeat.Reply{}
 	}
 	ranges := g.ranges.grants(keyrange.Owner{Instance: g.self.Instance, Server: b.Server, Born: b.Born}, g.self.Service)
-	g.server.granting(ranges, keyrange.HoldEnds(now, hold))
+	if g.server.granting(ranges, keyrange.HoldEnds(now, hold), g.deps.Now()) {
+		g.control.After(grantSettle, g.server.wakeWaiting)
+	}
 	return heartbeat.Reply{Hold: hold, Ranges: ranges}
 }
 
-// granting notes the ranges of a reply.
-func (t *serverTable) granting(ranges []keyrange.Range, ends keyrange.Instant) {
+// grantSettle is how long a reply takes to the backend server and into effect. A request that came before it would be
+// refused as not its own.
+const grantSettle = 15 * time.Millisecond
+
+// granting notes the ranges of a reply. It reports whether some of them are new to the backend server.
+func (t *serverTable) granting(ranges []keyrange.Range, ends, now keyrange.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.granted, t.holdEnds = ranges, ends
+	held := t.granted
+	if now >= t.holdEnds {
+		held = nil
+	}
+	t.settling = nil
+	for _, r := range ranges {
+		if !slices.ContainsFunc(held, func(h keyrange.Range) bool { return h.From <= r.From && r.To <= h.To && h.Fence == r.Fence }) {
+			t.settling = append(t.settling, r)
+		}
+	}
+	t.granted, t.holdEnds, t.settled = ranges, ends, now.Add(grantSettle)
 	t.version++
+	return len(t.settling) > 0
+}
+
+// wakeWaiting wakes the requests that wait for a key.
+func (t *serverTable) wakeWaiting() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -35,6 +35,8 @@
 	cut map[string]bool
 	// loseEvery makes each so many-th answer of a backend server get lost; 0 for none.
 	loseEvery, exchanges int
+	// misdirected counts requests for keys that the backend server did not hold.
+	misdirected int
 	// tables are the published configurations by their record.
 	tables []*route.Table
 	stop   chan struct{}
@@ -71,6 +73,8 @@
 const (
 	beatInterval  = 870 * time.Millisecond
 	releasedAgain = 100 * time.Millisecond
+	// replyDelay is the time from a reply until the backend server holds what it grants.
+	replyDelay = 5 * time.Millisecond
 )
 
 func newWorld(t *testing.T) *world {
@@ -242,6 +246,7 @@
 		return false
 	}
 	reply, err := g.Heartbeat(m)
+	pause(context.Background(), replyDelay)
 	if err != nil {
 		w.t.Errorf("heartbeat of %s: %v", h.self.Instance, err)
 		return false
@@ -322,6 +327,7 @@
 		h.w.mu.Unlock()
 		return routed.Refuse(request.BackendUnreachable, 0)
 	case s.id != e.Server || h.self.Service == "keyed" && !s.holds(e.Request.Key, time.Now()):
+		h.w.misdirected++
 		h.w.mu.Unlock()
 		refused := routed.Refuse(request.BackendChanged, 0)
 		refused.Offered = true
