--- a/internal/choice/choice_test.go
+++ b/internal/choice/choice_test.go
@@ -12,7 +12,6 @@
 type server struct {
 	service time.Duration
 	ends    []time.Time
-	waiting int
 }
 
 // replay sends requests from several ingress nodes, which know the load only from their own answers, and returns the share
