--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -308,6 +309,34 @@
 	})
 }
 
+// Guards against requests that meet the end of a stopping process, and a backend server that gets none although its node
+// still serves.
+func TestStoppingNodeIsLeftInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		stopping := w.hosts["f0"].gateway
+		var leave sync.WaitGroup
+		leave.Go(func() { stopping.Leave(context.Background()) })
+		served := func() (by map[string]int) {
+			by = map[string]int{}
+			for i := range 20 {
+				a := w.ask("k0", fmt.Sprintf("s-%d-%d", time.Now().UnixNano(), i), "/free/", -1, time.Second)
+				by[string(a.Body)]++
+			}
+			return by
+		}
+		if stopping.Ready() || w.ask("f1", "first", "/home/", -1, time.Second).Outcome != request.Done {
+			t.Error("a stopping node is ready, or serves nothing")
+		}
+		time.Sleep(leaveTime - leaveNotice/2 - 100*time.Millisecond)
+		if by := served(); by["f0"] > 0 || by["f1"] != 20 {
+			t.Errorf("served by %v", by)
+		}
+		leave.Wait()
+	})
+}
+
 // Guards against an evacuated data centre whose backend servers get requests, and keys that do not come back.
 func TestEvacuation(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,14 +107,15 @@
 	offload atomic.Pointer[keyMove]
 	suspect atomic.Pointer[string]
 
-	// stopping is set when the node is to end, and closed when it takes no more requests for its backend server.
-	stopping, closed atomic.Bool
-	followers        []*follower
-	readers          sync.WaitGroup
-	stop             context.CancelFunc
-	stopTicks        []func()
-	ctx              context.Context
-	started          time.Time
+	// stopping is set when the node is to end, leaving when other nodes must not choose it any more, and closed when it takes
+	// no more requests for its backend server.
+	stopping, leaving, closed atomic.Bool
+	followers                 []*follower
+	readers                   sync.WaitGroup
+	stop                      context.CancelFunc
+	stopTicks                 []func()
+	ctx                       context.Context
+	started                   time.Time
 	// inProgress counts requests of callers and of other nodes.
 	inProgress atomic.Int64
 }
@@ -181,7 +182,10 @@
 	g.stopping.Store(true)
 	g.events.Emit(eventlog.Stopping)
 	g.upkeep.Fire()
-	pause(ctx, leaveTime)
+	pause(ctx, leaveTime-leaveNotice)
+	g.leaving.Store(true)
+	g.upkeep.Fire()
+	pause(ctx, leaveNotice)
 	g.closed.Store(true)
 }
 
@@ -197,8 +201,11 @@
 
 const (
 	// leaveTime is how long a stopping node still takes requests: readiness is asked once a second, and two misses count.
-	leaveTime  = 2500 * time.Millisecond
-	finishPoll = 50 * time.Millisecond
+	leaveTime = 2500 * time.Millisecond
+	// leaveNotice is how long before that other nodes learn not to choose this one, so that none of their requests meets the
+	// end of the process. It is many times the way of a record through the store.
+	leaveNotice = 400 * time.Millisecond
+	finishPoll  = 50 * time.Millisecond
 )
 
 // pause waits for d; it returns false if ctx ends first.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -171,6 +171,10 @@
 func (g *Gateway) failed(ctx context.Context, a *attempt, instance string, err error) routed.Answer {
 	// A deadline or a caller that left says nothing of the node.
 	g.members.answered(instance, routed.Load{}, ctx.Err() != nil, time.Now())
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The caller has gone; nobody reads the answer.
+		return routed.Uncertain(request.ConnectionLost)
+	}
 	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance), eventlog.Cause(err))
 	switch {
 	case notSent(err):
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -316,7 +316,7 @@
 	defer t.mu.Unlock()
 	var found []choice.Candidate
 	for name, p := range t.peers {
-		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || q.evacuated[p.DataCentre] ||
+		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || q.evacuated[p.DataCentre] ||
 			!allows(q.homes, p.Region) || contains(q.tried, name) || now.Before(p.retryAt) {
 			continue
 		}
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -54,7 +54,7 @@
 	now := time.Now()
 	own := registry.Member{Instance: g.self.Instance, Incarnation: g.self.Incarnation, Address: g.self.Address,
 		DataCentre: g.self.DataCentre, Region: g.self.Region, Service: g.self.Service,
-		Server: g.server.record(g.deps.Now()), Stopping: g.stopping.Load()}
+		Server: g.server.record(g.deps.Now()), Stopping: g.leaving.Load()}
 	if g.members.storedAs(own) || !g.members.known() || own == g.state.announced && now.Sub(g.state.announcedAt) < announceAgain {
 		return
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -76,7 +76,7 @@
 	Service    string
 	// Server is the zero value while no backend server runs beside the node.
 	Server Server
-	// Stopping is set while the node shuts down.
+	// Stopping is set shortly before the node takes no more requests for its backend server, until its next process.
 	Stopping bool
 }
 
