--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -318,6 +318,7 @@
 		stopping := w.hosts["f0"].gateway
 		var leave sync.WaitGroup
 		leave.Go(func() { stopping.Leave(context.Background()) })
+		synctest.Wait()
 		served := func() (by map[string]int) {
 			by = map[string]int{}
 			for i := range 20 {
