--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -69,6 +71,7 @@
 // RunGateway runs a gateway until ctx ends, then stops it: it is no longer ready, and running requests finish. It writes
 // events to out and never waits for it.
 func RunGateway(ctx context.Context, s settings.Gateway, out io.Writer) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(s.CPUShare))))
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	dropped := func(n int) { fmt.Fprintf(out, "{\"name\":\"log_lines_dropped\",\"count\":%d}\n", n) }
--- a/internal/engine/chaos_test.go
+++ b/internal/engine/chaos_test.go
@@ -234,7 +234,9 @@
 	defer c.callers.Done()
 	id := newRequestID(time.Now())
 	for attempt, delay := range repeats {
-		<-time.After(delay)
+		if delay > 0 {
+			<-time.After(delay)
+		}
 		node := c.ingress([]string{"west-a", "west-b", "central-a", "central-b"}[(n+attempt)%4], n+attempt)
 		if node == nil {
 			continue
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -143,7 +143,11 @@
 
 // awaitKey waits until the backend server holds the key; it returns why it will not.
 func (g *Gateway) awaitKey(ctx context.Context, r routed.Request, p node.DispatchProgress) request.Reason {
-	limit := time.NewTimer(min(keyWait, time.Until(r.Deadline)-leastRun))
+	left := time.Until(r.Deadline) - leastRun
+	if left <= 0 {
+		return request.DeadlineTooClose
+	}
+	limit := time.NewTimer(min(keyWait, left))
 	defer limit.Stop()
 	progress := progressTicker(p)
 	defer progress.Stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,9 @@
 
 // pause waits for d; it returns false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -66,6 +66,9 @@
 	case found == nil:
 		return g.decided(&attempt{request: r, started: time.Now()}, routed.Refuse(request.NoRoute, 0))
 	}
+	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
+		return g.decided(&attempt{request: r, started: time.Now()}, routed.Refuse(request.TooLarge, 0))
+	}
 	r.Service, r.Idempotent, r.Priority = service, found.Idempotent, found.Priority
 	r.HomeRegions, r.Revision, r.OriginService = found.HomeRegions, table.Revision, g.self.Service
 	now := time.Now()
@@ -163,7 +166,6 @@
 func (a *attempt) note(answer routed.Answer) {
 	if answer.Offered {
 		a.offered++
-		a.request.Repeat = true
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -53,10 +53,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes is the size of the largest body; zero for no bound.
+	MaxBodyBytes int64
 }
 
 // Table is one configuration.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -39,8 +39,6 @@
 	HomeRegions []string
 	// Revision is the configuration that the route was taken from.
 	Revision uint64
-	// Repeat marks a request that was already sent to another backend server.
-	Repeat bool
 }
 
 // Load is what a node reports of the backend server beside it.
