--- a/cmd/heatherreelctl/gateway.go
+++ b/cmd/heatherreelctl/gateway.go
@@ -15,14 +15,7 @@
 	return &cobra.Command{
 		Use: "gateway", Short: "Write what a gateway knows: configuration, instances and owners of keys", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			client, err := t.client(c)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := t.limited(c)
-			defer cancel()
-			s, err := client.Gateway(ctx)
-			return t.printIf(gatewayOutput{s}, err)
+			return ask(t, c, (*operator.Client).Gateway, func(s operator.GatewayState) any { return gatewayOutput{s} })
 		},
 	}
 }
--- a/cmd/heatherreelctl/read.go
+++ b/cmd/heatherreelctl/read.go
@@ -321,18 +321,23 @@
 	return &cobra.Command{
 		Use: "status", Short: "Write what a node knows: itself, nodes and ownership", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			client, err := t.client(c)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := t.limited(c)
-			defer cancel()
-			s, err := client.Status(ctx)
-			return t.printIf(statusOutput{s}, err)
+			return ask(t, c, (*operator.Client).Status, func(s operator.Status) any { return statusOutput{s} })
 		},
 	}
 }
 
+// ask puts one question to the node and prints its answer in the form that output gives it.
+func ask[T any](t *tool, c *cobra.Command, question func(*operator.Client, context.Context) (T, error), output func(T) any) error {
+	client, err := t.client(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := t.limited(c)
+	defer cancel()
+	answer, err := question(client, ctx)
+	return t.printIf(output(answer), err)
+}
+
 // statusOutput is the output of status.
 type statusOutput struct{ operator.Status }
 
