State satisfied claims by value, so that late answers do not race with them

Cause: a step of the lease protocol gave out pointers to its satisfied claims. The engine then read the votes of a claim (Claimant.Direct) without the lock of the lease table, while the answer to a promise request wrote them. An end could be stated as direct that was not so when it was decided.

Ruled out: a fault of the test. The stacks of the repeated run name Direct at claimant.go:154 and Answer at :105.

Change: a step states holder, set version and directness of a satisfied claim by value, taken under the lock.

--- a/internal/engine/lease_table.go
+++ b/internal/engine/lease_table.go
@@ -240,7 +240,7 @@
 	renewals  []lease.Renewal
 	requests  []lease.PromiseRequest
 	overdue   []lease.Overdue
-	satisfied []*lease.Claimant
+	satisfied []satisfiedClaim
 	abandoned []ledger.Incarnation
 	// gained and lost tell that the lease began or ceased to hold since the last step.
 	gained, lost bool
@@ -248,6 +248,15 @@
 	next time.Time
 }
 
+// satisfiedClaim is a claim whose holder's end may be appended, as it was when the table was locked: late answers to
+// promise requests still change the claim itself.
+type satisfiedClaim struct {
+	holder     ledger.Incarnation
+	setVersion ledger.Offset
+	// direct tells that the end rests on promises alone.
+	direct bool
+}
+
 // step advances all state machines to now.
 func (t *leaseTable) step(now time.Time) leaseStep {
 	t.mu.Lock()
@@ -322,7 +331,7 @@
 		}
 		switch claim.Status(now) {
 		case lease.ClaimSatisfied:
-			s.satisfied = append(s.satisfied, claim)
+			s.satisfied = append(s.satisfied, satisfiedClaim{holder: holder, setVersion: claim.SetVersion(), direct: claim.Direct()})
 		case lease.ClaimAbandoned:
 			delete(t.claims, holder)
 			s.abandoned = append(s.abandoned, holder)
--- a/internal/engine/leases.go
+++ b/internal/engine/leases.go
@@ -130,7 +130,7 @@
 		e.startClaim(o.Holder, o.SetVersion, time.Time{})
 	}
 	for _, claim := range step.satisfied {
-		e.proposeEnd(claim.Holder(), claim.SetVersion(), claim.Direct(), e.suspected())
+		e.proposeEnd(claim.holder, claim.setVersion, claim.direct, e.suspected())
 	}
 	e.leaseStep.FireAt(step.next)
 }
