Start no request on a machine that is slow at the moment

Cause: other programs slow the machine of a backend server to a third for some hundred milliseconds. Such requests are late and hold their slots three times as long.

Change: contention.Monitor judges from the figures whether the machine is slower than usual. Requests for keys are held in the queue for as long as a slow start would cost; others go to another node of the region, twice at most. While requests are held, or when the last figure is old, the node asks the health path for the figure. The estimate of the service time is that of usual speed, and a slow machine counts so in the choice for 400 ms.

TestSlowMachineDivertsRequests and TestKeyedRequestsWaitForSlowMachine fail without the change.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -11,8 +11,8 @@
 const anyClassEvery = 8
 
 // join returns the job for an offer, with its shares.
-func (q *Queue) join(offered Job) *job {
-	j := &job{Job: offered, ticket: q.last}
+func (q *Queue) join(now time.Time, offered Job) *job {
+	j := &job{Job: offered, ticket: q.last, offered: now}
 	if j.tenant = q.tenants[offered.Tenant]; j.tenant == nil {
 		j.tenant = &share{}
 		q.tenants[offered.Tenant] = j.tenant
@@ -37,7 +37,7 @@
 
 // begin gives a slot to a job that does not wait.
 func (q *Queue) begin(now time.Time, j *job) {
-	j.begun = now
+	j.begun, j.slowdown = now, max(1, q.slowdown)
 	j.tenant.running++
 	j.key.running++
 	q.running[j.ticket] = j
@@ -73,14 +73,31 @@
 	return Refusal{Ticket: j.ticket, Reason: reason}
 }
 
-// next returns the waiting job that gets a free slot.
+// HoldAbove is the slowdown from which jobs are held: below, the usual spread of the time of work hides it.
+const HoldAbove = 1.5
+
+// mayStart reports whether a job need not be held. While the backend server is slow, a job is held for as long as its
+// start would cost it more time than usual: it loses at most twice what a start at the right moment would have lost, and
+// slots are not taken for several times the usual time.
+func (q *Queue) mayStart(now time.Time, j *job) bool {
+	if !q.Held() {
+		return true
+	}
+	since := j.offered
+	if q.slowSince.After(since) {
+		since = q.slowSince
+	}
+	return now.Sub(since) >= time.Duration((q.slowdown-1)*float64(q.serviceTime))
+}
+
+// next returns the waiting job that gets a free slot; nil if there is none.
 func (q *Queue) next(now time.Time) *job {
 	byClass := (q.started+1)%anyClassEvery != 0
 	tenantShare := fairShare(q.options.Limit, len(q.tenants))
 	keyShare := fairShare(q.options.Limit, len(q.keys))
-	best := q.waiting[0]
-	for _, j := range q.waiting[1:] {
-		if q.precedes(now, j, best, byClass, tenantShare, keyShare) {
+	var best *job
+	for _, j := range q.waiting {
+		if q.mayStart(now, j) && (best == nil || q.precedes(now, j, best, byClass, tenantShare, keyShare)) {
 			best = j
 		}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,6 +21,10 @@
 	// started counts jobs taken from waiting.
 	started     uint64
 	serviceTime time.Duration
+	// slowdown is how many times as long as usual a job takes that starts now; 0 counts as 1. slowSince is when jobs began
+	// to be held for it; zero while they are not.
+	slowdown  float64
+	slowSince time.Time
 }
 
 // tenantKey names a key; equal keys of two tenants are different.
@@ -36,8 +40,11 @@
 // job is a running or waiting job.
 type job struct {
 	Job
-	ticket      Ticket
-	begun       time.Time
+	ticket  Ticket
+	offered time.Time
+	begun   time.Time
+	// slowdown is that of the queue when the job began.
+	slowdown    float64
 	tenant, key *share
 }
 
@@ -65,8 +72,8 @@
 		d.Reason = request.DeadlineTooClose
 		return d
 	}
-	j := q.join(offered)
-	if len(q.running) < q.options.Limit {
+	j := q.join(now, offered)
+	if len(q.running) < q.options.Limit && q.mayStart(now, j) {
 		q.begin(now, j)
 		d.Verdict = Started
 		return d
@@ -99,11 +106,27 @@
 	j.key.running--
 	q.leave(j)
 	if measured {
-		q.measure(now.Sub(j.begun))
+		q.measure(time.Duration(float64(now.Sub(j.begun)) / j.slowdown))
 	}
 	return q.advance(now)
 }
 
+// SetSlowdown states how many times as long as usual a job takes that starts now; 1 is usual. It starts the jobs that
+// need not be held any more. The estimate of the service time is that of usual jobs.
+func (q *Queue) SetSlowdown(now time.Time, factor float64) Change {
+	q.slowdown = factor
+	switch {
+	case factor < HoldAbove || !q.options.HoldWhenSlow:
+		q.slowSince = time.Time{}
+	case q.slowSince.IsZero():
+		q.slowSince = now
+	}
+	return q.advance(now)
+}
+
+// Held reports whether jobs are held because the backend server is slow at the moment.
+func (q *Queue) Held() bool { return !q.slowSince.IsZero() }
+
 // Cancel removes a waiting job whose caller has gone. It returns false if the job does not wait.
 func (q *Queue) Cancel(ticket Ticket) bool {
 	for _, j := range q.waiting {
@@ -157,8 +180,11 @@
 // advance starts waiting jobs while there are free slots.
 func (q *Queue) advance(now time.Time) Change {
 	change := q.expireForSlots(now)
-	for len(q.running) < q.options.Limit && len(q.waiting) > 0 {
+	for len(q.running) < q.options.Limit {
 		j := q.next(now)
+		if j == nil {
+			break
+		}
 		q.dequeue(j)
 		q.begin(now, j)
 		q.started++
@@ -171,7 +197,7 @@
 // one job whose deadline has not passed is started all the same: without it, no measurement could lower an estimate
 // that is too high.
 func (q *Queue) expireForSlots(now time.Time) Change {
-	if len(q.running) > 0 || q.options.Limit == 0 {
+	if len(q.running) > 0 || q.options.Limit == 0 || q.Held() {
 		return q.Expire(now)
 	}
 	probe := q.latestDeadline()
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -18,6 +18,8 @@
 	Limit int
 	// QueueLimit is the number of requests that wait. Finding the next takes time in proportion to it.
 	QueueLimit int
+	// HoldWhenSlow holds jobs for a short time while the backend server is slow at the moment; see Queue.SetSlowdown.
+	HoldWhenSlow bool
 }
 
 // Job is a request as far as admission needs it.
--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -54,6 +54,9 @@
 // of a request, after which other requests run.
 const reportLife = time.Second
 
+// slowdownLife is the age at which a report says nothing any more of a machine that was slow at the moment.
+const slowdownLife = 400 * time.Millisecond
+
 // failurePenalty is added for each failure in a row; a second makes any backend server without failures the better one.
 const failurePenalty = time.Second
 
@@ -93,6 +96,10 @@
 	if c.Load.ColdFor > c.Age {
 		cost += coldPenalty
 	}
+	if c.Load.Slowdown > 1 {
+		remaining := 1 - float64(min(c.Age, slowdownLife))/float64(slowdownLife)
+		service = time.Duration(float64(service) * (1 + (c.Load.Slowdown-1)*remaining))
+	}
 	fresh := 1 - float64(min(c.Age, reportLife))/float64(reportLife)
 	ahead := float64(c.Load.Running+c.Load.Waiting)*fresh + float64(c.Pending)
 	load := (ahead + 1) / float64(slots)
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -227,6 +227,13 @@
 		Remedy: "check the other node and the network between"})
 )
 
+// Events of the backend server's machine.
+var (
+	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the backend server did not tell how long work takes at the moment; its last figure counts until it is too old",
+		Remedy: "check the backend server on this instance"})
+)
+
 // Events of heartbeats.
 var (
 	ServerStateChanged = define(Event{Number: 611, Name: "server_state_changed", Level: zerolog.InfoLevel, PerSecond: peerRate,
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -53,6 +53,10 @@
 			return g.refused(r, reason)
 		}
 	}
+	g.refreshSlowness(ctx)
+	if g.diverts(r) {
+		return g.refused(r, request.MachineSlow)
+	}
 	ticket, reason := g.enter(ctx, r, p)
 	if reason != "" {
 		return g.refused(r, reason)
@@ -188,6 +192,7 @@
 func (g *Gateway) enter(ctx context.Context, r routed.Request, p node.DispatchProgress) (admission.Ticket, request.Reason) {
 	g.server.mu.Lock()
 	now := time.Now()
+	g.server.settle(g.server.queue.SetSlowdown(now, g.server.machine.Slowdown(now)))
 	giveUp := r.Deadline.Add(-max(leastRun, g.server.queue.Usage().ServiceTime))
 	if patience := now.Add(r.Deadline.Sub(now) * queuePatience / 100); patience.Before(giveUp) {
 		giveUp = patience
@@ -200,7 +205,11 @@
 		g.server.waiting[d.Ticket] = waiter
 	}
 	g.server.settle(d.Change)
+	held := g.server.queue.Held()
 	g.server.mu.Unlock()
+	if held && d.Verdict == admission.Queued {
+		g.slowness.FireAfter(slownessInterval)
+	}
 	if d.Verdict == admission.Refused {
 		return 0, d.Reason
 	}
@@ -279,6 +288,7 @@
 		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
 		answer := g.deps.Backend.Exchange(ctx, e)
+		g.server.observe(answer.WorkFigure)
 		g.leave(ticket, answer.Outcome == request.Done)
 		result <- answer
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,9 @@
 type Backend interface {
 	// Exchange sends the request once. The answer is NotRun only where that is proved.
 	Exchange(ctx context.Context, e routed.Exchange) routed.Answer
+	// WorkFigure asks the backend server how long work takes that starts now; see routed.Answer. It returns a
+	// problem.Unavailable error if the backend server does not tell.
+	WorkFigure(ctx context.Context, address, healthPath string) (float64, error)
 	// DropIdle closes kept connections.
 	DropIdle()
 }
@@ -98,6 +101,8 @@
 	backend *worker.Pool
 	control *worker.Pool
 	upkeep  *worker.Trigger
+	// slowness asks the backend server whether its machine is still slow.
+	slowness *worker.Trigger
 	// state belongs to the upkeep job.
 	state upkeepState
 	// watched belongs to the watch job; suspect is the instance that it wants suspected.
@@ -146,6 +151,7 @@
 	g.backend = worker.NewPool("backend", g.options.BackendWorkers, g.options.BackendWorkers)
 	g.control = worker.NewPool("control", controlWorkers, controlQueue)
 	g.upkeep = worker.NewTrigger(g.control, g.runUpkeep)
+	g.slowness = worker.NewTrigger(g.control, g.checkSlowness)
 	g.events.Emit(eventlog.Started)
 	g.followers = []*follower{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
@@ -231,6 +237,7 @@
 	g.stop()
 	g.readers.Wait()
 	g.upkeep.Stop()
+	g.slowness.Stop()
 	g.ingress.Stop()
 	g.control.Stop()
 	g.backend.Stop()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -34,6 +34,9 @@
 	// answerGrace is how long an answer is awaited after the deadline: the node that ran the request, or refused it, knows
 	// more than that time has passed.
 	answerGrace = 100 * time.Millisecond
+	// mostDiversions bounds the backend servers that are passed over because they are slow at the moment. A fifth of them
+	// is at any time, so that a third one in a row is rare.
+	mostDiversions = 2
 	// mostSends bounds the nodes that are asked for one request.
 	mostSends = 6
 )
@@ -48,7 +51,9 @@
 	started time.Time
 	// offered is the number of backend servers that the request reached, and sends the number of nodes that were asked.
 	offered, sends int
-	tried          []string
+	// diversions is the number of nodes that refused it because their backend server was slow at the moment.
+	diversions int
+	tried      []string
 	// owned is the range of the key when its owner was last asked.
 	owned keyrange.Range
 	last  routed.Answer
@@ -136,6 +141,7 @@
 	a.sends++
 	a.tried = append(a.tried, instance)
 	g.members.sent(instance)
+	a.request.MayDivert = !a.keyed && a.diversions < mostDiversions && g.members.sameRegion(instance)
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
 		g.members.answered(instance, answer.Load, true, time.Now())
@@ -211,6 +217,11 @@
 	if !asked {
 		return g.awaitServer(ctx, a, now)
 	}
+	if a.last.Reason == request.MachineSlow {
+		// Its report counts in the next choice, which may fall on it again if all others are worse.
+		a.diversions++
+		a.tried = a.tried[:len(a.tried)-1]
+	}
 	return true
 }
 
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -211,6 +211,14 @@
 	return found
 }
 
+// sameRegion reports whether an instance is in the region of the node.
+func (t *memberTable) sameRegion(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[instance]
+	return p != nil && p.Region == t.self.Region
+}
+
 func (t *memberTable) distance(m *registry.Member) choice.Distance {
 	switch {
 	case m.Instance == t.self.Instance:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"heatherreel/internal/admission"
+	"heatherreel/internal/contention"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyload"
@@ -56,8 +57,12 @@
 	changed chan struct{}
 	queue   *admission.Queue
 	meter   keyload.Meter
+	// machine judges whether the machine of the backend server is slow at the moment.
+	machine contention.Monitor
+	// asking is set while a request asks the backend server for its figure.
+	asking  bool
 	waiting map[admission.Ticket]chan request.Reason
-	slots   int
+	limits  admission.Options
 }
 
 // departure is the acknowledged end of one life of a backend server. It binds whatever its later heartbeats say.
@@ -121,16 +126,19 @@
 	defer t.mu.Unlock()
 	u := t.queue.Usage()
 	return routed.Load{Known: t.beat.Server != "" && !t.ended, Running: u.Running, Waiting: u.Waiting, Slots: u.Limit,
-		ServiceTime: u.ServiceTime, ColdFor: max(0, t.coldUntil.Sub(now)), KeyRate: t.meter.Rate()}
+		ServiceTime: u.ServiceTime, ColdFor: max(0, t.coldUntil.Sub(now)), KeyRate: t.meter.Rate(),
+		Slowdown: t.machine.Slowdown(now)}
 }
 
 // setSlots changes the limits of the queue. The caller holds mu.
-func (t *serverTable) setSlots(now time.Time, slots int) {
-	if slots == t.slots {
+func (t *serverTable) setSlots(now time.Time, slots int, keyed bool) {
+	// A request for a key has no other backend server to go to, so that it waits until the machine is fast again.
+	o := admission.Options{Limit: slots, QueueLimit: slots * queuePerSlot, HoldWhenSlow: keyed}
+	if o == t.limits {
 		return
 	}
-	t.slots = slots
-	t.settle(t.queue.SetLimits(now, admission.Options{Limit: slots, QueueLimit: slots * queuePerSlot}))
+	t.limits = o
+	t.settle(t.queue.SetLimits(now, o))
 }
 
 // settle tells waiting requests what became of them. The caller holds mu.
@@ -236,7 +244,7 @@
 		return false, false
 	case !same:
 		t.ended, t.drainUntil, t.granted, t.holdEnds, t.released = false, 0, nil, 0, nil
-		t.cold = nil
+		t.cold, t.machine = nil, contention.Monitor{}
 		news = true
 	}
 	if d, leaving := t.left[b.Server]; leaving && b.Born <= d.at {
@@ -268,10 +276,12 @@
 func (g *Gateway) applySlots() {
 	now := g.deps.Now()
 	table := g.routes.current()
+	keyed := false
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
 	if table != nil {
 		service := table.Services[g.self.Service]
+		keyed = service.Keyed
 		g.server.coldRate = service.ColdRate
 		// A life is cold from its start on, whatever the first heartbeats say.
 		if until := time.UnixMilli(g.server.beat.Born).Add(service.ColdFor); until.After(g.server.coldUntil) {
@@ -282,7 +292,7 @@
 	if g.server.ended && now >= g.server.drainUntil {
 		slots = 0
 	}
-	g.server.setSlots(time.Now(), slots)
+	g.server.setSlots(time.Now(), slots, keyed)
 }
 
 // moving reports whether ranges of the instance wait for their release.
--- /dev/null
+++ b/internal/gateway/slowness_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherreel/internal/request"
+)
+
+// Guards against requests that start on a machine that is slow at the moment, while another backend server is free.
+func TestSlowMachineDivertsRequests(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		w.publish(1, true)
+		for i := range 3 {
+			w.add(fmt.Sprintf("f%d", i), "free", "r1")
+		}
+		time.Sleep(settled)
+		for i := range 3 {
+			w.setFigure(fmt.Sprintf("f%d", i), 1)
+		}
+		for i := range 12 {
+			w.ask(fmt.Sprintf("f%d", i%3), fmt.Sprintf("warm-%d", i), "/free/", -1, time.Second)
+		}
+		w.setFigure("f0", 3)
+		for i := range 10 {
+			started := time.Now()
+			// The node of the slow machine is the nearest one and the only one that has seen its figure.
+			if a := w.ask("f0", fmt.Sprintf("slow-%d", i), "/free/", -1, time.Second); a.Outcome != request.Done {
+				t.Fatalf("request %d: %v %q", i, a.Outcome, a.Reason)
+			}
+			if i > 0 && time.Since(started) > 150*time.Millisecond {
+				t.Errorf("request %d took %v", i, time.Since(started))
+			}
+		}
+		w.setFigure("f1", 3)
+		w.setFigure("f2", 3)
+		if a := w.ask("f0", "all-slow", "/free/", -1, time.Second); a.Outcome != request.Done {
+			t.Errorf("with all machines slow: %v %q", a.Outcome, a.Reason)
+		}
+	})
+}
+
+// Guards against requests for keys that start on a machine that is slow at the moment and take three times as long.
+func TestKeyedRequestsWaitForSlowMachine(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		w.publish(1, true)
+		w.add("k0", "keyed", "r1")
+		time.Sleep(settled)
+		w.setFigure("k0", 1)
+		for i := range 5 {
+			w.ask("k0", fmt.Sprintf("usual-%d", i), "/keyed/", 7, time.Second)
+		}
+		w.setFigure("k0", 3)
+		started := time.Now()
+		done := make(chan time.Duration)
+		go func() {
+			// The first answer after the change shows that the machine is slow.
+			w.ask("k0", "first", "/keyed/", 7, 2*time.Second)
+			again := time.Now()
+			w.ask("k0", "second", "/keyed/", 8, 2*time.Second)
+			done <- time.Since(again)
+		}()
+		time.Sleep(350 * time.Millisecond)
+		w.setFigure("k0", 1)
+		if took := <-done; took > 250*time.Millisecond {
+			t.Errorf("the second request took %v, %v after the spell began", took, time.Since(started))
+		}
+	})
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -61,7 +61,9 @@
 	held     map[[2]uint16]hold
 	freed    []heartbeat.Freed
 	work     time.Duration
-	highest  [64]uint64
+	// figure is the work figure that it tells; 0 for none.
+	figure  float64
+	highest [64]uint64
 }
 
 type hold struct {
@@ -335,21 +337,48 @@
 	}
 	h.w.runs[e.Request.ID]++
 	h.w.exchanges++
+	work := s.work
 	lost := h.w.loseEvery > 0 && h.w.exchanges%h.w.loseEvery == 0
 	h.w.mu.Unlock()
-	timer := time.NewTimer(s.work)
+	timer := time.NewTimer(work)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		if lost {
 			return routed.Uncertain(request.ConnectionLost)
 		}
-		return routed.Answer{Outcome: request.Done, Status: 200, Body: []byte(h.self.Instance), Offered: true}
+		return routed.Answer{Outcome: request.Done, Status: 200, Body: []byte(h.self.Instance), Offered: true, WorkFigure: h.w.figure(s)}
 	case <-ctx.Done():
 		return routed.Uncertain(request.DeadlineExceeded)
 	}
 }
 
+// WorkFigure implements Backend.
+func (h *host) WorkFigure(context.Context, string, string) (float64, error) {
+	h.w.mu.Lock()
+	s := h.server
+	h.w.mu.Unlock()
+	if s == nil {
+		return 0, problem.New(problem.Unavailable, "start the backend server", "no backend server")
+	}
+	return h.w.figure(s), nil
+}
+
+func (w *world) figure(s *backendServer) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.figure
+}
+
+// setFigure makes the machine of a backend server as slow as the figure says: work that starts from now on takes so much
+// longer than 100 ms.
+func (w *world) setFigure(name string, figure float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.hosts[name].server
+	s.figure, s.work = figure, time.Duration(figure*float64(100*time.Millisecond))
+}
+
 // DropIdle implements Backend.
 func (h *host) DropIdle() {}
 
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -53,7 +53,7 @@
 		Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Header: encodeFields(r.Header), Body: r.Body,
 		DeadlineUs: microseconds(r.Deadline.Sub(now)), Keyed: r.Keyed, Key: uint32(r.Key),
 		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
-		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now),
+		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert,
 	}
 }
 
@@ -81,7 +81,7 @@
 		ID: m.Id, Method: m.Method, Host: m.Host, Path: m.Path, Header: decodeFields(m.Header), Body: m.Body,
 		Deadline: now.Add(duration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
 		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
-		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, now),
+		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, now), MayDivert: m.MayDivert,
 	}
 }
 
@@ -89,7 +89,7 @@
 	return &nodepb.Load{
 		Known: l.Known, Running: uint32(max(0, l.Running)), Waiting: uint32(max(0, l.Waiting)),
 		Slots: uint32(max(0, l.Slots)), ServiceTimeUs: microseconds(l.ServiceTime), ColdUs: microseconds(l.ColdFor),
-		KeyRateMilli: uint64(max(0, l.KeyRate) * ratesPerUnit),
+		KeyRateMilli: uint64(max(0, l.KeyRate) * ratesPerUnit), SlowdownMilli: uint64(max(0, l.Slowdown) * ratesPerUnit),
 	}
 }
 
@@ -97,7 +97,7 @@
 	return routed.Load{
 		Known: m.GetKnown(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
 		ServiceTime: duration(m.GetServiceTimeUs()), ColdFor: duration(m.GetColdUs()),
-		KeyRate: float64(m.GetKeyRateMilli()) / ratesPerUnit,
+		KeyRate: float64(m.GetKeyRateMilli()) / ratesPerUnit, Slowdown: float64(m.GetSlowdownMilli()) / ratesPerUnit,
 	}
 }
 
@@ -117,7 +117,7 @@
 	}
 }
 
-// ratesPerUnit is the resolution of rates in messages.
+// ratesPerUnit is the resolution of rates and factors in messages.
 const ratesPerUnit = 1000
 
 // microseconds returns d for a message; negative times count as none.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -126,6 +126,8 @@
 	BackendFull Reason = "backend_full"
 	// BackendChanged means that another backend server answered at the address, or that the key has left it.
 	BackendChanged Reason = "backend_changed"
+	// MachineSlow means that the machine of the backend server is slow at the moment, and that another one may be faster.
+	MachineSlow Reason = "machine_slow"
 	// AnswerInvalid means that the backend server's answer was cut short or is not the answer to the request.
 	AnswerInvalid Reason = "answer_invalid"
 	// AnswerTooLarge means that the request ran and its answer is over the limit of the router.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -39,6 +39,8 @@
 	HomeRegions []string
 	// Revision is the configuration that the route was taken from.
 	Revision uint64
+	// MayDivert tells that the ingress node asks another backend server if this one is slow at the moment.
+	MayDivert bool
 }
 
 // Load is what a node reports of the backend server beside it.
@@ -53,6 +55,8 @@
 	ColdFor time.Duration
 	// KeyRate is the number of requests a second for keys that arrive.
 	KeyRate float64
+	// Slowdown is how many times as long as usual a request takes that starts now; 0 and 1 are usual.
+	Slowdown float64
 }
 
 // Answer is the result of a request.
@@ -67,6 +71,9 @@
 	Body       []byte
 	// Offered tells whether the request reached a backend server, whatever became of it.
 	Offered bool
+	// WorkFigure is what the backend server told of how long work takes that starts now, on a scale of its own; 0 if it
+	// told nothing.
+	WorkFigure float64
 	// Instance is the node that gave the answer; empty if none did.
 	Instance string
 	Load     Load
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -50,7 +50,8 @@
 	request.NotConfigured, request.BackendRefused, request.BackendUnreachable, request.OwnerUnreachable,
 	request.ConnectionLost, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
-	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid}
+	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
+	request.MachineSlow}
 
 // closedReason returns the reason, or otherValue for one that is not in the closed set.
 func closedReason(r request.Reason) request.Reason {
