Give keys out by the speed of the machines, and even the load of a service in one step

Cause: keys were founded by slots alone, although machines of one service differ by a factor of three, and the first seconds answered 20% late until load had moved keys. Each busy node moved one stretch, to the least used node, and then paused 1.8 s; two that were busy at once filled the same one. The meter needed two seconds to reach the full rate.

Change: a node tells in its member record how long work takes on its machine at best (four figures of the health path at the start of a life), and keys are given out by slots over the square of it. keyload.Shift returns what each of the others should take so that all are used alike, shared among all that have too much. The meter states rates from its first second on. Cold candidates get keys only if all are cold, and candidates with keys get more only by load. A heartbeat is answered up to 700 ms late while keys are on their way, so that they are granted sooner.

TestShiftsOfAllAreEvenAtOnce, TestFirstSecondIsMeasured, TestColdCandidatesGetNoKeys, TestFewBusyKeysAreNotMore and TestFastMachinesGetMoreKeys fail without the change or do not compile.

--- a/internal/contention/contention.go
+++ b/internal/contention/contention.go
@@ -25,6 +25,9 @@
 	number   int64
 	newest   float64
 	newestAt time.Time
+	// best is the lowest of all figures, and samples their number.
+	best    float64
+	samples int
 }
 
 // Observe takes a figure: how long work takes that starts now, on any scale that stays the same. Figures that are not
@@ -35,6 +38,10 @@
 	}
 	m.advance(now)
 	m.newest, m.newestAt = figure, now
+	m.samples++
+	if m.best == 0 || figure < m.best {
+		m.best = figure
+	}
 	b := &m.lowest[m.number%buckets]
 	if *b == 0 || figure < *b {
 		*b = figure
@@ -67,11 +74,14 @@
 // Fresh reports whether a recent figure is known.
 func (m *Monitor) Fresh(now time.Time) bool { return m.Age(now) < sampleLife }
 
+// Samples returns the number of figures that were told.
+func (m *Monitor) Samples() int { return m.samples }
+
 // Seen reports whether the backend server has ever told a figure.
-func (m *Monitor) Seen() bool { return !m.newestAt.IsZero() }
+func (m *Monitor) Seen() bool { return m.samples > 0 }
 
 // Age returns the age of the newest figure.
 func (m *Monitor) Age(now time.Time) time.Duration { return now.Sub(m.newestAt) }
 
-// Figure returns the newest figure; 0 before the first.
-func (m *Monitor) Figure() float64 { return m.newest }
+// Best returns the lowest figure of all: how long work takes while nothing slows the machine. It is 0 before the first.
+func (m *Monitor) Best() float64 { return m.best }
--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -38,24 +38,36 @@
 	if !keyload.Busy(own) || !table.Founded() || len(table.Leaving(g.self.Instance)) > 0 {
 		return
 	}
-	to, rate, ok := keyload.Shift(own, g.otherLoads(table))
-	if !ok {
-		return
-	}
-	g.server.mu.Lock()
-	span, found := g.server.meter.Pick(table.Grants(keyrange.Owner{Instance: g.self.Instance, Server: g.server.beat.Server,
-		Born: g.server.beat.Born}), rate, rate*mostOverShift)
-	g.server.mu.Unlock()
-	if !found {
+	moves := g.pickKeys(table, keyload.Shift(own, g.otherLoads(table, own.ServiceTime)))
+	if len(moves) == 0 {
 		return
 	}
 	g.movedAt = now
-	g.events.Emit(eventlog.KeysOffloaded, eventlog.Name("to_instance", to), eventlog.Count("from", int(span.From)),
-		eventlog.Count("to", int(span.To)), eventlog.Count("use_percent", int(own.Use()*100)), eventlog.Count("moved_per_second", int(span.Rate)))
-	g.offload.Store(&keyMove{span: span, to: to})
+	for _, m := range moves {
+		g.events.Emit(eventlog.KeysOffloaded, eventlog.Name("to_instance", m.to), eventlog.Count("from", int(m.span.From)),
+			eventlog.Count("to", int(m.span.To)), eventlog.Count("use_percent", int(own.Use()*100)), eventlog.Count("moved_per_second", int(m.span.Rate)))
+	}
+	g.offload.Store(&moves)
 	g.upkeep.Fire()
 }
 
+// pickKeys returns a stretch of keys for each wanted move, as far as there are such.
+func (g *Gateway) pickKeys(table *keyrange.Table, wanted []keyload.Move) []keyMove {
+	var moves []keyMove
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	left := table.Grants(keyrange.Owner{Instance: g.self.Instance, Server: g.server.beat.Server, Born: g.server.beat.Born})
+	for _, m := range wanted {
+		span, found := g.server.meter.Pick(left, m.Rate, m.Rate*mostOverShift)
+		if !found {
+			continue
+		}
+		moves = append(moves, keyMove{span: span, to: m.To})
+		left = keyrange.Without(left, span.From, span.To)
+	}
+	return moves
+}
+
 // mostOverShift is how far a moved stretch may be above the wanted rate.
 const mostOverShift = 1.3
 
@@ -69,8 +81,9 @@
 	return keyload.Load{Instance: g.self.Instance, Rate: l.KeyRate, ServiceTime: service, Slots: l.Slots, Waiting: l.Waiting}
 }
 
-// otherLoads asks the other candidates of the service for their load. Those that do not answer are left out.
-func (g *Gateway) otherLoads(table *keyrange.Table) []keyload.Load {
+// otherLoads asks the other candidates of the service for their load. Those that do not answer are left out; usual stands
+// for the service time of one that has run nothing yet.
+func (g *Gateway) otherLoads(table *keyrange.Table, usual time.Duration) []keyload.Load {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
 	var loads []keyload.Load
@@ -85,7 +98,7 @@
 		}
 		g.members.reported(member.Instance, load, time.Now())
 		if load.ServiceTime <= 0 {
-			load.ServiceTime = usualServiceTime
+			load.ServiceTime = usual
 		}
 		loads = append(loads, keyload.Load{Instance: member.Instance, Rate: load.KeyRate, ServiceTime: load.ServiceTime, Slots: load.Slots})
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,9 +107,9 @@
 	state upkeepState
 	// watched belongs to the watch job; suspect is the instance that it wants suspected.
 	watched watchState
-	// movedAt belongs to the balance job; offload is the move that it wants made.
+	// movedAt belongs to the balance job; offload are the moves that it wants made.
 	movedAt time.Time
-	offload atomic.Pointer[keyMove]
+	offload atomic.Pointer[[]keyMove]
 	suspect atomic.Pointer[string]
 
 	// stopping is set when the node is to end, leaving when other nodes must not choose it any more, and closed when it takes
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -110,7 +111,8 @@
 		return registry.Server{}
 	}
 	// The record of an ended life stays, so that a new process of the node knows of it.
-	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: !t.ended, Draining: t.beat.Draining || t.ended, Slots: t.beat.Slots}
+	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: !t.ended, Draining: t.beat.Draining || t.ended, Slots: t.beat.Slots,
+		WorkPercent: int(math.Round(t.machine.Best() * 100))}
 }
 
 // versionNow returns the version.
@@ -189,6 +191,7 @@
 	if news || len(b.Freed) > 0 || g.moving() {
 		g.upkeep.Fire()
 	}
+	g.measureSpeed()
 	if !b.Ended && !b.Draining {
 		g.awaitRanges(b)
 	}
@@ -197,7 +200,7 @@
 
 // replyWait is how long a reply is held back while keys are on their way to the backend server. A reply counts as
 // acknowledgement for 1 s; without the wait the keys would be granted with the next heartbeat, 870 ms later.
-const replyWait = 500 * time.Millisecond
+const replyWait = 700 * time.Millisecond
 
 // awaitRanges waits until no keys are about to become the backend server's.
 func (g *Gateway) awaitRanges(b heartbeat.Message) {
--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -40,6 +40,25 @@
 	}
 }
 
+// speedSamples is how many figures of a life are asked for without a request, so that the speed of its machine is known
+// when keys are given out. Other programs slow a machine for about a fifth of the time.
+const speedSamples = 4
+
+// measureSpeed asks the backend server for a figure if few are known.
+func (g *Gateway) measureSpeed() {
+	g.server.mu.Lock()
+	wanted := g.keyed() && !g.server.ended && !g.server.asking && g.server.machine.Samples() < speedSamples
+	if wanted {
+		g.server.asking = true
+	}
+	g.server.mu.Unlock()
+	if wanted && g.control.Submit(func() { g.askSlowness(g.ctx) }) != nil {
+		g.server.mu.Lock()
+		g.server.asking = false
+		g.server.mu.Unlock()
+	}
+}
+
 // askSlowness asks the backend server and takes its figure. Without one the last figure counts until it is too old.
 func (g *Gateway) askSlowness(ctx context.Context) {
 	figure := 0.0
--- a/internal/gateway/slowness_test.go
+++ b/internal/gateway/slowness_test.go
@@ -72,3 +72,26 @@
 		}
 	})
 }
+
+// Guards against keys that are given out by slots alone: a machine that takes three times as long must not get as many.
+func TestFastMachinesGetMoreKeys(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		w.publish(1, true)
+		for i, figure := range []float64{0.5, 1, 1.5} {
+			name := fmt.Sprintf("k%d", i)
+			w.add(name, "keyed", "r1")
+			w.setFigure(name, figure)
+		}
+		time.Sleep(settled)
+		table, _ := w.hosts["k0"].gateway.ranges.get("keyed")
+		keys := map[string]int{}
+		for _, r := range table.Ranges {
+			keys[r.Owner.Instance] += int(r.To) - int(r.From) + 1
+		}
+		if keys["k0"] < 3*keys["k1"] || keys["k1"] < 2*keys["k2"] || keys["k2"] == 0 {
+			t.Errorf("keys by instance: %v", keys)
+		}
+	})
+}
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -75,17 +75,35 @@
 // candidates returns the backend servers of the service that may own keys, in the order of their instances.
 func (g *Gateway) candidates(table *keyrange.Table) []keyrange.Candidate {
 	var found []keyrange.Candidate
+	var coldFor time.Duration
+	if routes := g.routes.current(); routes != nil {
+		coldFor = routes.Services[g.self.Service].ColdFor
+	}
 	for _, m := range g.members.ofService(g.self.Service) {
 		_, suspected := table.Suspicions[m.Instance]
 		if !m.Server.Ready || m.Server.Draining || suspected || table.Lost[m.Instance] || g.routes.isEvacuated(m.DataCentre) {
 			continue
 		}
-		found = append(found, keyrange.Candidate{Owner: ownerOf(m), Weight: max(1, m.Server.Slots)})
+		found = append(found, keyrange.Candidate{Owner: ownerOf(m), Weight: weight(m.Server),
+			Cold: time.Since(time.UnixMilli(m.Server.Born)) < coldFor})
 	}
 	slices.SortFunc(found, func(a, b keyrange.Candidate) int { return cmp.Compare(a.Owner.Instance, b.Owner.Instance) })
 	return found
 }
 
+// weightScale is the weight of a slot on a machine of usual speed.
+const weightScale = 100
+
+// weight returns the share of the keys that a backend server should have: its slots by the square of the speed of its
+// machine, since a fast one has room for more requests and also answers each of them sooner. Load moves keys away from one
+// that has too many.
+func weight(s registry.Server) int {
+	if s.WorkPercent <= 0 {
+		return max(1, s.Slots*weightScale)
+	}
+	return max(1, s.Slots*weightScale*100*100/(s.WorkPercent*s.WorkPercent))
+}
+
 func ownerOf(m registry.Member) keyrange.Owner {
 	return keyrange.Owner{Instance: m.Instance, Server: m.Server.ID, Born: m.Server.Born}
 }
@@ -183,8 +201,10 @@
 	if g.server.leaving(g.deps.Now()) || g.routes.isEvacuated(g.self.DataCentre) {
 		changed = t.Leave(g.self.Instance, candidates) > 0 || changed
 	}
-	if m := g.offload.Swap(nil); m != nil {
-		changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
+	if moves := g.offload.Swap(nil); moves != nil {
+		for _, m := range *moves {
+			changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
+		}
 	}
 	for _, r := range g.server.freed(t.Leaving(g.self.Instance), now) {
 		changed = t.HandOver(g.self.Instance, r.From, r.To, r.Handover, func(instance string) (keyrange.Owner, bool) {
--- a/internal/keyload/keyload.go
+++ b/internal/keyload/keyload.go
@@ -19,7 +19,7 @@
 
 // memory is the time over which rates are averaged: long enough for some requests of a busy key, and short enough to act
 // within a stretch that is busy for a few seconds.
-const memory = 2 * time.Second
+const memory = 1500 * time.Millisecond
 
 // Meter counts the requests of a node by key. It is not safe for concurrent use.
 type Meter struct {
@@ -27,6 +27,8 @@
 	rates  [buckets]float32
 	total  float64
 	at     time.Time
+	// began is when the rates began to be averaged; they grow to their full value within the memory after it.
+	began time.Time
 }
 
 // Count counts one request for the key.
@@ -43,7 +45,7 @@
 func (m *Meter) Tick(now time.Time) {
 	passed := now.Sub(m.at)
 	if m.at.IsZero() || passed > 10*memory {
-		m.at = now
+		m.at, m.began = now, now
 		m.counts = [buckets]uint16{}
 		m.rates = [buckets]float32{}
 		m.total = 0
@@ -67,8 +69,16 @@
 	m.counts = [buckets]uint16{}
 }
 
+// part returns which part of the full rates the averages have reached.
+func (m *Meter) part() float64 {
+	return max(1-math.Exp(-float64(m.at.Sub(m.began))/float64(memory)), leastPart)
+}
+
+// leastPart bounds the part that is taken for known shortly after the beginning, when few requests were counted.
+const leastPart = 0.1
+
 // Rate returns the requests a second for all keys.
-func (m *Meter) Rate() float64 { return m.total }
+func (m *Meter) Rate() float64 { return m.total / m.part() }
 
 // Span is a stretch of neighbouring keys with its requests a second.
 type Span struct {
@@ -79,6 +89,9 @@
 // Pick returns the stretch inside the ranges whose rate comes nearest to want without being over most; of equally good ones
 // the one with the fewest keys. ok is false if no stretch has half of what is wanted.
 func (m *Meter) Pick(ranges []keyrange.Range, want, most float64) (best Span, ok bool) {
+	part := m.part()
+	want, most = want*part, most*part
+	defer func() { best.Rate /= part }()
 	for _, r := range ranges {
 		from := (int(r.From) + bucketKeys - 1) / bucketKeys
 		to := (int(r.To)+1)/bucketKeys - 1
@@ -127,8 +140,9 @@
 
 // Bounds of a move. A move keeps its requests waiting for about a second, so that it must bring a clear gain.
 const (
-	busyUse  = 0.6
-	leastGap = 0.3
+	busyUse = 0.6
+	// leastExcess is how far the use must be above that of all together.
+	leastExcess = 0.15
 	// leastRate is the smallest rate that is worth a move, in requests a second.
 	leastRate = 0.7
 )
@@ -137,20 +151,44 @@
 // moment.
 func Busy(own Load) bool { return own.Waiting > 0 && own.Use() > busyUse }
 
-// Shift returns which of the others should take how many requests a second, so that both are used alike.
-func Shift(own Load, others []Load) (to string, rate float64, ok bool) {
+// Move says how many requests a second another backend server should take.
+type Move struct {
+	To   string
+	Rate float64
+}
+
+// Shift returns what the others should take, so that all are used alike. Several busy backend servers that decide at once
+// do not give the same room away: each fills its part of it, as large as its part of all that is too much.
+func Shift(own Load, others []Load) []Move {
 	if !Busy(own) {
-		return "", 0, false
+		return nil
 	}
-	least := -1
-	for i, o := range others {
-		if o.Slots > 0 && (least < 0 || o.Use() < others[least].Use()) {
-			least = i
+	rate, capacity := own.Rate, 1/own.perRequest()
+	for _, o := range others {
+		if o.Slots > 0 {
+			rate += o.Rate
+			capacity += 1 / o.perRequest()
 		}
 	}
-	if least < 0 || own.Use()-others[least].Use() < leastGap {
-		return "", 0, false
+	even := rate / capacity
+	if own.Use()-even < leastExcess {
+		return nil
+	}
+	surplus := own.Rate - even/own.perRequest()
+	total := surplus
+	for _, o := range others {
+		if o.Slots > 0 {
+			total += max(0, o.Rate-even/o.perRequest())
+		}
+	}
+	var moves []Move
+	for _, o := range others {
+		if o.Slots <= 0 {
+			continue
+		}
+		if m := (Move{To: o.Instance, Rate: (even/o.perRequest() - o.Rate) * surplus / total}); m.Rate >= leastRate {
+			moves = append(moves, m)
+		}
 	}
-	rate = (own.Use() - others[least].Use()) / (own.perRequest() + others[least].perRequest())
-	return others[least].Instance, rate, rate >= leastRate
+	return moves
 }
--- a/internal/keyload/keyload_test.go
+++ b/internal/keyload/keyload_test.go
@@ -58,19 +58,67 @@
 	slow := Load{Instance: "slow", Rate: 20, ServiceTime: 400 * time.Millisecond, Slots: 9, Waiting: 4}
 	fast := Load{Instance: "fast", Rate: 17, ServiceTime: 150 * time.Millisecond, Slots: 9}
 	full := Load{Instance: "full", Rate: 40, ServiceTime: 220 * time.Millisecond, Slots: 9}
-	to, rate, ok := Shift(slow, []Load{full, fast})
-	if !ok || to != "fast" {
-		t.Fatalf("moves %.1f to %q", rate, to)
+	moves := Shift(slow, []Load{full, fast})
+	if len(moves) != 1 || moves[0].To != "fast" {
+		t.Fatalf("moves %+v", moves)
 	}
-	slow.Rate -= rate
-	fast.Rate += rate
+	if moves = Shift(slow, []Load{fast}); len(moves) != 1 {
+		t.Fatalf("moves %+v", moves)
+	}
+	slow.Rate -= moves[0].Rate
+	fast.Rate += moves[0].Rate
 	if d := slow.Use() - fast.Use(); d > 0.01 || d < -0.01 {
 		t.Errorf("use %.2f and %.2f after the move", slow.Use(), fast.Use())
 	}
-	if _, _, ok := Shift(slow, []Load{fast}); ok {
+	if moves := Shift(slow, []Load{fast}); moves != nil {
 		t.Error("an even load moves")
 	}
-	if _, _, ok := Shift(fast, []Load{{Instance: "idle", Slots: 9, ServiceTime: time.Second}}); ok {
+	if moves := Shift(fast, []Load{{Instance: "idle", Slots: 9, ServiceTime: time.Second}}); moves != nil {
 		t.Error("a server with room gives keys away")
 	}
 }
+
+// Guards against busy backend servers that need several moves to even their use, or that together give one more than it
+// has room for.
+func TestShiftsOfAllAreEvenAtOnce(t *testing.T) {
+	loads := []Load{
+		{Instance: "hot", Rate: 45, ServiceTime: 330 * time.Millisecond, Slots: 9, Waiting: 9},
+		{Instance: "warm", Rate: 30, ServiceTime: 440 * time.Millisecond, Slots: 9, Waiting: 5},
+		{Instance: "cool", Rate: 12, ServiceTime: 220 * time.Millisecond, Slots: 9},
+		{Instance: "idle", Rate: 2, ServiceTime: 110 * time.Millisecond, Slots: 9},
+	}
+	after, rate, capacity := map[string]float64{}, 0.0, 0.0
+	for _, l := range loads {
+		rate += l.Rate
+		capacity += float64(l.Slots) / l.ServiceTime.Seconds()
+	}
+	for i, own := range loads {
+		after[own.Instance] += own.Rate
+		var others []Load
+		for j, o := range loads {
+			if j != i {
+				others = append(others, o)
+			}
+		}
+		for _, m := range Shift(own, others) {
+			after[own.Instance] -= m.Rate
+			after[m.To] += m.Rate
+		}
+	}
+	for _, l := range loads {
+		l.Rate = after[l.Instance]
+		t.Logf("%s: %.2f", l.Instance, l.Use())
+		if even := rate / capacity; l.Use() < even-0.02 || l.Use() > even+0.02 {
+			t.Errorf("%s: use %.2f after all moves, of %.2f", l.Instance, l.Use(), even)
+		}
+	}
+}
+
+// Guards against rates that seem low just after the first requests, so that an overload is not acted on.
+func TestFirstSecondIsMeasured(t *testing.T) {
+	m := &Meter{}
+	replay(m, 0.5, 40, 0, 0, 1)
+	if m.Rate() < 32 || m.Rate() > 48 {
+		t.Errorf("rate %.1f of 40 after half a second", m.Rate())
+	}
+}
--- a/internal/keyrange/keyrange_test.go
+++ b/internal/keyrange/keyrange_test.go
@@ -190,3 +190,44 @@
 		t.Fatalf("keys from %d on have no range", next)
 	}
 }
+
+// Guards against keys that move to a cold backend server, which bears few requests, while warm ones can take them.
+func TestColdCandidatesGetNoKeys(t *testing.T) {
+	table := empty()
+	table.Found(candidates(0, 1))
+	all := candidates(0, 1, 2)
+	all[2].Cold = true
+	if table.Welcome(all) != 0 {
+		t.Error("keys move to a cold newcomer")
+	}
+	table.Vacate("i-0")
+	table.Fill(all)
+	if table.Owns("i-2") {
+		t.Error("a cold candidate gets the keys of a lost one")
+	}
+	table.Vacate("i-0")
+	table.Vacate("i-1")
+	all[0].Cold, all[1].Cold = true, true
+	if table.Fill(all); !table.Owns("i-2") {
+		t.Error("with all candidates cold, one of them gets no keys")
+	}
+	all[2].Cold = false
+	table.Vacate("i-2")
+	table.Claim("i-2")
+	table.Refute("i-2")
+	table.Fill(all[:2])
+	if table.Welcome(all) == 0 {
+		t.Error("no keys move to a newcomer that is warm")
+	}
+}
+
+// Guards against a candidate whose keys carry much load, and which therefore has few, that is given more by their number.
+func TestFewBusyKeysAreNotMore(t *testing.T) {
+	table := empty()
+	table.Found(candidates(0, 1))
+	table.Move("i-0", "i-1", 0, Keys/2-100)
+	table.HandOver("i-0", 0, Keys/2-100, "", func(string) (Owner, bool) { return owner(1), true })
+	if n := table.Welcome(candidates(0, 1)); n != 0 {
+		t.Errorf("%d ranges move back to an owner of few keys", n)
+	}
+}
--- a/internal/keyrange/plan.go
+++ b/internal/keyrange/plan.go
@@ -7,6 +7,8 @@
 	Owner Owner
 	// Weight is its share relative to the other candidates; positive.
 	Weight int
+	// Cold candidates get keys only if all are cold.
+	Cold bool
 }
 
 // plan counts the keys of each candidate while ranges are given away.
@@ -14,10 +16,13 @@
 	candidates []Candidate
 	keys       []int
 	weight     int
+	// allCold is set if no candidate is warm.
+	allCold bool
 }
 
 func newPlan(t *Table, candidates []Candidate) *plan {
 	p := &plan{candidates: candidates, keys: make([]int, len(candidates))}
+	p.allCold = !slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.Cold })
 	for i, c := range candidates {
 		p.weight += c.Weight
 		for _, r := range t.Ranges {
@@ -32,11 +37,14 @@
 // fair returns the number of keys that a candidate should have.
 func (p *plan) fair(i int) int { return Keys * p.candidates[i].Weight / p.weight }
 
-// lightest returns the candidate with the fewest keys for its weight.
+// lightest returns the candidate with the fewest keys for its weight, of the warm ones if there are any.
 func (p *plan) lightest() int {
-	best := 0
+	best := -1
 	for i, c := range p.candidates {
-		if p.keys[i]*p.candidates[best].Weight < p.keys[best]*c.Weight {
+		if c.Cold && !p.allCold {
+			continue
+		}
+		if best < 0 || p.keys[i]*p.candidates[best].Weight < p.keys[best]*c.Weight {
 			best = i
 		}
 	}
@@ -130,7 +138,8 @@
 	return n
 }
 
-// Welcome moves keys to candidates that have less than half of their fair share. It returns the number of ranges.
+// Welcome moves keys to warm candidates that have none. It returns the number of ranges. How many keys a candidate has
+// says little of its load, so that those with keys are left to moves by load.
 func (t *Table) Welcome(candidates []Candidate) int {
 	if len(candidates) < 2 {
 		return 0
@@ -138,7 +147,7 @@
 	p := newPlan(t, candidates)
 	n := 0
 	for i, c := range candidates {
-		if 2*p.keys[i] >= p.fair(i) {
+		if p.keys[i] > 0 || c.Cold {
 			continue
 		}
 		for tries := 0; p.keys[i] < p.fair(i) && tries < len(candidates); tries++ {
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -136,6 +136,28 @@
 	})
 }
 
+// Without returns the ranges less the keys between from and to.
+func Without(ranges []Range, from, to uint16) []Range {
+	var left []Range
+	for _, r := range ranges {
+		if !r.Overlaps(from, to) {
+			left = append(left, r)
+			continue
+		}
+		if r.From < from {
+			before := r
+			before.To = from - 1
+			left = append(left, before)
+		}
+		if r.To > to {
+			after := r
+			after.From = to + 1
+			left = append(left, after)
+		}
+	}
+	return left
+}
+
 // Owns reports whether an instance owns any range, moving or not.
 func (t *Table) Owns(instance string) bool {
 	return t != nil && slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Owner.Instance == instance })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,6 +63,8 @@
 	Ready    bool
 	Draining bool
 	Slots    int
+	// WorkPercent is how long work takes on the machine while nothing slows it, in percent of the usual time; 0 if unknown.
+	WorkPercent int `json:",omitempty"`
 }
 
 // Member is the record of one instance.
