Call the store through other nodes while it does not answer this one

A node that was cut off from the store, but answered probes of others, was given a hot stretch of keys at 2.4 s; it could not read that it owned them until 13 s. It also renewed no grant from 6.8 s on.

Ruled out: giving no keys to such nodes alone. It is done too (Load.Current), but the last read is up to 2 s old when it is seen, and their own keys still end with the lease.

The other node makes the call when asked and never passes it on, so that reads and conditions prove what they did before. An append that may still take effect is not repeated. Direct calls that fail cost a call of the store each; they are fewer than before.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -181,6 +181,11 @@
 	AnnouncementFailed = define(Event{Number: 215, Name: "announcement_failed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
 		Text:   "the record of this instance could not be written and is written again",
 		Remedy: "check the platform's store and the route to it"})
+	StoreRelayed = define(Event{Number: 216, Name: "store_relayed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "this node does not reach the store and calls it through other nodes",
+		Remedy: "check the platform's store and the route to it"})
+	StoreDirect = define(Event{Number: 217, Name: "store_direct", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "this node reaches the store itself again"})
 )
 
 // Events of the ownership of key ranges.
--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		_, load, err := g.deps.Peers.Probe(ctx, member.Address)
-		if err != nil || !load.Known || load.ColdFor > 0 {
+		if err != nil || !load.Known || load.ColdFor > 0 || !load.Current {
 			continue
 		}
 		g.members.reported(member.Instance, load, time.Now())
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -37,7 +37,7 @@
 	answer := g.admit(ctx, r, p)
 	g.deps.Metrics.Request(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
 	answer.Instance = g.self.Instance
-	answer.Load = g.server.load(time.Now())
+	answer.Load = g.report()
 	answer.Revision = g.routes.revision()
 	return answer
 }
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -423,3 +423,28 @@
 		t.Errorf("granted %v after another write took the place", got)
 	}
 }
+
+// Guards against an owner that the store turns away: its grants must not end while other nodes reach the store, it must take
+// over keys, and a new configuration must be in force there.
+func TestRefusedNodeGoesOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.log.SetRefused("k1", true)
+		time.Sleep(time.Second)
+		w.publish(2, true)
+		time.Sleep(2 * time.Second)
+		if got := w.hosts["k1"].gateway.routes.revision(); got != 2 {
+			t.Errorf("revision %d is in force", got)
+		}
+		time.Sleep(2 * keyrange.LeaseTime)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served", got)
+		}
+		w.stopServer("k0")
+		time.Sleep(settled)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served after a backend server ended", got)
+		}
+	})
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -92,9 +92,9 @@
 	defer cancel()
 	f.reading.Store(&cancel)
 	if from < 0 {
-		return f.g.deps.Store.Newest(ctx, f.topic)
+		return f.g.store.Newest(ctx, f.topic)
 	}
-	return f.g.deps.Store.Read(ctx, f.topic, from, f.wait())
+	return f.g.store.Read(ctx, f.topic, from, f.wait())
 }
 
 // interruptReaders makes the other readers ask again, after one of them found that the store is back.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/relay"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 	"heatherreel/internal/telemetry"
@@ -68,6 +69,8 @@
 type Peers interface {
 	Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error)
 	Probe(ctx context.Context, address string) (instance string, load routed.Load, err error)
+	// StoreCall calls the store through another node. Errors are those of registry.Store.
+	StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error)
 }
 
 // Dependencies are what a gateway calls.
@@ -97,6 +100,11 @@
 	ranges  *rangeTable
 	server  *serverTable
 
+	// store is the platform's store, through other nodes while this one does not reach it.
+	store *relay.Store
+	// relayed counts the calls of the store that are in progress for other nodes.
+	relayed atomic.Int64
+
 	ingress *worker.Pool
 	backend *worker.Pool
 	control *worker.Pool
@@ -138,6 +146,7 @@
 	g.members = newMemberTable(o.Self, o.RetryRatio, o.RetryFloor)
 	g.ranges = newRangeTable()
 	g.server = newServerTable()
+	g.store = relay.New(d.Store, storeNodes{g}, d.Events)
 	return g
 }
 
@@ -266,7 +275,7 @@
 }
 
 // Probe implements node.RouterService.
-func (g *Gateway) Probe() (string, routed.Load) { return g.self.Instance, g.server.load(time.Now()) }
+func (g *Gateway) Probe() (string, routed.Load) { return g.self.Instance, g.report() }
 
 // draw returns a random number from 0 to n-1.
 func draw(n int) int { return rand.IntN(n) }
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -211,6 +211,23 @@
 	return found
 }
 
+// reachable returns the addresses of the other nodes that do not stop and could be reached when last called: those of the
+// same region and the rest.
+func (t *memberTable) reachable(now time.Time) (near, far []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		switch {
+		case name == t.self.Instance || p.Stopping || now.Before(p.retryAt):
+		case p.Region == t.self.Region:
+			near = append(near, p.Address)
+		default:
+			far = append(far, p.Address)
+		}
+	}
+	return near, far
+}
+
 // sameRegion reports whether an instance is in the region of the node.
 func (t *memberTable) sameRegion(instance string) bool {
 	t.mu.Lock()
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -137,6 +137,13 @@
 	return t.lease.Hold(now)
 }
 
+// leaseLeft returns how long the lease of the node still holds.
+func (t *rangeTable) leaseLeft(now keyrange.Instant) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease.Left(now)
+}
+
 // openFor returns how long the node has known of a suspicion.
 func (t *rangeTable) openFor(service, instance string, number uint64, now keyrange.Instant) time.Duration {
 	t.mu.Lock()
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -65,7 +65,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 		defer cancel()
-		_, err = g.deps.Store.Append(ctx, registry.Members, registry.Anywhere, record)
+		_, err = g.store.Append(ctx, registry.Members, registry.Anywhere, record)
 	}
 	if err != nil {
 		g.events.Emit(eventlog.AnnouncementFailed, eventlog.Cause(err))
@@ -141,7 +141,7 @@
 		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 		defer cancel()
 		g.state.writtenAt = time.Now()
-		g.state.rangesEnd, err = g.deps.Store.Append(ctx, registry.Ranges, end, record)
+		g.state.rangesEnd, err = g.store.Append(ctx, registry.Ranges, end, record)
 	}
 	switch {
 	case err == nil:
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -426,6 +426,15 @@
 	return instance, load, nil
 }
 
+// StoreCall implements Peers.
+func (p *peers) StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return registry.Page{}, err
+	}
+	return g.StoreCall(ctx, c)
+}
+
 // ask sends a request through an instance.
 func (w *world) ask(through, id, path string, key int, timeout time.Duration) routed.Answer {
 	w.mu.Lock()
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 )
@@ -23,6 +24,8 @@
 	Dispatch(ctx context.Context, r routed.Request, p DispatchProgress) routed.Answer
 	// Probe returns the name of the instance and its load.
 	Probe() (instance string, load routed.Load)
+	// StoreCall makes a call of the platform's store for another node. Errors are those of registry.Store.
+	StoreCall(ctx context.Context, c registry.Call) (registry.Page, error)
 }
 
 // DispatchProgress tells the sender of a request at intervals that it is in progress. The zero value tells nothing.
@@ -90,6 +93,7 @@
 		Known: l.Known, Running: uint32(max(0, l.Running)), Waiting: uint32(max(0, l.Waiting)),
 		Slots: uint32(max(0, l.Slots)), ServiceTimeUs: microseconds(l.ServiceTime), ColdUs: microseconds(l.ColdFor),
 		KeyRateMilli: uint64(max(0, l.KeyRate) * ratesPerUnit), SlowdownMilli: uint64(max(0, l.Slowdown) * ratesPerUnit),
+		Current: l.Current,
 	}
 }
 
@@ -98,6 +102,7 @@
 		Known: m.GetKnown(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
 		ServiceTime: duration(m.GetServiceTimeUs()), ColdFor: duration(m.GetColdUs()),
 		KeyRate: float64(m.GetKeyRateMilli()) / ratesPerUnit, Slowdown: float64(m.GetSlowdownMilli()) / ratesPerUnit,
+		Current: m.GetCurrent(),
 	}
 }
 
--- /dev/null
+++ b/internal/node/store_messages.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+)
+
+// StoreCall implements nodepb.DRPCRouterServer. A failed call is an answer, not an error of the connection.
+func (e *routerEndpoint) StoreCall(ctx context.Context, m *nodepb.StoreRequest) (*nodepb.StoreResponse, error) {
+	page, err := e.service.StoreCall(ctx, decodeStoreCall(m))
+	if err != nil {
+		kind := string(problem.KindOf(err))
+		if kind == "" {
+			kind = string(problem.Unavailable)
+		}
+		return &nodepb.StoreResponse{Failure: kind, Detail: problem.DetailOf(err)}, nil
+	}
+	return encodePage(page), nil
+}
+
+// StoreCall makes a call of the platform's store through the node at address. Errors are those of registry.Store.
+func (c *Client) StoreCall(ctx context.Context, address string, call registry.Call) (registry.Page, error) {
+	conn, err := c.connections.take(ctx, address, false)
+	if err != nil {
+		return registry.Page{}, err
+	}
+	response, err := nodepb.NewDRPCRouterClient(conn).StoreCall(ctx, encodeStoreCall(call))
+	if err = c.finish(address, conn, err); err != nil {
+		return registry.Page{}, err
+	}
+	if response.Failure != "" {
+		return registry.Page{}, problem.New(errs.Tag(response.Failure), "check the platform's store and the routes of both nodes to it",
+			"the node at %s could not call the store: %s", address, response.Detail)
+	}
+	return decodePage(response), nil
+}
+
+func encodeStoreCall(c registry.Call) *nodepb.StoreRequest {
+	return &nodepb.StoreRequest{Operation: nodepb.StoreOperation(c.Operation), Topic: c.Topic, From: c.From, WaitUs: microseconds(c.Wait),
+		At: c.At, Record: &nodepb.StoreRecord{Key: c.Record.Key, Value: c.Record.Value}}
+}
+
+// maxStoreWait bounds the wait of a read that another node asks for.
+const maxStoreWait = 15 * time.Second
+
+func decodeStoreCall(m *nodepb.StoreRequest) registry.Call {
+	return registry.Call{Operation: registry.Operation(m.Operation), Topic: m.Topic, From: m.From, Wait: min(duration(m.WaitUs), maxStoreWait),
+		At: m.At, Record: registry.Record{Key: m.Record.GetKey(), Value: m.Record.GetValue()}}
+}
+
+func encodePage(p registry.Page) *nodepb.StoreResponse {
+	m := &nodepb.StoreResponse{End: p.End, Records: make([]*nodepb.StoreRecord, len(p.Records))}
+	for i, r := range p.Records {
+		m.Records[i] = &nodepb.StoreRecord{Key: r.Key, Value: r.Value}
+	}
+	return m
+}
+
+func decodePage(m *nodepb.StoreResponse) registry.Page {
+	p := registry.Page{End: m.End, Records: make([]registry.Record, len(m.Records))}
+	for i, r := range m.Records {
+		p.Records[i] = registry.Record{Key: r.Key, Value: r.Value}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/registry/call.go
@@ -0,0 +1,45 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"heatherreel/internal/problem"
+)
+
+// Operation is one of the calls of Store.
+type Operation uint8
+
+// Operations, each named like its method of Store.
+const (
+	OperationNewest Operation = iota + 1
+	OperationRead
+	OperationAppend
+)
+
+// Call is one call of a Store as a value, so that another node can make it.
+type Call struct {
+	Operation Operation
+	Topic     string
+	// From and Wait are those of a read.
+	From int64
+	Wait time.Duration
+	// At and Record are those of an append.
+	At     int64
+	Record Record
+}
+
+// Do makes the call. Of an append, the page has only the end.
+func (c Call) Do(ctx context.Context, s Store) (Page, error) {
+	switch c.Operation {
+	case OperationNewest:
+		return s.Newest(ctx, c.Topic)
+	case OperationRead:
+		return s.Read(ctx, c.Topic, c.From, c.Wait)
+	case OperationAppend:
+		end, err := s.Append(ctx, c.Topic, c.At, c.Record)
+		return Page{End: end}, err
+	default:
+		return Page{}, problem.New(problem.Invalid, "run the same version on all nodes", "store operation %d is not known", c.Operation)
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -59,6 +59,8 @@
 	KeyRate float64
 	// Slowdown is how many times as long as usual a request takes that starts now; 0 and 1 are usual.
 	Slowdown float64
+	// Current tells that the node has read the ownership of keys a short time ago, so that it can take keys over.
+	Current bool
 }
 
 // Answer is the result of a request.
