Acknowledge a departure only once it is stored, and shorten what nodes read from the store

Cause: a process that ended between the acknowledgement of a departure and the write of its record forgot it, and the next one sent requests to a backend server that was leaving (listed as open since the last landing).

Change: the reply to a heartbeat that tells of a departure waits for its record, 800 ms at most, and is 503 without it. Member changes of 200 ms are read together. The stand-in of heartbeats accepts such a refusal of a departure only.

Tests: TestDepartureIsStoredBeforeItIsAcknowledged fails without the change.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/problem"
 	"heatherreel/internal/request"
 )
 
@@ -448,3 +449,29 @@
 		}
 	})
 }
+
+// Guards against a departure that is acknowledged and then forgotten, since the process ended before its record was written.
+func TestDepartureIsStoredBeforeItIsAcknowledged(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		h := w.hosts["f0"]
+		leaving := heartbeat.Message{Server: h.server.id, Ended: true}
+		w.log.SetDown(true)
+		if _, err := h.gateway.Heartbeat(leaving); problem.KindOf(err) != problem.Unavailable {
+			t.Errorf("a departure that cannot be stored: %v", err)
+		}
+		w.log.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if _, err := h.gateway.Heartbeat(leaving); err != nil {
+			t.Errorf("a departure that is stored: %v", err)
+		}
+		// The power fails at once.
+		w.kill("f0")
+		w.start("f0")
+		time.Sleep(2 * time.Second)
+		if a := w.ask("k0", "late", "/home/", -1, time.Second); a.Outcome != request.NotRun || w.runs["late"] != 0 {
+			t.Errorf("got %v %q, ran %d times", a.Outcome, a.Reason, w.runs["late"])
+		}
+	})
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,10 @@
 	memberPoll   = 10 * time.Second
 )
 
+// memberRest gathers the changes of members in one read: all nodes announce themselves within a second after a start, and
+// each read of each node is a call of the store. Other nodes learn that one stops 400 ms before it does.
+const memberRest = 200 * time.Millisecond
+
 func operatorWait() time.Duration { return operatorPoll }
 
 func memberWait() time.Duration { return memberPoll }
@@ -36,8 +40,9 @@
 type follower struct {
 	g     *Gateway
 	topic string
-	// wait is how long the next read may take.
+	// wait is how long the next read may take, and rest the pause after a read that returned records.
 	wait func() time.Duration
+	rest time.Duration
 	// begin is called before the newest records of all keys are applied, apply for each record, and synced after each
 	// answer of the store, with the time at which it was asked.
 	begin  func()
@@ -69,6 +74,9 @@
 				f.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", f.topic))
 			}
 			lost, rest = false, leastPause
+			if len(page.Records) > 0 && f.rest > 0 {
+				pause(ctx, f.rest)
+			}
 			continue
 		case problem.KindOf(err) == problem.Forgotten:
 			from = -1
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 	g.events.Emit(eventlog.Started)
 	g.followers = []*follower{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
-		{g: g, topic: registry.Members, wait: memberWait, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
+		{g: g, topic: registry.Members, wait: memberWait, rest: memberRest, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
 		{g: g, topic: registry.Ranges, wait: g.rangesWait, begin: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
 	}
 	for _, f := range g.followers {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
@@ -72,6 +73,8 @@
 	at int64
 	// until is when the backend server must get no more requests.
 	until keyrange.Instant
+	// stored is set when the member record has it, so that the next process of the node knows of it.
+	stored bool
 }
 
 // depart notes that a backend server leaves; the first notice counts. The caller holds mu.
@@ -191,6 +194,11 @@
 	if news || len(b.Freed) > 0 || g.moving() {
 		g.upkeep.Fire()
 	}
+	if b.Ended || b.Draining {
+		if err := g.storeDeparture(b.Server); err != nil {
+			return heartbeat.Reply{}, err
+		}
+	}
 	g.measureSpeed()
 	if !b.Ended && !b.Draining {
 		g.awaitRanges(b)
@@ -198,6 +206,40 @@
 	return g.grant(b, now), nil
 }
 
+// departureTimeout bounds the write of a departure: a reply counts as acknowledgement for 1 s.
+const departureTimeout = 800 * time.Millisecond
+
+// storeDeparture writes the member record with the departure of a backend server, unless it is known to be stored. Without
+// that the departure must not be acknowledged: the next process of the node would send requests again.
+func (g *Gateway) storeDeparture(server string) error {
+	own := g.ownRecord()
+	g.server.mu.Lock()
+	d, known := g.server.left[server]
+	g.server.mu.Unlock()
+	if !known || d.stored || own.Server.ID != server {
+		// The record tells of the present backend server only; an earlier one gets no requests in any case.
+		return nil
+	}
+	var err error
+	if !g.members.storedAs(own) {
+		var record registry.Record
+		if record, err = registry.EncodeMember(own); err == nil {
+			ctx, cancel := context.WithTimeout(g.ctx, departureTimeout)
+			defer cancel()
+			_, err = g.store.Append(ctx, registry.Members, registry.Anywhere, record)
+		}
+	}
+	if err != nil {
+		g.events.Emit(eventlog.AnnouncementFailed, eventlog.Cause(err))
+		return problem.New(problem.Unavailable, "send the heartbeat again", "the departure of %s is not stored yet: %w", server, err)
+	}
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	d.stored = true
+	g.server.left[server] = d
+	return nil
+}
+
 // replyWait is how long a reply is held back while keys are on their way to the backend server. A reply counts as
 // acknowledgement for 1 s; without the wait the keys would be granted with the next heartbeat, 870 ms later.
 const replyWait = 700 * time.Millisecond
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -49,12 +49,17 @@
 // announceAgain is when a member record that is missing from the store is written again after a write.
 const announceAgain = time.Second
 
+// ownRecord returns the member record of the node as it should be.
+func (g *Gateway) ownRecord() registry.Member {
+	return registry.Member{Instance: g.self.Instance, Incarnation: g.self.Incarnation, Address: g.self.Address,
+		DataCentre: g.self.DataCentre, Region: g.self.Region, Service: g.self.Service,
+		Server: g.server.record(g.deps.Now()), Stopping: g.leaving.Load()}
+}
+
 // announce writes the member record of the node when it changed, or when the store has another one.
 func (g *Gateway) announce() {
 	now := time.Now()
-	own := registry.Member{Instance: g.self.Instance, Incarnation: g.self.Incarnation, Address: g.self.Address,
-		DataCentre: g.self.DataCentre, Region: g.self.Region, Service: g.self.Service,
-		Server: g.server.record(g.deps.Now()), Stopping: g.leaving.Load()}
+	own := g.ownRecord()
 	if g.members.storedAs(own) || !g.members.known() || own == g.state.announced && now.Sub(g.state.announcedAt) < announceAgain {
 		return
 	}
@@ -206,6 +211,7 @@
 			changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
 		}
 	}
+	t.DropTokens(own, g.server.taken)
 	for _, r := range g.server.freed(t.Leaving(g.self.Instance), now) {
 		changed = t.HandOver(g.self.Instance, r.From, r.To, r.Handover, func(instance string) (keyrange.Owner, bool) {
 			return g.nextOwner(instance, candidates)
@@ -288,6 +294,13 @@
 	return free
 }
 
+// taken reports whether the backend server has told that it holds all keys of a range under its fence.
+func (t *serverTable) taken(r keyrange.Range) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.beat.Holds, func(h heartbeat.Held) bool { return h.From <= r.From && r.To <= h.To && h.Fence == r.Fence })
+}
+
 // covered reports whether any of the freed ranges lies in r; the rest of r follows once the table has changed.
 func covered(r keyrange.Range, free []heartbeat.Freed) bool {
 	return slices.ContainsFunc(free, func(f heartbeat.Freed) bool { return r.Overlaps(f.From, f.To) })
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -250,7 +250,10 @@
 	reply, err := g.Heartbeat(m)
 	pause(context.Background(), replyDelay)
 	if err != nil {
-		w.t.Errorf("heartbeat of %s: %v", h.self.Instance, err)
+		// A departure that cannot be stored is not acknowledged; the next heartbeat tells of it again.
+		if !m.Draining || problem.KindOf(err) != problem.Unavailable {
+			w.t.Errorf("heartbeat of %s: %v", h.self.Instance, err)
+		}
 		return false
 	}
 	w.mu.Lock()
--- a/internal/keyrange/keyrange_test.go
+++ b/internal/keyrange/keyrange_test.go
@@ -231,3 +231,23 @@
 		t.Errorf("%d ranges move back to an owner of few keys", n)
 	}
 }
+
+// Guards against tokens that stay in the table for ever, and against one that is dropped before its owner has used it.
+func TestTokensAreDroppedWhenUsed(t *testing.T) {
+	table := empty()
+	table.Found(candidates(0, 1))
+	table.Move("i-0", "i-1", 0, 99)
+	table.HandOver("i-0", 0, 99, "token", func(string) (Owner, bool) { return owner(1), true })
+	table.DropTokens(owner(1), func(Range) bool { return false })
+	if r, _ := table.Find(0); r.Handover != "token" {
+		t.Error("a token is dropped before its range was taken")
+	}
+	table.DropTokens(owner(0), func(Range) bool { return true })
+	if r, _ := table.Find(0); r.Handover != "token" {
+		t.Error("another owner drops the token")
+	}
+	table.DropTokens(owner(1), func(Range) bool { return true })
+	if r, _ := table.Find(0); r.Handover != "" {
+		t.Error("a used token stays")
+	}
+}
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -222,6 +222,16 @@
 	return n
 }
 
+// DropTokens removes the tokens of the ranges that an owner has taken under the fence of the table; they have done their
+// work. taken reports whether it has.
+func (t *Table) DropTokens(o Owner, taken func(Range) bool) {
+	for i, r := range t.Ranges {
+		if r.Owner == o && r.Handover != "" && taken(r) {
+			t.Ranges[i].Handover = ""
+		}
+	}
+}
+
 // Vacate takes all ranges from an instance whose backend server has ended or whose ownership has run out.
 func (t *Table) Vacate(instance string) int {
 	n := 0
