Answer a read at once after it was interrupted, and ask the same node for the store again

Each not_owner answer makes the ingress node read the ownership again, every 400 ms at most, by ending the long poll in progress; the next one was a long poll too. A node that heard such news all the time completed no read, so that its lease ran out, which made more of them. Nodes that call the store through others tried two at random, some of which were cut off as well.

Ruled out: a store that is away (no such event) and a suspicion (none was written).

Change: the read after an interrupted one does not wait for records. relay asks the node first that made the last call.

Tests: TestNewsOfOthersDoesNotStarveLease fails without the change (grants last 0 s).

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -12,6 +12,7 @@
 	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 )
 
@@ -475,3 +476,20 @@
 		}
 	})
 }
+
+// Guards against a node whose reads are ended again and again by news of other nodes, so that none completes and its lease
+// runs out.
+func TestNewsOfOthersDoesNotStarveLease(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		g := w.hosts["k0"].gateway
+		for range 40 {
+			g.askAgain(registry.Ranges)
+			time.Sleep(askAgainPause + 10*time.Millisecond)
+		}
+		if g.ranges.hold(g.deps.Now()) < keyrange.HoldTime {
+			t.Errorf("grants last %v", g.ranges.hold(g.deps.Now()))
+		}
+	})
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -55,10 +55,11 @@
 
 // run reads until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	from, lost, rest := int64(-1), false, leastPause
+	from, lost, rest, atOnce := int64(-1), false, leastPause, false
 	for ctx.Err() == nil {
 		sent := f.g.deps.Now()
-		page, err := f.read(ctx, from)
+		page, err := f.read(ctx, from, atOnce)
+		atOnce = false
 		switch {
 		case err == nil:
 			if from < 0 {
@@ -84,7 +85,9 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, context.Canceled):
-			// Another reader found that the store is back; this read may have been lost.
+			// The read was interrupted. The next one does not wait for records: reads that are interrupted one after the
+			// other would never be answered, and the lease would run out.
+			atOnce = true
 			continue
 		case !lost:
 			f.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", f.topic), eventlog.Cause(err))
@@ -95,14 +98,20 @@
 	}
 }
 
-func (f *follower) read(ctx context.Context, from int64) (registry.Page, error) {
+// read reads the next records, or the newest ones of all keys if from is negative. It waits for records unless atOnce is
+// set.
+func (f *follower) read(ctx context.Context, from int64, atOnce bool) (registry.Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.reading.Store(&cancel)
 	if from < 0 {
 		return f.g.store.Newest(ctx, f.topic)
 	}
-	return f.g.store.Read(ctx, f.topic, from, f.wait())
+	wait := f.wait()
+	if atOnce {
+		wait = 0
+	}
+	return f.g.store.Read(ctx, f.topic, from, wait)
 }
 
 // interruptReaders makes the other readers ask again, after one of them found that the store is back.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,7 +21,7 @@
 	// directInterval is how often the store is tried directly while it is away.
 	directInterval = 700 * time.Millisecond
 	// mostNodes bounds the nodes that are asked for one call. While the store is down for all, each call costs so many more.
-	mostNodes = 2
+	mostNodes = 3
 	// answerTime is how long the other node has for its call beyond the wait of a read. It is above the time after which
 	// that node gives up itself.
 	answerTime = 1800 * time.Millisecond
@@ -42,6 +43,8 @@
 	// away is set while direct calls fail, and tried is when the last one began, in Unix nanoseconds.
 	away  atomic.Bool
 	tried atomic.Int64
+	// last is the node that made the last call; empty if it failed.
+	last atomic.Pointer[string]
 }
 
 var _ registry.Store = (*Store)(nil)
@@ -123,6 +126,10 @@
 // relay makes the call through other nodes.
 func (s *Store) relay(ctx context.Context, c registry.Call) (registry.Page, error) {
 	addresses := s.nodes.Addresses()
+	if last := s.last.Load(); last != nil && slices.Contains(addresses, *last) {
+		i := slices.Index(addresses, *last)
+		addresses = slices.Concat([]string{*last}, addresses[:i], addresses[i+1:])
+	}
 	if len(addresses) > mostNodes {
 		addresses = addresses[:mostNodes]
 	}
@@ -130,8 +137,10 @@
 	for _, address := range addresses {
 		var page registry.Page
 		if page, err = s.ask(ctx, address, c); err == nil {
+			s.last.Store(&address)
 			return page, nil
 		}
+		s.last.Store(nil)
 		kind := problem.KindOf(err)
 		if kind == problem.Conflict || kind == problem.Forgotten || ctx.Err() != nil || !mayRelay(c, err) {
 			return registry.Page{}, err
