Hand keys over only when their owner says that it released them, or all its grants are over

Cause found by reading: keys counted as released when the last reply did not grant them and the last heartbeat did not tell of them. A reply that grants them can reach the backend server after it has sent its next heartbeat, on a busy machine the more so since replies are held back up to 700 ms of 870. The keys then went to another owner at once.

Change: a node keeps the grants of all replies until they run out or the backend server reports the keys as released.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,6 +48,9 @@
 	// granted are the ranges of the last reply, until holdEnds.
 	granted  []keyrange.Range
 	holdEnds keyrange.Instant
+	// outstanding are the grants of all replies that may still last. A reply may reach the backend server after it has sent
+	// its next heartbeat, so that a heartbeat without a range does not prove that it holds none of it.
+	outstanding []outstandingGrant
 	// settling are those of them that the reply before did not grant; the backend server has them from settled on.
 	settling []keyrange.Range
 	settled  keyrange.Instant
@@ -77,6 +80,12 @@
 	stored bool
 }
 
+// outstandingGrant is a granted range that the backend server may hold until ends, unless it has told that it released it.
+type outstandingGrant struct {
+	keyrange.Range
+	ends keyrange.Instant
+}
+
 // depart notes that a backend server leaves; the first notice counts. The caller holds mu.
 func (t *serverTable) depart(server string, until keyrange.Instant, at time.Time) departure {
 	d, known := t.left[server]
@@ -288,7 +297,7 @@
 	case !same && t.beat.Server != "" && b.Born <= t.beat.Born, same && b.Sequence <= t.beat.Sequence:
 		return false, false
 	case !same:
-		t.ended, t.drainUntil, t.granted, t.holdEnds, t.released = false, 0, nil, 0, nil
+		t.ended, t.drainUntil, t.granted, t.holdEnds, t.released, t.outstanding = false, 0, nil, 0, nil, nil
 		t.cold, t.machine = nil, contention.Monitor{}
 		news = true
 	}
@@ -305,6 +314,9 @@
 		t.drainUntil = t.depart(b.Server, now.Add(drainTime), time.Now()).until
 	}
 	t.released = append(t.released, b.Freed...)
+	for _, f := range b.Freed {
+		t.outstanding = released(t.outstanding, f)
+	}
 	t.setCold(b.ColdFor)
 	return news, true
 }
@@ -385,10 +397,35 @@
 		}
 	}
 	t.granted, t.holdEnds, t.settled = ranges, ends, now.Add(grantSettle)
+	t.noteOutstanding(ranges, ends, now)
 	t.version++
 	return len(t.settling) > 0
 }
 
+// noteOutstanding adds the grants of a reply to those that may last, and drops those that are over. The caller holds mu.
+func (t *serverTable) noteOutstanding(ranges []keyrange.Range, ends, now keyrange.Instant) {
+	t.outstanding = slices.DeleteFunc(t.outstanding, func(g outstandingGrant) bool { return g.ends <= now })
+	for _, r := range ranges {
+		i := slices.IndexFunc(t.outstanding, func(g outstandingGrant) bool { return g.From == r.From && g.To == r.To })
+		if i < 0 {
+			t.outstanding = append(t.outstanding, outstandingGrant{Range: r, ends: ends})
+			continue
+		}
+		t.outstanding[i].ends = max(t.outstanding[i].ends, ends)
+	}
+}
+
+// released returns the grants less the keys that the backend server has released.
+func released(grants []outstandingGrant, f heartbeat.Freed) []outstandingGrant {
+	var left []outstandingGrant
+	for _, g := range grants {
+		for _, r := range keyrange.Without([]keyrange.Range{g.Range}, f.From, f.To) {
+			left = append(left, outstandingGrant{Range: r, ends: g.ends})
+		}
+	}
+	return left
+}
+
 // wakeWaiting wakes the requests that wait for a key.
 func (t *serverTable) wakeWaiting() {
 	t.mu.Lock()
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -259,7 +259,7 @@
 	if t.beat.Server == "" {
 		return time.Since(started) > silence+keyrange.HoldTime
 	}
-	return now >= t.holdEnds
+	return !slices.ContainsFunc(t.outstanding, func(g outstandingGrant) bool { return now < g.ends })
 }
 
 // leaving reports whether the backend server drains.
@@ -270,7 +270,7 @@
 }
 
 // freed returns the parts of the leaving ranges that the backend server no longer holds or works on, with the tokens that
-// it gave for them. A range counts only if the last reply did not grant it.
+// that it gave for them. What it may still hold by an earlier reply does not count.
 func (t *serverTable) freed(leaving []keyrange.Range, now keyrange.Instant) []heartbeat.Freed {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -306,9 +306,10 @@
 	return slices.ContainsFunc(free, func(f heartbeat.Freed) bool { return r.Overlaps(f.From, f.To) })
 }
 
-// busy reports whether the backend server may hold a key of the span. The caller holds mu.
+// busy reports whether the backend server may hold a key of the span: a reply granted it that may still last, or the last
+// heartbeat told of it. The caller holds mu.
 func (t *serverTable) busy(from, to uint16, now keyrange.Instant) bool {
-	if now < t.holdEnds && slices.ContainsFunc(t.granted, func(r keyrange.Range) bool { return r.Overlaps(from, to) }) {
+	if slices.ContainsFunc(t.outstanding, func(g outstandingGrant) bool { return now < g.ends && g.Overlaps(from, to) }) {
 		return true
 	}
 	return slices.ContainsFunc(t.beat.Holds, func(h heartbeat.Held) bool { return h.From <= to && from <= h.To })
