Follow the settings file, write a span for each hop of a gateway, and let saved retries fade

SIGHUP and a changed settings file were ignored; the gateway had no spans; and a node saved up to 100 second sends for a service over any time, 1300 in a fleet of 13, although the bound of the platform holds for any window of 10 s.

Change: the daemon compares the settings file every 2 s and at SIGHUP; limits of memory, processor, draining, stopping and second sends take effect at once, the rest asks for a restart, faults change nothing (events 110 to 112). Ingress, forward, owner and backend have spans (trace_output, off by default); the trace context between nodes is a field of its own, so that what a caller sends reaches the backend server unchanged. What requests save fades over the window.

--- a/cmd/heatherreeld/gateway.go
+++ b/cmd/heatherreeld/gateway.go
@@ -30,9 +30,11 @@
 			}
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			// The settings in use do not change while a process runs; the signal must not end it.
-			signal.Ignore(syscall.SIGHUP)
-			return daemon.RunGateway(ctx, loaded, os.Stdout)
+			changed := make(chan os.Signal, 1)
+			signal.Notify(changed, syscall.SIGHUP)
+			defer signal.Stop(changed)
+			source := daemon.GatewaySource{Load: func() (settings.Gateway, error) { return settings.LoadGateway(file) }, Changed: changed}
+			return daemon.RunGateway(ctx, loaded, source, os.Stdout)
 		},
 		PreRunE: func(*cobra.Command, []string) error {
 			if (file == "") == (variable == "") {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -59,6 +60,7 @@
 	settings settings.Gateway
 	events   *eventlog.Logger
 	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
 	gateway  *gateway.Gateway
 	store    *store.Client
 	peers    *node.Client
@@ -68,12 +70,22 @@
 	serving  sync.WaitGroup
 }
 
+// settingsPoll is how often the settings file is compared: it may change without a signal.
+const settingsPoll = 2 * time.Second
+
+// GatewaySource reads the settings of a gateway again while it runs.
+type GatewaySource struct {
+	// Load returns the settings as they are now.
+	Load func() (settings.Gateway, error)
+	// Changed receives a value when the settings are said to have changed.
+	Changed <-chan os.Signal
+}
+
 // RunGateway runs a gateway until ctx ends, then stops it: it is no longer ready, and running requests finish. It writes
 // events to out and never waits for it.
-func RunGateway(ctx context.Context, s settings.Gateway, out io.Writer) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(s.CPUShare))))
+func RunGateway(ctx context.Context, s settings.Gateway, source GatewaySource, out io.Writer) error {
+	applyProcessLimits(s)
 	debug.SetGCPercent(collectPercent)
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	dropped := func(n int) { fmt.Fprintf(out, "{\"name\":\"log_lines_dropped\",\"count\":%d}\n", n) }
 	log := diode.NewWriter(out, logLines, logPoll, dropped)
 	defer log.Close()
@@ -87,7 +99,7 @@
 		return err
 	}
 	d.gateway.Start()
-	<-ctx.Done()
+	d.follow(ctx, source)
 	if !d.drain() {
 		// The end of the process cuts the requests that still run; to wait for them would take longer than the time for a stop.
 		return problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
@@ -96,6 +108,62 @@
 	return nil
 }
 
+// applyProcessLimits bounds the processor and the memory of the process.
+func applyProcessLimits(s settings.Gateway) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(s.CPUShare))))
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+}
+
+// gatewayLimits returns the limits of a gateway that its settings state.
+func gatewayLimits(s settings.Gateway) gateway.Limits {
+	return gateway.Limits{
+		// The budget is shared without a count: each node takes half of what its own requests allow, and its part of half the
+		// floor.
+		Retry: gateway.RetryLimits{Ratio: s.RetryRatio / 2, Floor: s.RetryFloor / s.RetryWindowS / 2 / retryNodes,
+			Window: time.Duration(s.RetryWindowS * float64(time.Second))},
+		DrainTime: s.Drain() - min(drainMargin, s.Drain()/2),
+	}
+}
+
+// follow puts changes of the settings in force until ctx ends.
+func (d *gatewayDaemon) follow(ctx context.Context, source GatewaySource) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	refused := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-source.Changed:
+		}
+		next, err := source.Load()
+		if err != nil {
+			// A fault is reported once, not at each poll.
+			if err.Error() != refused {
+				refused = err.Error()
+				d.events.Emit(eventlog.SettingsRefused, eventlog.Cause(err))
+			}
+			continue
+		}
+		refused = ""
+		if next != d.settings {
+			d.apply(next)
+		}
+	}
+}
+
+// apply puts changed settings in force, as far as a running process can.
+func (d *gatewayDaemon) apply(next settings.Gateway) {
+	if d.settings.NeedsRestart(next) {
+		d.events.Emit(eventlog.SettingsNeedRestart)
+	}
+	d.settings = next
+	applyProcessLimits(next)
+	d.gateway.Apply(gatewayLimits(next))
+	d.events.Emit(eventlog.SettingsReloaded)
+}
+
 func newGatewayDaemon(s settings.Gateway, out io.Writer) (*gatewayDaemon, error) {
 	d := &gatewayDaemon{settings: s, store: store.New(s.StoreAddress), peers: node.NewClient(), backend: backend.New(gatewayBackendWorkers)}
 	d.events = eventlog.New(out, zerolog.InfoLevel, eventlog.Node{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region})
@@ -103,17 +171,22 @@
 	if d.metrics, err = telemetry.NewMetrics(); err != nil {
 		return nil, err
 	}
+	output := s.TraceOutput
+	if output == "" {
+		output = telemetry.OutputNone
+	}
+	identity := telemetry.Identity{Instance: s.Instance, DataCentre: s.DataCentre, Region: s.Region}
+	if d.tracing, err = telemetry.NewTracing(output, s.TraceRatio, identity); err != nil {
+		return nil, err
+	}
 	d.gateway = gateway.New(gateway.Options{
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
-		// The budget is shared without a count: each node takes half of what its own requests allow, and its part of half the
-		// floor.
-		RetryRatio: s.RetryRatio / 2, RetryFloor: s.RetryFloor / s.RetryWindowS / 2 / retryNodes,
-		DrainTime: s.Drain() - min(drainMargin, s.Drain()/2),
+		Limits: gatewayLimits(s),
 	}, gateway.Dependencies{
 		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorWord,
-		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Now: boottime,
+		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Tracing: d.tracing, Now: boottime,
 	})
 	return d, nil
 }
@@ -205,7 +278,7 @@
 	}
 	stopServing()
 	d.gateway.Close()
-	if err := errors.Join(d.peers.Close(), d.metrics.Shutdown(context.Background())); err != nil {
+	if err := errors.Join(d.peers.Close(), d.metrics.Shutdown(context.Background()), d.tracing.Shutdown(context.Background())); err != nil {
 		d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
 	}
 	d.store.Close()
--- a/internal/engine/waiters.go
+++ b/internal/engine/waiters.go
@@ -263,7 +263,7 @@
 func (r *retries) request(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(service).Request()
+	r.budget(service).Request(time.Now())
 }
 
 // take counts a retry if the budget allows it, and reports whether it does.
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -27,6 +27,14 @@
 	CloseFailed = define(Event{Number: 109, Name: "close_failed", Level: zerolog.WarnLevel,
 		Text:   "a socket or an exporter reported an error while the node stopped; spans may be missing",
 		Remedy: "check the trace output"})
+	SettingsReloaded = define(Event{Number: 110, Name: "settings_reloaded", Level: zerolog.InfoLevel,
+		Text: "the settings file has changed; what may change while the node runs is in force"})
+	SettingsRefused = define(Event{Number: 111, Name: "settings_refused", Level: zerolog.ErrorLevel,
+		Text:   "the changed settings file cannot be used; the settings before it stay in force",
+		Remedy: "correct the settings file"})
+	SettingsNeedRestart = define(Event{Number: 112, Name: "settings_need_restart", Level: zerolog.WarnLevel,
+		Text:   "the settings file has changes that take effect only when the node starts again",
+		Remedy: "restart the node"})
 )
 
 // Events of the platform's log and the replay of its records.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -34,7 +34,10 @@
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	started := time.Now()
 	g.heard(r.Revision)
+	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopOwner)
+	defer span.End()
 	answer := g.admit(ctx, r, p)
+	span.Result(answer.Outcome, answer.Reason)
 	g.deps.Metrics.Request(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
 	answer.Instance = g.self.Instance
 	answer.Load = g.report()
@@ -287,7 +290,10 @@
 	err := g.backend.Submit(func() {
 		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
+		ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
 		answer := g.deps.Backend.Exchange(ctx, e)
+		span.Result(answer.Outcome, answer.Reason)
+		span.End()
 		g.server.observe(answer.WorkFigure)
 		g.leave(ticket, answer.Outcome == request.Done)
 		result <- answer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,12 +48,29 @@
 	IngressWorkers, IngressQueue int
 	// BackendWorkers is the number of exchanges with the backend server at once.
 	BackendWorkers int
-	// RetryRatio and RetryFloor bound second sends for each service: a share of its requests, and a number a second.
-	RetryRatio, RetryFloor float64
+	Limits         Limits
+}
+
+// RetryLimits bound second sends for each service in any span of the length Window: Ratio is a share of its requests, and
+// Floor a number a second.
+type RetryLimits struct {
+	Ratio, Floor float64
+	Window       time.Duration
+}
+
+// Limits are the settings that may change while a gateway runs.
+type Limits struct {
+	Retry RetryLimits
 	// DrainTime is how long a backend server serves after its draining was acknowledged.
 	DrainTime time.Duration
 }
 
+// Apply puts limits in force.
+func (g *Gateway) Apply(l Limits) {
+	g.drainTime.Store(int64(l.DrainTime))
+	g.members.setRetryLimits(l.Retry)
+}
+
 // Backend runs requests at the backend server beside the node.
 type Backend interface {
 	// Exchange sends the request once. The answer is NotRun only where that is proved.
@@ -84,6 +101,7 @@
 	Backend        Backend
 	Events         *eventlog.Logger
 	Metrics        *telemetry.Metrics
+	Tracing        *telemetry.Tracing
 	// Now reads a clock that counts the time during which the machine is suspended.
 	Now func() keyrange.Instant
 }
@@ -97,8 +115,10 @@
 
 	routes  *routeTable
 	members *memberTable
-	ranges  *rangeTable
-	server  *serverTable
+	// drainTime is that of the limits in force, in nanoseconds.
+	drainTime atomic.Int64
+	ranges    *rangeTable
+	server    *serverTable
 
 	// store is the platform's store, through other nodes while this one does not reach it.
 	store *relay.Store
@@ -143,7 +163,8 @@
 func New(o Options, d Dependencies) *Gateway {
 	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now()}
 	g.routes = newRouteTable()
-	g.members = newMemberTable(o.Self, o.RetryRatio, o.RetryFloor)
+	g.members = newMemberTable(o.Self, o.Limits.Retry)
+	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
 	g.server = newServerTable()
 	g.store = relay.New(d.Store, storeNodes{g}, d.Events)
@@ -257,11 +278,15 @@
 func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
+	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
+	defer span.End()
 	result := make(chan routed.Answer, 1)
-	if err := g.ingress.Submit(func() { result <- g.route(ctx, r) }); err != nil {
-		return routed.Refuse(request.QueueFull, overloadRetry)
+	answer := routed.Refuse(request.QueueFull, overloadRetry)
+	if err := g.ingress.Submit(func() { result <- g.route(ctx, r) }); err == nil {
+		answer = <-result
 	}
-	return <-result
+	span.Result(answer.Outcome, answer.Reason)
+	return answer
 }
 
 // overloadRetry is when a caller may return after the queue of the ingress pool was full.
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -89,7 +89,7 @@
 	if len(r.HomeRegions) == 0 {
 		a.scarce = table.Homes(service)
 	}
-	g.members.first(service)
+	g.members.first(service, now)
 	return g.decided(a, g.serve(ctx, a))
 }
 
@@ -154,7 +154,11 @@
 		return routed.Refuse(request.NoServer, overloadRetry)
 	}
 	g.deps.Metrics.Forwarded(a.request.Service)
-	answer, err := g.deps.Peers.Dispatch(ctx, member.Address, a.request)
+	hop, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
+	a.request.Traceparent = g.deps.Tracing.Traceparent(hop)
+	answer, err := g.deps.Peers.Dispatch(hop, member.Address, a.request)
+	span.Result(answer.Outcome, answer.Reason)
+	span.End()
 	if err != nil {
 		answer = g.failed(ctx, a, instance, err)
 	} else {
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -33,14 +33,22 @@
 	peers    map[string]*peer
 	synced   bool
 	snapshot bool
-	ratio    float64
-	floor    float64
+	limits   RetryLimits
 	budgets  map[string]*retry.Budget
 }
 
-func newMemberTable(self Self, ratio, floor float64) *memberTable {
+func newMemberTable(self Self, limits RetryLimits) *memberTable {
 	return &memberTable{mu: lockorder.New(lockorder.Members), self: self, peers: map[string]*peer{},
-		ratio: ratio, floor: floor, budgets: map[string]*retry.Budget{}}
+		limits: limits, budgets: map[string]*retry.Budget{}}
+}
+
+// setRetryLimits puts other limits in force. What was saved is forgotten.
+func (t *memberTable) setRetryLimits(limits RetryLimits) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if limits != t.limits {
+		t.limits, t.budgets = limits, map[string]*retry.Budget{}
+	}
 }
 
 func (t *memberTable) known() bool {
@@ -258,17 +266,17 @@
 func (t *memberTable) budget(service string) *retry.Budget {
 	b := t.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(t.ratio, t.floor)
+		b = retry.NewWindowBudget(t.limits.Ratio, t.limits.Floor, t.limits.Window)
 		t.budgets[service] = b
 	}
 	return b
 }
 
 // first counts the first send of a request to a service.
-func (t *memberTable) first(service string) {
+func (t *memberTable) first(service string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.budget(service).Request()
+	t.budget(service).Request(now)
 }
 
 // mayRepeat takes a second send from the budget of the service.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -189,7 +189,7 @@
 			"the heartbeat names service %q at %q", b.Service, b.Address)
 	}
 	now := g.deps.Now()
-	news, fresh := g.server.take(b, now, g.options.DrainTime)
+	news, fresh := g.server.take(b, now, time.Duration(g.drainTime.Load()))
 	if !fresh {
 		g.events.Emit(eventlog.HeartbeatLate, eventlog.Name("server", b.Server), eventlog.Count("sequence", int(b.Sequence)))
 		return heartbeat.Reply{}, nil
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -164,9 +164,14 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32, RetryRatio: 0.2, RetryFloor: 1, DrainTime: 1500 * time.Millisecond},
+	tracing, err := telemetry.NewTracing(telemetry.OutputNone, 0, telemetry.Identity{})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
+		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, Floor: 1, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: w.log.For(name), OperatorTopic: "operators", DecodeOperator: w.decode, Peers: &peers{w, name},
-			Backend: h, Events: eventlog.Discard(), Metrics: metrics, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()) }})
+			Backend: h, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()) }})
 	w.mu.Unlock()
 	g.Start()
 	w.mu.Lock()
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -56,7 +56,7 @@
 		Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Header: encodeFields(r.Header), Body: r.Body,
 		DeadlineUs: microseconds(r.Deadline.Sub(now)), Keyed: r.Keyed, Key: uint32(r.Key),
 		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
-		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route,
+		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: r.Traceparent,
 	}
 }
 
@@ -84,7 +84,7 @@
 		ID: m.Id, Method: m.Method, Host: m.Host, Path: m.Path, Header: decodeFields(m.Header), Body: m.Body,
 		Deadline: now.Add(duration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
 		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
-		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, now), MayDivert: m.MayDivert, Route: m.Route,
+		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, now), MayDivert: m.MayDivert, Route: m.Route, Traceparent: m.Traceparent,
 	}
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +30,9 @@
 	ratio float64
 	saved float64
 	floor *rate.Limiter
+	// window is the time over which saved retries fade; zero if they do not. faded is when they last did.
+	window time.Duration
+	faded  time.Time
 }
 
 // NewBudget returns a budget of ratio retries per request, and floorPerSecond retries more, so that a service with few
@@ -37,14 +41,37 @@
 	return &Budget{ratio: ratio, floor: rate.NewLimiter(rate.Limit(floorPerSecond), max(1, int(floorPerSecond)))}
 }
 
+// NewWindowBudget returns a budget for a bound over any span of a length: what is saved by requests fades over the window,
+// so that it is never more than the share of the requests of about one window.
+func NewWindowBudget(ratio, floorPerSecond float64, window time.Duration) *Budget {
+	b := NewBudget(ratio, floorPerSecond)
+	b.window = window
+	return b
+}
+
 // SetRatio changes the ratio; what is saved stays.
 func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
 
 // Request counts a first attempt.
-func (b *Budget) Request() { b.saved = min(b.saved+b.ratio, maxBurst) }
+func (b *Budget) Request(now time.Time) {
+	b.fade(now)
+	b.saved = min(b.saved+b.ratio, maxBurst)
+}
+
+// fade forgets what was saved before the window.
+func (b *Budget) fade(now time.Time) {
+	if b.window <= 0 {
+		return
+	}
+	if passed := now.Sub(b.faded); passed > 0 && !b.faded.IsZero() {
+		b.saved *= math.Exp(-float64(passed) / float64(b.window))
+	}
+	b.faded = now
+}
 
 // Take counts a retry if the budget allows it, and reports whether it does.
 func (b *Budget) Take(now time.Time) bool {
+	b.fade(now)
 	if b.saved >= 1 {
 		b.saved--
 		return true
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -58,7 +58,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "request") {
-				b.Request()
+				b.Request(now)
 				requests++
 				continue
 			}
@@ -79,7 +79,7 @@
 		t.Error("a service without requests does not get one retry per second")
 	}
 	for range 1_000_000 {
-		b.Request()
+		b.Request(time.Time{})
 	}
 	taken := 0
 	for b.Take(start.Add(time.Second)) {
@@ -124,3 +124,23 @@
 		}
 	}
 }
+
+// Guards against retries that are saved for longer than the window of their bound, so that a failure after a long quiet time
+// repeats more than the share of the requests of one window.
+func TestWindowBudgetForgets(t *testing.T) {
+	const ratio, perSecond, window = 0.1, 20, 10 * time.Second
+	b := NewWindowBudget(ratio, 0, window)
+	now := time.Unix(0, 0)
+	for range 120 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b.Request(now)
+	}
+	taken := 0
+	for b.Take(now) {
+		taken++
+	}
+	// The floor gives one more.
+	if most := int(ratio*perSecond*window.Seconds()) + 1; taken > most || taken < most/2 {
+		t.Errorf("%d retries at once, the window allows %d", taken, most)
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -43,6 +43,9 @@
 	Revision uint64
 	// MayDivert tells that the ingress node asks another backend server if this one is slow at the moment.
 	MayDivert bool
+	// Traceparent is the W3C trace context of the hop that sent the request; empty without one. What the caller sent in
+	// its header reaches the backend server unchanged.
+	Traceparent string
 }
 
 // Load is what a node reports of the backend server beside it.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,8 +43,21 @@
 	RetryRatio   float64 `yaml:"retry_ratio"`
 	RetryWindowS float64 `yaml:"retry_window_s"`
 	RetryFloor   float64 `yaml:"retry_floor"`
+	// TraceOutput is where spans go: none, stderr or the path of a file; empty for none. TraceRatio is the share of requests
+	// whose spans are written.
+	TraceOutput string  `yaml:"trace_output"`
+	TraceRatio  float64 `yaml:"trace_ratio"`
 }
 
+// fixed returns the settings less those that may change while the process runs.
+func (s Gateway) fixed() Gateway {
+	s.MemoryMB, s.CPUShare, s.DrainMS, s.ShutdownS, s.RetryRatio, s.RetryWindowS, s.RetryFloor = 0, 0, 0, 0, 0, 0, 0
+	return s
+}
+
+// NeedsRestart reports whether another version of the settings differs in what a running process cannot change.
+func (s Gateway) NeedsRestart(next Gateway) bool { return s.fixed() != next.fixed() }
+
 // LoadGateway reads the settings from the file. All faults are reported together.
 func LoadGateway(path string) (Gateway, error) {
 	data, err := os.ReadFile(path)
@@ -98,6 +111,9 @@
 			faults = append(faults, fmt.Errorf("%s must be positive", f.name))
 		}
 	}
+	if s.TraceRatio < 0 || s.TraceRatio > 1 {
+		faults = append(faults, errors.New("trace_ratio must be from 0 to 1"))
+	}
 	if s.RetryRatio < 0 || s.RetryFloor < 0 {
 		faults = append(faults, errors.New("retry_ratio and retry_floor must not be negative"))
 	}
