Give the keys of an instance away when another one has its address, and keep a suspicion until it is written

Ruled out: a shorter lease. Each second less ends grants a second earlier when the store is down for all, up to 8 s.

Change: a node that finds another instance recorded at its own address removes that record, on condition that no record came since its last read. The platform gives an address away only after the instance and its backend server have ended, so that owners whose record was removed lose their keys at once. A suspicion stays until the table shows it. A silent instance is probed again at once, one that refuses connections every 500 ms as before. A backend server that does not tell its figure is asked every 300 ms at most.

Tests: TestReusedAddressEndsOwner and TestSuspicionOutlivesConflict fail without the change.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -194,6 +194,10 @@
 		Remedy: "check the platform's store and the route to it"})
 	StoreDirect = define(Event{Number: 217, Name: "store_direct", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "this node reaches the store itself again"})
+	PredecessorRemoved = define(Event{Number: 218, Name: "predecessor_removed", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "the record of an instance that had the address of this one was removed; its keys go to other owners"})
+	PredecessorKept = define(Event{Number: 219, Name: "predecessor_kept", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "the record of an instance that had the address of this one could not be removed yet; the node tries again"})
 )
 
 // Events of the ownership of key ranges.
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -493,3 +493,59 @@
 		}
 	})
 }
+
+// Guards against keys that stay without owner for the time of a claim, although another instance has the address of the
+// owner, which proves that the owner has ended; and against the removal of a record that came back.
+func TestReusedAddressEndsOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		w.kill("k1")
+		w.stopServer("k1")
+		time.Sleep(2 * time.Second)
+		// The address of k1 goes to an instance of the other service.
+		w.mu.Lock()
+		old := w.hosts["k1"]
+		delete(w.hosts, "k1")
+		w.mu.Unlock()
+		w.add("f2", "free", "r1")
+		w.kill("f2")
+		w.mu.Lock()
+		w.hosts["f2"].self.Address = old.self.Address
+		w.hosts["k1"] = w.hosts["f2"]
+		w.mu.Unlock()
+		w.start("f2")
+		time.Sleep(2 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served 2 s after the address was given away", got)
+		}
+		w.mu.Lock()
+		delete(w.hosts, "k1")
+		w.mu.Unlock()
+	})
+}
+
+// Guards against a suspicion that is forgotten because another node's write came first.
+func TestSuspicionOutlivesConflict(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		g := w.hosts["k0"].gateway
+		name := "k1"
+		w.kill("k1")
+		g.suspect.Store(&name)
+		table, _ := g.ranges.get("keyed")
+		next := table.Clone()
+		if !g.change(next) {
+			t.Fatal("nothing is to be written")
+		}
+		// The write of this table is refused.
+		again := table.Clone()
+		if g.change(again); again.Suspicions["k1"] == (keyrange.Suspicion{}) {
+			t.Error("the suspicion is forgotten")
+		}
+		if g.change(again.Clone()); g.suspect.Load() != nil {
+			t.Error("the suspicion is kept although the table shows it")
+		}
+	})
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -204,8 +204,8 @@
 	}
 }
 
-func (g *Gateway) membersSynced(keyrange.Instant, int64) {
-	g.members.endSnapshot()
+func (g *Gateway) membersSynced(_ keyrange.Instant, end int64) {
+	g.members.endSnapshot(end)
 	g.upkeep.Fire()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,7 @@
 
 // Sizes of the control pool, whose jobs are rare.
 const (
-	controlWorkers = 3
+	controlWorkers = 4
 	controlQueue   = 64
 )
 
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -28,17 +28,21 @@
 
 // memberTable holds the instances of the fleet and the retry budgets. mu guards all fields; it has rank lockorder.Members.
 type memberTable struct {
-	mu       *lockorder.Mutex
-	self     Self
-	peers    map[string]*peer
+	mu    *lockorder.Mutex
+	self  Self
+	peers map[string]*peer
+	// removed are the instances whose record was removed, because another one has their address.
+	removed  map[string]bool
 	synced   bool
 	snapshot bool
-	limits   RetryLimits
-	budgets  map[string]*retry.Budget
+	// end is the end of the topic up to which the records are read.
+	end     int64
+	limits  RetryLimits
+	budgets map[string]*retry.Budget
 }
 
 func newMemberTable(self Self, limits RetryLimits) *memberTable {
-	return &memberTable{mu: lockorder.New(lockorder.Members), self: self, peers: map[string]*peer{},
+	return &memberTable{mu: lockorder.New(lockorder.Members), self: self, peers: map[string]*peer{}, removed: map[string]bool{},
 		limits: limits, budgets: map[string]*retry.Budget{}}
 }
 
@@ -66,10 +70,10 @@
 	}
 }
 
-func (t *memberTable) endSnapshot() {
+func (t *memberTable) endSnapshot(end int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.synced = true
+	t.synced, t.end = true, end
 	if !t.snapshot {
 		return
 	}
@@ -91,6 +95,7 @@
 		t.peers[m.Instance] = p
 	}
 	p.seen = true
+	delete(t.removed, m.Instance)
 	if m.Incarnation < p.Incarnation {
 		return
 	}
@@ -109,10 +114,32 @@
 	t.peers[m.Instance].stored = m
 }
 
+// drop takes the removal of an instance's record.
 func (t *memberTable) drop(instance string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.peers, instance)
+	t.removed[instance] = true
+}
+
+// isRemoved reports whether the record of an instance was removed and has not come back.
+func (t *memberTable) isRemoved(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.removed[instance]
+}
+
+// predecessor returns another instance that is recorded at the address of this node, and the end of the topic up to which
+// that is known.
+func (t *memberTable) predecessor() (instance string, end int64, found bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		if name != t.self.Instance && p.Address == t.self.Address {
+			return name, t.end, true
+		}
+	}
+	return "", 0, false
 }
 
 // storedAs reports whether the store is known to hold exactly this record.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -64,8 +64,9 @@
 	meter   keyload.Meter
 	// machine judges whether the machine of the backend server is slow at the moment.
 	machine contention.Monitor
-	// asking is set while a request asks the backend server for its figure.
+	// asking is set while a request asks the backend server for its figure; the last one began at askedAt.
 	asking  bool
+	askedAt time.Time
 	waiting map[admission.Ticket]chan request.Reason
 	limits  admission.Options
 }
--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -16,6 +16,8 @@
 	// milliseconds.
 	slownessInterval = 60 * time.Millisecond
 	slownessTimeout  = 100 * time.Millisecond
+	// askAgainAfter is how long a backend server that did not answer is left alone.
+	askAgainAfter = 300 * time.Millisecond
 )
 
 // observe takes a work figure of the backend server.
@@ -30,9 +32,10 @@
 // refreshSlowness asks the backend server whether its machine is slow, if it has told so before and not recently.
 func (g *Gateway) refreshSlowness(ctx context.Context) {
 	g.server.mu.Lock()
-	known := !g.server.machine.Seen() || g.server.machine.Fresh(time.Now()) || g.server.asking
+	now := time.Now()
+	known := !g.server.machine.Seen() || g.server.machine.Fresh(now) || g.server.asking || now.Sub(g.server.askedAt) < askAgainAfter
 	if !known {
-		g.server.asking = true
+		g.server.asking, g.server.askedAt = true, now
 	}
 	g.server.mu.Unlock()
 	if !known {
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -34,12 +35,15 @@
 	// rangesEnd is the end that the last write of ranges led to; nothing is decided before it is read.
 	rangesEnd int64
 	writtenAt time.Time
+	// removedAt is when the record of a predecessor was last removed.
+	removedAt time.Time
 }
 
 // runUpkeep brings the records of the node in step with what it knows.
 func (g *Gateway) runUpkeep() {
 	g.applySlots()
 	g.announce()
+	g.removePredecessor()
 	if !g.keyed() || !g.members.known() {
 		return
 	}
@@ -77,6 +81,25 @@
 	}
 }
 
+// removePredecessor removes the record of an instance that had the address of this one. The platform gives an address to
+// another instance only some time after the first one and its backend server have ended, so that nothing of it runs any more.
+// The removal holds only if no record came since the last read: the other instance may just have announced itself anew.
+func (g *Gateway) removePredecessor() {
+	instance, end, found := g.members.predecessor()
+	if !found || time.Since(g.state.removedAt) < announceAgain {
+		return
+	}
+	g.state.removedAt = time.Now()
+	ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
+	defer cancel()
+	if _, err := g.store.Append(ctx, registry.Members, end, registry.Record{Key: instance}); err != nil {
+		// Another record came first, or the store is away; the next run decides again.
+		g.events.Emit(eventlog.PredecessorKept, eventlog.Name("peer_instance", instance), eventlog.Cause(err))
+		return
+	}
+	g.events.Emit(eventlog.PredecessorRemoved, eventlog.Name("peer_instance", instance))
+}
+
 // candidates returns the backend servers of the service that may own keys, in the order of their instances.
 func (g *Gateway) candidates(table *keyrange.Table) []keyrange.Candidate {
 	var found []keyrange.Candidate
@@ -170,8 +193,13 @@
 	changed := t.Refute(g.self.Instance)
 	changed = g.changeOwn(t, candidates) || changed
 	changed = g.claim(t, candidates) || changed
-	if suspect := g.suspect.Swap(nil); suspect != nil {
-		changed = t.Suspect(*suspect, g.self.Instance) || changed
+	if suspect := g.suspect.Load(); suspect != nil {
+		// A write that comes second leaves the suspicion to the next one; it is dropped when the table shows it.
+		if t.Suspect(*suspect, g.self.Instance) {
+			changed = true
+		} else {
+			g.suspect.CompareAndSwap(suspect, nil)
+		}
 	}
 	if g.plans(candidates) {
 		changed = t.Fill(candidates) > 0 || changed
@@ -235,10 +263,20 @@
 	return keyrange.Owner{}, false
 }
 
-// claim gives away the ranges of suspected instances once their leases and holds have surely ended.
+// claim gives away the ranges of suspected instances once their leases and holds have surely ended, and those of removed
+// instances at once.
 func (g *Gateway) claim(t *keyrange.Table, candidates []keyrange.Candidate) bool {
 	changed := false
 	now := g.deps.Now()
+	for _, instance := range t.Owners() {
+		if !g.members.isRemoved(instance) {
+			continue
+		}
+		g.events.Emit(eventlog.KeysClaimed, eventlog.Name("from_instance", instance))
+		t.Claim(instance)
+		t.Fill(candidates)
+		changed = true
+	}
 	for instance, s := range t.Suspicions {
 		if instance == g.self.Instance || g.ranges.openFor(g.self.Service, instance, s.Number, now) < keyrange.ClaimWait {
 			continue
@@ -334,15 +372,15 @@
 	if next.Instance != g.watched.watched {
 		g.watched = watchState{watched: next.Instance}
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
-	defer cancel()
-	instance, load, err := g.deps.Peers.Probe(ctx, next.Address)
-	if err == nil && instance == next.Instance {
-		g.watched.failures = 0
-		g.members.reported(instance, load, time.Now())
+	err := g.probe(next)
+	// One that is silent is asked again at once: its process is not just starting again.
+	for err != nil && g.watched.failures < failedProbes && problem.KindOf(err) != problem.Invalid && g.silent(err) {
+		err = g.probe(next)
+	}
+	if err == nil {
+		g.suspect.Store(nil)
 		return
 	}
-	g.watched.failures++
 	if g.watched.failures < failedProbes {
 		return
 	}
@@ -352,6 +390,29 @@
 	g.upkeep.Fire()
 }
 
+// probe asks an instance whether it runs, and counts its failures in a row.
+func (g *Gateway) probe(m registry.Member) error {
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	instance, load, err := g.deps.Peers.Probe(ctx, m.Address)
+	if err == nil && instance != m.Instance {
+		err = problem.New(problem.Invalid, "wait until the record of the instance is removed", "%s answers at the address of %s", instance, m.Instance)
+	}
+	if err != nil {
+		g.watched.failures++
+		return err
+	}
+	g.watched.failures = 0
+	g.members.reported(instance, load, time.Now())
+	return nil
+}
+
+// silent reports whether a probe failed by its timeout, and not by an answer of the other machine.
+func (g *Gateway) silent(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return g.ctx.Err() == nil && (errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // successor returns the member of the service that follows the node in the ring of names and is neither suspected nor lost.
 func (g *Gateway) successor(table *keyrange.Table) (registry.Member, bool) {
 	if !table.Founded() {
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -163,6 +163,17 @@
 	return t != nil && slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Owner.Instance == instance })
 }
 
+// Owners returns the instances that own ranges, moving or not, in the order of their first key.
+func (t *Table) Owners() []string {
+	var owners []string
+	for _, r := range t.Ranges {
+		if r.Owner.Instance != "" && !slices.Contains(owners, r.Owner.Instance) {
+			owners = append(owners, r.Owner.Instance)
+		}
+	}
+	return owners
+}
+
 // give makes o the owner of range i under a new fence.
 func (t *Table) give(i int, o Owner, handover string) {
 	t.LastFence++
