Read changes of the ownership together, and tell those whom a change concerns

Change: readers of the ownership rest 0.5 s beside a backend server with keys and 1 s elsewhere after they got records, unless a request waits for one. The writer of a change tells the instances that it concerns, which read at once (field of the probe). A former owner names the new one in its refusal, and the request goes there without a read. Member records tell the speed of a machine only for services with keys.

Ruled out: to tell the speed only after three figures.

TestChangesAreReadTogether needs 346 calls without the rests, 235 with them. TestFormerOwnerNamesTheNewOne.

--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -92,7 +92,7 @@
 		if !known || member.Instance == g.self.Instance {
 			continue
 		}
-		_, load, err := g.deps.Peers.Probe(ctx, member.Address)
+		_, load, err := g.deps.Peers.Probe(ctx, member.Address, g.ranges.knownEnd())
 		if err != nil || !load.Known || load.ColdFor > 0 || !load.Current {
 			continue
 		}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -39,6 +39,12 @@
 	answer := g.admit(ctx, r, p)
 	span.Result(answer.Outcome, answer.Reason)
 	g.deps.Metrics.Request(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
+	if answer.Reason == request.NotOwner {
+		table, _ := g.ranges.get(r.Service)
+		if owned, ok := table.Find(r.Key); ok && owned.Owner.Instance != g.self.Instance {
+			answer.Owner = owned.Owner.Instance
+		}
+	}
 	answer.Instance = g.self.Instance
 	answer.Load = g.report()
 	answer.Revision = g.routes.revision()
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyload"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
@@ -549,3 +550,63 @@
 		}
 	})
 }
+
+// Guards against changes of the ownership that are read by all nodes one by one, which makes calls of the store grow with the
+// square of the fleet, and against a new owner that learns of its keys late.
+func TestChangesAreReadTogether(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		g := w.hosts["k0"].gateway
+		before, moves := w.log.Calls(), 0
+		for i := range 40 {
+			// Forty stretches move, four a second.
+			from := uint16(i * 300)
+			g.offload.Store(&[]keyMove{{span: keyload.Span{From: from, To: from + 99}, to: "k2"}})
+			g.upkeep.Fire()
+			time.Sleep(250 * time.Millisecond)
+			moves++
+		}
+		time.Sleep(2 * time.Second)
+		if got := w.served("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served", got)
+		}
+		calls := w.log.Calls() - before
+		t.Logf("%d calls of the store for %d moves", calls, moves)
+		// A move takes two writes, each read by its two owners; the other four nodes read changes about once a second, and all
+		// poll the other topics.
+		if most := moves*4 + 4*12*3/2 + 6*5; calls > most {
+			t.Errorf("%d calls of the store for %d moves, at most %d expected", calls, moves, most)
+		}
+	})
+}
+
+// Guards against a request that waits for its node to read who owns its key now, although the former owner knows it.
+func TestFormerOwnerNamesTheNewOne(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		// f1 reads nothing more of the store.
+		w.log.SetRefused("f1", true)
+		for _, f := range w.hosts["f1"].gateway.followers {
+			f.interrupt()
+		}
+		stale, _ := w.hosts["f1"].gateway.ranges.get("keyed")
+		g := w.hosts["k0"].gateway
+		r, _ := stale.Find(10)
+		if r.Owner.Instance != "k0" {
+			t.Fatalf("key 10 is owned by %s", r.Owner.Instance)
+		}
+		g.offload.Store(&[]keyMove{{span: keyload.Span{From: 0, To: 99}, to: "k2"}})
+		g.upkeep.Fire()
+		time.Sleep(3 * time.Second)
+		w.hosts["f1"].gateway.ranges.put(stale, 0)
+		started := time.Now()
+		if a := w.ask("f1", "moved", "/keyed/", 10, time.Second); a.Outcome != request.Done || string(a.Body) != "k2" {
+			t.Errorf("got %v %q from %q", a.Outcome, a.Reason, a.Body)
+		}
+		if took := time.Since(started); took > 200*time.Millisecond {
+			t.Errorf("the request took %v", took)
+		}
+	})
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -42,7 +42,7 @@
 	topic string
 	// wait is how long the next read may take, and rest the pause after a read that returned records.
 	wait func() time.Duration
-	rest time.Duration
+	rest func() time.Duration
 	// begin is called before the newest records of all keys are applied, apply for each record, and synced after each
 	// answer of the store, with the time at which it was asked.
 	begin  func()
@@ -51,6 +51,9 @@
 	// reading ends the read in progress, and interrupted is when it was last ended so, in Unix nanoseconds.
 	reading     atomic.Pointer[context.CancelFunc]
 	interrupted atomic.Int64
+	// waiters counts the requests that wait for a record; the reader does not rest meanwhile. resting ends its rest.
+	waiters atomic.Int64
+	resting atomic.Pointer[context.CancelFunc]
 }
 
 // run reads until ctx ends.
@@ -75,8 +78,8 @@
 				f.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", f.topic))
 			}
 			lost, rest = false, leastPause
-			if len(page.Records) > 0 && f.rest > 0 {
-				pause(ctx, f.rest)
+			if len(page.Records) > 0 {
+				f.takeRest(ctx)
 			}
 			continue
 		case problem.KindOf(err) == problem.Forgotten:
@@ -114,6 +117,45 @@
 	return f.g.store.Read(ctx, f.topic, from, wait)
 }
 
+// takeRest pauses, so that records which come together are read together. An interrupt ends the pause.
+func (f *follower) takeRest(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.resting.Store(&cancel)
+	if f.waiters.Load() == 0 {
+		pause(ctx, f.rest())
+	}
+}
+
+// hurry keeps the reader of a topic from resting until release is called.
+func (g *Gateway) hurry(topic string) (release func()) {
+	for _, f := range g.followers {
+		if f.topic != topic {
+			continue
+		}
+		f.waiters.Add(1)
+		f.endRest()
+		return func() { f.waiters.Add(-1) }
+	}
+	return func() {}
+}
+
+// endRest ends the rest in progress.
+func (f *follower) endRest() {
+	if cancel := f.resting.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// readNow makes the reader of a topic ask the store at once.
+func (g *Gateway) readNow(topic string) {
+	for _, f := range g.followers {
+		if f.topic == topic {
+			f.interrupt()
+		}
+	}
+}
+
 // interruptReaders makes the other readers ask again, after one of them found that the store is back.
 func (g *Gateway) interruptReaders(except *follower) {
 	for _, f := range g.followers {
@@ -125,6 +167,7 @@
 
 // interrupt ends the read in progress, so that the store is asked again.
 func (f *follower) interrupt() {
+	f.endRest()
 	if cancel := f.reading.Load(); cancel != nil {
 		(*cancel)()
 	}
@@ -236,6 +279,20 @@
 	return memberPoll
 }
 
+// Rests of the reader of the ownership of keys. Changes come from all owners, and each read of each node is a call of the
+// store; those whom a change concerns are told (Gateway.notify), and a former owner names the new one.
+const (
+	ownerRest   = 500 * time.Millisecond
+	ingressRest = time.Second
+)
+
+func (g *Gateway) rangesRest() time.Duration {
+	if g.keyed() {
+		return ownerRest
+	}
+	return ingressRest
+}
+
 // keyed reports whether the service of the instance holds each key on one backend server.
 func (g *Gateway) keyed() bool {
 	t := g.routes.current()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,8 @@
 // Peers calls the nodes of other instances.
 type Peers interface {
 	Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error)
-	Probe(ctx context.Context, address string) (instance string, load routed.Load, err error)
+	// Probe asks a node for its name and load, and tells it up to where the ownership records are known here.
+	Probe(ctx context.Context, address string, rangesEnd int64) (instance string, load routed.Load, err error)
 	// StoreCall calls the store through another node. Errors are those of registry.Store.
 	StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error)
 }
@@ -184,9 +185,9 @@
 	g.slowness = worker.NewTrigger(g.control, g.checkSlowness)
 	g.events.Emit(eventlog.Started)
 	g.followers = []*follower{
-		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
-		{g: g, topic: registry.Members, wait: memberWait, rest: memberRest, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
-		{g: g, topic: registry.Ranges, wait: g.rangesWait, begin: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
+		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, rest: func() time.Duration { return 0 }, begin: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
+		{g: g, topic: registry.Members, wait: memberWait, rest: func() time.Duration { return memberRest }, begin: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
+		{g: g, topic: registry.Ranges, wait: g.rangesWait, rest: g.rangesRest, begin: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
 	}
 	for _, f := range g.followers {
 		g.startReader(f)
@@ -300,7 +301,12 @@
 }
 
 // Probe implements node.RouterService.
-func (g *Gateway) Probe() (string, routed.Load) { return g.self.Instance, g.report() }
+func (g *Gateway) Probe(rangesEnd int64) (string, routed.Load) {
+	if _, end := g.ranges.get(g.self.Service); rangesEnd > end {
+		g.readNow(registry.Ranges)
+	}
+	return g.self.Instance, g.report()
+}
 
 // draw returns a random number from 0 to n-1.
 func draw(n int) int { return rand.IntN(n) }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -37,6 +37,8 @@
 	// mostDiversions bounds the backend servers that are passed over because they are slow at the moment. A fifth of them
 	// is at any time, so that a third one in a row is rare.
 	mostDiversions = 2
+	// mostNamed bounds the owners that former owners name for one request: keys move rarely twice within its time.
+	mostNamed = 2
 	// mostSends bounds the nodes that are asked for one request.
 	mostSends = 6
 )
@@ -54,6 +56,9 @@
 	// diversions is the number of nodes that refused it because their backend server was slow at the moment.
 	diversions int
 	tried      []string
+	// owner is the owner of the key that its former owner named; empty if none did. named counts such answers.
+	owner string
+	named int
 	// owned is the range of the key when its owner was last asked.
 	owned keyrange.Range
 	last  routed.Answer
@@ -118,6 +123,9 @@
 		if !ok || r.Owner.Instance == "" {
 			return "", false
 		}
+		if a.owner != "" {
+			r.Owner.Instance, a.owner = a.owner, ""
+		}
 		a.chosen, a.chosenAge = r.Owner.Instance, 0
 		if wait := g.members.unreachableFor(r.Owner.Instance, now); wait > 0 {
 			a.last = routed.Refuse(request.OwnerUnreachable, max(wait, overloadRetry))
@@ -216,6 +224,11 @@
 		return true
 	}
 	if a.keyed {
+		if a.last.Reason == request.NotOwner && a.last.Owner != "" && a.named < mostNamed {
+			a.owner = a.last.Owner
+			a.named++
+			return true
+		}
 		return g.awaitOwner(ctx, a, now)
 	}
 	if !asked {
@@ -239,6 +252,7 @@
 	if now.Sub(a.started) > a.request.Deadline.Sub(a.started)*ownerPatience/100 {
 		return false
 	}
+	defer g.hurry(registry.Ranges)()
 	timer := time.NewTimer(ownerPause)
 	defer timer.Stop()
 	for {
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -137,6 +137,13 @@
 	return t.lease.Hold(now)
 }
 
+// knownEnd returns the end up to which the tables are read.
+func (t *rangeTable) knownEnd() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.end
+}
+
 // leaseLeft returns how long the lease of the node still holds.
 func (t *rangeTable) leaseLeft(now keyrange.Instant) time.Duration {
 	t.mu.Lock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -124,8 +124,12 @@
 		return registry.Server{}
 	}
 	// The record of an ended life stays, so that a new process of the node knows of it.
-	return registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: !t.ended, Draining: t.beat.Draining || t.ended, Slots: t.beat.Slots,
-		WorkPercent: int(math.Round(t.machine.Best() * 100))}
+	s := registry.Server{ID: t.beat.Server, Born: t.beat.Born, Ready: !t.ended, Draining: t.beat.Draining || t.ended, Slots: t.beat.Slots}
+	// Only keys are given out by speed. All nodes read each change of the record, so that those of other services do not tell it.
+	if t.limits.HoldWhenSlow && t.machine.Samples() > 0 {
+		s.WorkPercent = int(math.Round(t.machine.Best() * 100))
+	}
+	return s
 }
 
 // versionNow returns the version.
--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -45,7 +45,10 @@
 
 // speedSamples is how many figures of a life are asked for without a request, so that the speed of its machine is known
 // when keys are given out. Other programs slow a machine for about a fifth of the time.
-const speedSamples = 4
+const speedSamples = 3
+
+// speedInterval separates the figures by more than the time for which a slow spell lasts.
+const speedInterval = 450 * time.Millisecond
 
 // measureSpeed asks the backend server for a figure if few are known.
 func (g *Gateway) measureSpeed() {
@@ -55,7 +58,14 @@
 		g.server.asking = true
 	}
 	g.server.mu.Unlock()
-	if wanted && g.control.Submit(func() { g.askSlowness(g.ctx) }) != nil {
+	if !wanted {
+		return
+	}
+	err := g.control.Submit(func() {
+		g.askSlowness(g.ctx)
+		g.control.After(speedInterval, g.measureSpeed)
+	})
+	if err != nil {
 		g.server.mu.Lock()
 		g.server.asking = false
 		g.server.mu.Unlock()
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -159,11 +159,11 @@
 		g.upkeep.Fire()
 		return
 	}
-	g.write(next, end)
+	g.write(table, next, end)
 }
 
 // write stores a table if nothing was written since the end.
-func (g *Gateway) write(next *keyrange.Table, end int64) {
+func (g *Gateway) write(before, next *keyrange.Table, end int64) {
 	record, err := registry.EncodeRanges(next)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
@@ -173,6 +173,7 @@
 	}
 	switch {
 	case err == nil:
+		g.notify(next.Concerned(before), g.state.rangesEnd)
 		g.events.Emit(eventlog.RangesWritten, eventlog.Count("last_fence", int(next.LastFence)), eventlog.Count("ranges", len(next.Ranges)))
 	case problem.KindOf(err) == problem.Conflict:
 		// Another node was first, or an earlier write of this one has taken effect. The reader has its table soon, and upkeep runs again then.
@@ -182,6 +183,26 @@
 	default:
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
 	}
+	g.readNow(registry.Ranges)
+}
+
+// notify tells instances that the ownership of keys has changed for them. Other nodes read the change within the rest of
+// their reader, or when a request meets it.
+func (g *Gateway) notify(instances []string, end int64) {
+	for _, instance := range instances {
+		member, known := g.members.get(instance)
+		if !known || instance == g.self.Instance {
+			continue
+		}
+		// Without a free worker, or if the call fails, the instance reads the change a little later.
+		_ = g.control.Submit(func() {
+			ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+			defer cancel()
+			if _, load, err := g.deps.Peers.Probe(ctx, member.Address, end); err == nil {
+				g.members.reported(instance, load, time.Now())
+			}
+		})
+	}
 }
 
 // change makes all due changes to a copy of the table; it returns false if there are none.
@@ -394,7 +415,7 @@
 func (g *Gateway) probe(m registry.Member) error {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
-	instance, load, err := g.deps.Peers.Probe(ctx, m.Address)
+	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, g.ranges.knownEnd())
 	if err == nil && instance != m.Instance {
 		err = problem.New(problem.Invalid, "wait until the record of the instance is removed", "%s answers at the address of %s", instance, m.Instance)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -425,12 +425,12 @@
 }
 
 // Probe implements Peers.
-func (p *peers) Probe(ctx context.Context, address string) (string, routed.Load, error) {
+func (p *peers) Probe(ctx context.Context, address string, rangesEnd int64) (string, routed.Load, error) {
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return "", routed.Load{}, err
 	}
-	instance, load := g.Probe()
+	instance, load := g.Probe(rangesEnd)
 	return instance, load, nil
 }
 
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -136,6 +136,20 @@
 	})
 }
 
+// Concerned returns the instances that own keys, or will, which they did not in the table before, in the order of the keys.
+func (t *Table) Concerned(before *Table) []string {
+	var concerned []string
+	for _, r := range t.Ranges {
+		old, _ := before.Find(r.From)
+		for _, c := range []struct{ now, then string }{{r.Owner.Instance, old.Owner.Instance}, {r.Next, old.Next}} {
+			if c.now != "" && c.now != c.then && !slices.Contains(concerned, c.now) {
+				concerned = append(concerned, c.now)
+			}
+		}
+	}
+	return concerned
+}
+
 // Without returns the ranges less the keys between from and to.
 func Without(ranges []Range, from, to uint16) []Range {
 	var left []Range
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -52,8 +52,8 @@
 }
 
 // Probe implements nodepb.DRPCRouterServer. It submits no job: it asks whether the node runs.
-func (e *routerEndpoint) Probe(context.Context, *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
-	instance, load := e.service.Probe()
+func (e *routerEndpoint) Probe(_ context.Context, m *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
+	instance, load := e.service.Probe(m.RangesEnd)
 	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load)}, nil
 }
 
@@ -97,12 +97,12 @@
 	}
 }
 
-// Probe returns the name and the load of the node at address.
-func (c *Client) Probe(ctx context.Context, address string) (instance string, load routed.Load, err error) {
+// Probe returns the name and the load of the node at address, and tells it up to where this node knows the ownership records.
+func (c *Client) Probe(ctx context.Context, address string, rangesEnd int64) (instance string, load routed.Load, err error) {
 	conn, err := c.connections.take(ctx, address, false)
 	if err != nil {
 		return "", routed.Load{}, err
 	}
-	response, err := nodepb.NewDRPCRouterClient(conn).Probe(ctx, &nodepb.ProbeRequest{})
+	response, err := nodepb.NewDRPCRouterClient(conn).Probe(ctx, &nodepb.ProbeRequest{RangesEnd: rangesEnd})
 	return response.GetInstance(), decodeLoad(response.GetLoad()), c.finish(address, conn, err)
 }
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -23,7 +23,8 @@
 	// Dispatch runs the request at the backend server beside the node. It reports progress while it waits.
 	Dispatch(ctx context.Context, r routed.Request, p DispatchProgress) routed.Answer
 	// Probe returns the name of the instance and its load.
-	Probe() (instance string, load routed.Load)
+	// rangesEnd is the end of the ownership records that the asking node knows.
+	Probe(rangesEnd int64) (instance string, load routed.Load)
 	// StoreCall makes a call of the platform's store for another node. Errors are those of registry.Store.
 	StoreCall(ctx context.Context, c registry.Call) (registry.Page, error)
 }
@@ -110,7 +111,7 @@
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: microseconds(a.RetryAfter),
 		Status: uint32(a.Status), Header: encodeFields(a.Header), Body: a.Body, Offered: a.Offered,
-		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision,
+		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner,
 	}
 }
 
@@ -118,7 +119,7 @@
 	return routed.Answer{
 		Outcome: decodeOutcome(m.Outcome), Reason: request.Reason(m.Reason), RetryAfter: duration(m.RetryAfterUs),
 		Status: int(m.Status), Header: decodeFields(m.Header), Body: m.Body, Offered: m.Offered,
-		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision,
+		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner,
 	}
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -86,6 +86,9 @@
 	Load     Load
 	// Revision is the configuration in force at that node.
 	Revision uint64
+	// Owner is the instance that owns the key by what that node knows, for a request that it refused as not its own; empty
+	// if it does not know.
+	Owner string
 }
 
 // Refuse returns an answer to a request that did not run.
