Do not answer "not run" after a send whose outcome is unknown

The entry shows a request that reached its backend server at 18.43 s and was answered 503 at 18.67 s while it ran there; then it was cut.

Cause: the connection to the owner was lost while the request ran there, so that its outcome was unknown. The request may be repeated; its owner counted as unreachable for 300 ms by then, and that refusal became the answer: "not run", although it had run. A refusal must be true, also for requests that may be repeated.

Ruled out: a send that counts as not sent (none is logged for a dispatch in progress).

Change: what is refused after such a send is answered as unknown (502 or 504), and while time is left the owner is asked again after its pause.

Test: TestRefusalAfterUnknownSendIsNotTrue fails without the change (not-run, owner_unreachable).

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -610,3 +610,24 @@
 		}
 	})
 }
+
+// Guards against an answer that says "not run" for a request of which an earlier send may have run: its owner fell silent
+// while it worked on the request, and is then not asked again.
+func TestRefusalAfterUnknownSendIsNotTrue(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		table, _ := w.hosts["f0"].gateway.ranges.get("keyed")
+		r, _ := table.Find(10)
+		w.mu.Lock()
+		w.silentAfterRun = r.Owner.Instance
+		w.mu.Unlock()
+		a := w.ask("f0", "silent", "/keyed/", 10, time.Second)
+		if w.runs["silent"] == 0 {
+			t.Fatal("the request did not run")
+		}
+		if a.Outcome == request.NotRun {
+			t.Errorf("got %v %q for a request that ran", a.Outcome, a.Reason)
+		}
+	})
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -62,6 +62,8 @@
 	// owned is the range of the key when its owner was last asked.
 	owned keyrange.Range
 	last  routed.Answer
+	// mayHaveRun is why a send ended without a known outcome; empty if none did. What is refused later may have run then.
+	mayHaveRun request.Reason
 	// chosen and chosenAge are the instance last asked and the age of the report that it was chosen by.
 	chosen    string
 	chosenAge time.Duration
@@ -108,12 +110,26 @@
 		if ok {
 			a.last = g.send(ctx, a, instance)
 		}
+		if a.last.Outcome == request.Unknown {
+			a.mayHaveRun = a.last.Reason
+		}
 		if a.last.Outcome == request.Done || !g.again(ctx, a, ok) {
-			return a.last
+			return a.final()
 		}
 	}
 }
 
+// final returns the answer for the caller. A refusal does not say that the request has not run if an earlier send of it may
+// have.
+func (a *attempt) final() routed.Answer {
+	if a.last.Outcome != request.NotRun || a.mayHaveRun == "" {
+		return a.last
+	}
+	answer := routed.Uncertain(a.mayHaveRun)
+	answer.Instance = a.last.Instance
+	return answer
+}
+
 // choose returns the instance to ask next.
 func (g *Gateway) choose(a *attempt, now time.Time) (string, bool) {
 	if a.keyed {
@@ -245,7 +261,12 @@
 // awaitOwner pauses a request whose key has no reachable owner or is moving.
 func (g *Gateway) awaitOwner(ctx context.Context, a *attempt, now time.Time) bool {
 	switch a.last.Reason {
-	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull, request.OwnerUnreachable:
+	case request.OwnerUnreachable:
+		if a.mayHaveRun == "" {
+			// The caller learns at once when to come back. It could not if the request may have run.
+			return false
+		}
+	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
 		// Nothing is known to change soon; the caller learns at once when to come back.
 		return false
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -35,6 +35,8 @@
 	cut map[string]bool
 	// loseEvery makes each so many-th answer of a backend server get lost; 0 for none.
 	loseEvery, exchanges int
+	// silentAfterRun is an instance that nobody reaches any more after it has run a request.
+	silentAfterRun string
 	// misdirected counts requests for keys that the backend server did not hold.
 	misdirected int
 	// tables are the published configurations by their record.
@@ -421,7 +423,14 @@
 	if err != nil {
 		return routed.Answer{}, err
 	}
-	return g.Dispatch(ctx, r, node.DispatchProgress{}), nil
+	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if address == p.w.silentAfterRun {
+		p.w.cut[address] = true
+		return routed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s fell silent", address)
+	}
+	return answer, nil
 }
 
 // Probe implements Peers.
