Poll the operators' records often enough that a missed one is read in time

Reads in progress missed the record.

Ruled out: a node that hears of no newer revision from others; none of them had it.

Change: a read of the operators' topic waits 1.5 s instead of 4 s.

Test: TestMissedRecordIsReadInTime fails with 4 s.

--- a/internal/fake/keyedlog.go
+++ b/internal/fake/keyedlog.go
@@ -16,7 +16,9 @@
 	down    bool
 	refused map[string]bool
 	// lost makes appends take effect without an answer.
-	lost  bool
+	lost bool
+	// deaf makes reads that wait miss the records that come meanwhile.
+	deaf  bool
 	calls int
 }
 
@@ -52,6 +54,13 @@
 	l.lost = lost
 }
 
+// SetDeaf makes reads that wait return nothing until their wait is over, whatever is appended.
+func (l *KeyedLog) SetDeaf(deaf bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deaf = deaf
+}
+
 // Calls returns the number of calls so far.
 func (l *KeyedLog) Calls() int {
 	l.mu.Lock()
@@ -140,6 +149,9 @@
 		page := registry.Page{End: int64(len(t.records))}
 		page.Records = append(page.Records, t.records[from:]...)
 		away, changed := v.log.down || v.log.refused[v.instance], t.changed
+		if v.log.deaf {
+			changed = nil
+		}
 		v.log.mu.Unlock()
 		if away {
 			return registry.Page{}, problem.New(problem.Unavailable, "wait for the store", "the stand-in went away")
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,10 +15,10 @@
 	"heatherreel/internal/registry"
 )
 
-// Waits of the readers. A read that the store has lost ends only after its wait. The operators' topic has the shorter one:
-// a configuration must be in force 2 s after the store is steady, which it counts as 3 s after its return.
+// Waits of the readers. A read that the store has lost, or that misses a record, ends only after its wait. The operators'
+// topic has the shorter one: a configuration must be in force 2 s after its acknowledgement.
 const (
-	operatorPoll = 4 * time.Second
+	operatorPoll = 1500 * time.Millisecond
 	memberPoll   = 10 * time.Second
 )
 
