Bound the questions after the speed of a backend server that does not tell it

Cause: found on reading the change. A backend server whose answers carry no work figure was asked for one every 450 ms for ever; each question is a health check and a warning.

Change: six questions in one life at most.

Test: TestSilentFigureIsNotAskedForEver fails without the bound.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -67,8 +67,10 @@
 	// asking is set while a request asks the backend server for its figure; the last one began at askedAt.
 	asking  bool
 	askedAt time.Time
-	waiting map[admission.Ticket]chan request.Reason
-	limits  admission.Options
+	// speedAsks counts the questions after the speed of the machine in this life.
+	speedAsks int
+	waiting   map[admission.Ticket]chan request.Reason
+	limits    admission.Options
 }
 
 // departure is the acknowledged end of one life of a backend server. It binds whatever its later heartbeats say.
@@ -303,7 +305,7 @@
 		return false, false
 	case !same:
 		t.ended, t.drainUntil, t.granted, t.holdEnds, t.released, t.outstanding = false, 0, nil, 0, nil, nil
-		t.cold, t.machine = nil, contention.Monitor{}
+		t.cold, t.machine, t.speedAsks = nil, contention.Monitor{}, 0
 		news = true
 	}
 	if d, leaving := t.left[b.Server]; leaving && b.Born <= d.at {
--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -47,15 +47,20 @@
 // when keys are given out. Other programs slow a machine for about a fifth of the time.
 const speedSamples = 3
 
+// mostSpeedAsks bounds the questions of one life: a backend server need not tell a figure.
+const mostSpeedAsks = 2 * speedSamples
+
 // speedInterval separates the figures by more than the time for which a slow spell lasts.
 const speedInterval = 450 * time.Millisecond
 
 // measureSpeed asks the backend server for a figure if few are known.
 func (g *Gateway) measureSpeed() {
 	g.server.mu.Lock()
-	wanted := g.keyed() && !g.server.ended && !g.server.asking && g.server.machine.Samples() < speedSamples
+	wanted := g.keyed() && !g.server.ended && !g.server.asking && g.server.machine.Samples() < speedSamples &&
+		g.server.speedAsks < mostSpeedAsks
 	if wanted {
 		g.server.asking = true
+		g.server.speedAsks++
 	}
 	g.server.mu.Unlock()
 	if !wanted {
--- a/internal/gateway/slowness_test.go
+++ b/internal/gateway/slowness_test.go
@@ -97,3 +97,19 @@
 		}
 	})
 }
+
+// Guards against endless questions to backend servers that tell no figure.
+func TestSilentFigureIsNotAskedForEver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		time.Sleep(30 * time.Second)
+		for i := range 20 {
+			w.ask("f0", fmt.Sprintf("plain-%d", i), "/keyed/", i*3000, time.Second)
+		}
+		// Four backend servers, six questions each.
+		if w.figuresAsked > 4*6 {
+			t.Errorf("four backend servers without figures were asked %d times", w.figuresAsked)
+		}
+	})
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -35,6 +35,8 @@
 	cut map[string]bool
 	// loseEvery makes each so many-th answer of a backend server get lost; 0 for none.
 	loseEvery, exchanges int
+	// figuresAsked counts the questions after work figures.
+	figuresAsked int
 	// onDispatch is told of each request that one instance sends to another.
 	onDispatch func(to string, r routed.Request)
 	// silentAfterRun is an instance that nobody reaches any more after it has run a request.
@@ -369,11 +371,15 @@
 func (h *host) WorkFigure(context.Context, string, string) (float64, error) {
 	h.w.mu.Lock()
 	s := h.server
+	h.w.figuresAsked++
 	h.w.mu.Unlock()
 	if s == nil {
 		return 0, problem.New(problem.Unavailable, "start the backend server", "no backend server")
 	}
-	return h.w.figure(s), nil
+	if figure := h.w.figure(s); figure > 0 {
+		return figure, nil
+	}
+	return 0, problem.New(problem.Unavailable, "check the backend server", "no figure")
 }
 
 func (w *world) figure(s *backendServer) float64 {
