Report progress by one ticker through all phases of a request

Cause: a node that runs a request for another one tells it every 250 ms that it is in progress; the sender takes the connection for lost after 700 ms of silence. Each phase (waiting for the key, for a slot, running) had a ticker of its own, so that phases shorter than 250 ms sent nothing, and the first report of the run came too late.

Change: one ticker for the whole request.

Test: TestProgressIsReportedAcrossPhases fails without the change.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heatherreel/internal/keyrange"
@@ -21,7 +22,7 @@
 
 // Guards against a node that runs a request outside its home regions because another node sent it there.
 func TestOwnerRefusesForeignHome(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		table, _ := w.hosts["f0"].gateway.ranges.get("keyed")
@@ -40,7 +41,7 @@
 // Guards against a request that leaves its home regions because its key is owned elsewhere: the owner would refuse it, but its
 // body would have been sent.
 func TestKeyedRequestStaysInItsHome(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		table, err := route.Build(2, []route.Route{{Name: "confined", Host: "h", Prefix: "/keyed/", Idempotent: true, MaxAttempts: 2,
@@ -77,7 +78,7 @@
 
 // Guards against a request for a key that a leaving backend server still holds, after the time for which it serves.
 func TestNothingAfterTheEndOfDraining(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		table, _ := w.hosts["f0"].gateway.ranges.get("keyed")
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -36,7 +36,9 @@
 	g.heard(r.Revision)
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopOwner)
 	defer span.End()
-	answer := g.admit(ctx, r, p)
+	progress := newProgress(p)
+	defer progress.Stop()
+	answer := g.admit(ctx, r, progress)
 	span.Result(answer.Outcome, answer.Reason)
 	g.deps.Metrics.Request(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
 	if answer.Reason == request.NotOwner {
@@ -52,7 +54,7 @@
 }
 
 // admit waits for the key and a slot, and runs the request.
-func (g *Gateway) admit(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+func (g *Gateway) admit(ctx context.Context, r routed.Request, p *progress) routed.Answer {
 	if reason := g.barred(r); reason != "" {
 		return g.refused(r, reason)
 	}
@@ -155,15 +157,13 @@
 const evacuationGrace = 3 * time.Second
 
 // awaitKey waits until the backend server holds the key; it returns why it will not.
-func (g *Gateway) awaitKey(ctx context.Context, r routed.Request, p node.DispatchProgress) request.Reason {
+func (g *Gateway) awaitKey(ctx context.Context, r routed.Request, p *progress) request.Reason {
 	left := time.Until(r.Deadline) - leastRun
 	if left <= 0 {
 		return request.DeadlineTooClose
 	}
 	limit := time.NewTimer(min(keyWait, left))
 	defer limit.Stop()
-	progress := progressTicker(p)
-	defer progress.Stop()
 	for {
 		g.server.mu.Lock()
 		held, changed := g.server.holds(r.Key, g.deps.Now()), g.server.changed
@@ -177,8 +177,8 @@
 		}
 		select {
 		case <-changed:
-		case <-progress.C:
-			p.Report()
+		case <-p.C:
+			p.report()
 		case <-limit.C:
 			return request.Moving
 		case <-ctx.Done():
@@ -187,18 +187,25 @@
 	}
 }
 
-// progressTicker returns a ticker at the interval of p; one that never fires for no interval.
-func progressTicker(p node.DispatchProgress) *time.Ticker {
+// progress tells the sender of a request that it is in progress. One ticker serves all phases of the request: with one for
+// each, phases that are all shorter than the interval would together be silent for longer than the sender waits.
+type progress struct {
+	*time.Ticker
+	report func()
+}
+
+// newProgress starts the ticker; it never fires for no interval.
+func newProgress(p node.DispatchProgress) *progress {
 	if p.Interval > 0 {
-		return time.NewTicker(p.Interval)
+		return &progress{Ticker: time.NewTicker(p.Interval), report: p.Report}
 	}
 	t := time.NewTicker(time.Hour)
 	t.Stop()
-	return t
+	return &progress{Ticker: t}
 }
 
 // enter waits for a slot until the request could not finish in time any more. A non-empty reason tells that the request has none and will not run.
-func (g *Gateway) enter(ctx context.Context, r routed.Request, p node.DispatchProgress) (admission.Ticket, request.Reason) {
+func (g *Gateway) enter(ctx context.Context, r routed.Request, p *progress) (admission.Ticket, request.Reason) {
 	g.server.mu.Lock()
 	now := time.Now()
 	g.server.settle(g.server.queue.SetSlowdown(now, g.server.machine.Slowdown(now)))
@@ -241,15 +248,13 @@
 	return t.cold.AllowN(now, 1)
 }
 
-func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p node.DispatchProgress) request.Reason {
-	progress := progressTicker(p)
-	defer progress.Stop()
+func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p *progress) request.Reason {
 	for {
 		select {
 		case reason := <-waiter:
 			return reason
-		case <-progress.C:
-			p.Report()
+		case <-p.C:
+			p.report()
 		case <-ctx.Done():
 			g.server.mu.Lock()
 			cancelled := g.server.queue.Cancel(ticket)
@@ -275,7 +280,7 @@
 }
 
 // run makes the exchange on a worker and returns its answer.
-func (g *Gateway) run(ctx context.Context, r routed.Request, ticket admission.Ticket, p node.DispatchProgress) routed.Answer {
+func (g *Gateway) run(ctx context.Context, r routed.Request, ticket admission.Ticket, p *progress) routed.Answer {
 	if time.Until(r.Deadline) < leastRun || ctx.Err() != nil {
 		g.leave(ticket, false)
 		return g.refused(r, request.DeadlineTooClose)
@@ -308,15 +313,13 @@
 		g.leave(ticket, false)
 		return g.refused(r, request.QueueFull)
 	}
-	progress := progressTicker(p)
-	defer progress.Stop()
 	for {
 		select {
 		case answer := <-result:
 			g.exchanged(r, e, &answer)
 			return answer
-		case <-progress.C:
-			p.Report()
+		case <-p.C:
+			p.report()
 		}
 	}
 }
--- a/internal/gateway/slowness_test.go
+++ b/internal/gateway/slowness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heatherreel/internal/request"
@@ -11,7 +12,7 @@
 // Guards against requests that start on a machine that is slow at the moment, while another backend server is free. The nodes
 // that send them know nothing of it.
 func TestSlowMachineDivertsRequests(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.close()
 		w.publish(1, true)
@@ -47,7 +48,7 @@
 
 // Guards against requests for keys that start on a machine that is slow at the moment and take three times as long.
 func TestKeyedRequestsWaitForSlowMachine(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.close()
 		w.publish(1, true)
@@ -77,7 +78,7 @@
 
 // Guards against keys that are given out by slots alone: a machine that takes three times as long must not get as many.
 func TestFastMachinesGetMoreKeys(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.close()
 		w.publish(1, true)
@@ -100,7 +101,7 @@
 
 // Guards against endless questions to backend servers that tell no figure.
 func TestSilentFigureIsNotAskedForEver(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		time.Sleep(30 * time.Second)
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyload"
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
@@ -15,7 +18,7 @@
 // Guards against an owner that the store turns away: its grants must not end while other nodes reach the store, it must take
 // over keys, and a new configuration must be in force there.
 func TestRefusedNodeGoesOn(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		w.log.SetRefused("k1", true)
@@ -39,7 +42,7 @@
 
 // Guards against a departure that is acknowledged and then forgotten, since the process ended before its record was written.
 func TestDepartureIsStoredBeforeItIsAcknowledged(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		h := w.hosts["f0"]
@@ -66,7 +69,7 @@
 // Guards against a node whose reads are ended again and again by news of other nodes, so that none completes and its lease
 // runs out.
 func TestNewsOfOthersDoesNotStarveLease(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		g := w.hosts["k0"].gateway
@@ -83,7 +86,7 @@
 // Guards against keys that stay without owner for the time of a claim, although another instance has the address of the
 // owner, which proves that the owner has ended; and against the removal of a record that came back.
 func TestReusedAddressEndsOwner(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		w.kill("k1")
@@ -113,7 +116,7 @@
 
 // Guards against a suspicion that is forgotten because another node's write came first.
 func TestSuspicionOutlivesConflict(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		g := w.hosts["k0"].gateway
@@ -139,7 +142,7 @@
 // Guards against changes of the ownership that are read by all nodes one by one, which makes calls of the store grow with the
 // square of the fleet, and against a new owner that learns of its keys late.
 func TestChangesAreReadTogether(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		g := w.hosts["k0"].gateway
@@ -168,7 +171,7 @@
 
 // Guards against a request that waits for its node to read who owns its key now, although the former owner knows it.
 func TestFormerOwnerNamesTheNewOne(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		// f1 reads nothing more of the store.
@@ -199,7 +202,7 @@
 // Guards against an answer that says "not run" for a request of which an earlier send may have run: its owner fell silent
 // while it worked on the request, and is then not asked again.
 func TestRefusalAfterUnknownSendIsNotTrue(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		table, _ := w.hosts["f0"].gateway.ranges.get("keyed")
@@ -220,7 +223,7 @@
 // Guards against a configuration that is in force too late because the read in progress misses its record.
 func TestMissedRecordIsReadInTime(t *testing.T) {
 	const inForce = 2 * time.Second
-	inBubble(t, func(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		w := fleet(t)
 		defer w.close()
 		w.log.SetDeaf(true)
@@ -237,3 +240,40 @@
 		}
 	})
 }
+
+// Guards against a request in progress whose sender hears nothing for so long that it takes the connection for lost: it waits
+// for its key, then for a slot, and then runs, each for less than the interval of the reports.
+func TestProgressIsReportedAcrossPhases(t *testing.T) {
+	const interval, silence = 250 * time.Millisecond, 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		w := fleet(t)
+		defer w.close()
+		table, _ := w.hosts["f0"].gateway.ranges.get("keyed")
+		r, _ := table.Find(10)
+		h := w.hosts[r.Owner.Instance]
+		g := h.gateway
+		g.server.mu.Lock()
+		g.server.settling, g.server.settled = g.server.granted, g.deps.Now().Add(240*time.Millisecond)
+		g.server.mu.Unlock()
+		g.control.After(240*time.Millisecond, g.server.wakeWaiting)
+		h.w.mu.Lock()
+		h.server.work = 240 * time.Millisecond
+		h.w.mu.Unlock()
+		last, longest := time.Now(), time.Duration(0)
+		heard := func() {
+			longest = max(longest, time.Since(last))
+			last = time.Now()
+		}
+		// All slots are taken for 240 ms from when the key is there.
+		g.control.After(230*time.Millisecond, func() {
+			for i := range 8 {
+				go g.Dispatch(t.Context(), dispatched(fmt.Sprintf("other-%d", i), 10), node.DispatchProgress{})
+			}
+		})
+		a := g.Dispatch(t.Context(), dispatched("phases", 10), node.DispatchProgress{Interval: interval, Report: heard})
+		heard()
+		if a.Outcome != request.Done || longest > interval {
+			t.Errorf("got %v %q; %v passed without a report, the sender waits %v", a.Outcome, a.Reason, longest, silence)
+		}
+	})
+}
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -4,6 +4,7 @@
 var decisionPackages = []string{
 	"internal/admission",
 	"internal/choice",
+	"internal/contention",
 	"internal/config",
 	"internal/handover",
 	"internal/heartbeat",
