Take the routes before the backend server in the order of locks

Cause: measureSpeed asked whether the service has keys, which takes the lock of the routes, while it held the one of the backend server.

Change: the question comes before the lock.

--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -55,8 +55,10 @@
 
 // measureSpeed asks the backend server for a figure if few are known.
 func (g *Gateway) measureSpeed() {
+	// The routes come before the backend server in the order of locks.
+	keyed := g.keyed()
 	g.server.mu.Lock()
-	wanted := g.keyed() && !g.server.ended && !g.server.asking && g.server.machine.Samples() < speedSamples &&
+	wanted := keyed && !g.server.ended && !g.server.asking && g.server.machine.Samples() < speedSamples &&
 		g.server.speedAsks < mostSpeedAsks
 	if wanted {
 		g.server.asking = true
