--- a/internal/gateway/slowness.go
+++ b/internal/gateway/slowness.go
@@ -33,12 +33,13 @@
 func (g *Gateway) refreshSlowness(ctx context.Context) {
 	g.server.mu.Lock()
 	now := time.Now()
-	known := !g.server.machine.Seen() || g.server.machine.Fresh(now) || g.server.asking || now.Sub(g.server.askedAt) < askAgainAfter
-	if !known {
+	m := &g.server.machine
+	wanted := m.Seen() && !m.Fresh(now) && !g.server.asking && now.Sub(g.server.askedAt) >= askAgainAfter
+	if wanted {
 		g.server.asking, g.server.askedAt = true, now
 	}
 	g.server.mu.Unlock()
-	if !known {
+	if wanted {
 		g.askSlowness(ctx)
 	}
 }
