Report how much of a store answer had arrived when its call ended

Nothing told whether a read of the store was aborted while its answer was being transferred: 211 (store_lost) and 216 (store_relayed) name only the cause, and an interrupted read wrote nothing.

A call can now carry a registry.Transfer in its context, in which the client of the store counts the bytes of the answer as they arrive on the connection. The gateway counts them in heatherreel_store_received_bytes_total, and those of calls that failed in heatherreel_store_discarded_bytes_total. Event 220 (store_call_ended, 10/s) says for each call without a complete answer whether it was interrupted, timed out or failed, after what time, and how many bytes had arrived. Calls that are made for other nodes count as well.

The fake store can carry its answers over a link of limited rate that several instances share.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -198,6 +198,8 @@
 		Text: "this node removed the member record of an earlier instance with the same address; the keys of that instance get other owners"})
 	PredecessorKept = define(Event{Number: 219, Name: "predecessor_kept", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "this node could not remove the member record of an earlier instance with the same address yet; it retries"})
+	StoreCallEnded = define(Event{Number: 220, Name: "store_call_ended", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "a call of the platform store ended without its complete answer; the field ended tells how, and received_bytes how much of the answer had arrived and was discarded"})
 )
 
 // Events of the ownership of keys.
--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -23,7 +23,16 @@
 	loseReplies bool
 	// missWakeups makes waiting reads miss the records that are appended meanwhile.
 	missWakeups bool
-	callCount   int
+	// links holds the link to each instance that does not get its answers at once.
+	links     map[string]*storeLink
+	callCount int
+}
+
+// storeLink is a link that carries the answers to several instances at a limited rate. busyUntil is when it has carried
+// what was sent so far; PlatformStore.mu guards it.
+type storeLink struct {
+	bytesPerSecond int
+	busyUntil      time.Time
 }
 
 // storeTopic holds the records of partition 0 of a topic. changed is closed and replaced when a record is appended.
@@ -34,7 +43,7 @@
 
 // NewPlatformStore returns an empty store.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}}
+	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, links: map[string]*storeLink{}}
 }
 
 // SetDown sets whether the calls of all instances fail.
@@ -66,6 +75,17 @@
 	s.missWakeups = missWakeups
 }
 
+// SetLink makes the answers to the instances share one link with the rate. They are sent in segments in turn. An answer
+// whose call is canceled has used the link for the segments sent so far.
+func (s *PlatformStore) SetLink(bytesPerSecond int, instances ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	link := &storeLink{bytesPerSecond: bytesPerSecond}
+	for _, instance := range instances {
+		s.links[instance] = link
+	}
+}
+
 // CallCount returns the number of calls so far.
 func (s *PlatformStore) CallCount() int {
 	s.mu.Lock()
@@ -116,8 +136,60 @@
 	return t
 }
 
+// segmentBytes is how much of an answer is sent before those of other calls get their turn on a link.
+const segmentBytes = 14 << 10
+
+// transfer carries an answer over the link to the instance.
+func (c *platformStoreClient) transfer(ctx context.Context, page registry.Page) (registry.Page, error) {
+	remaining := 0
+	for _, r := range page.Records {
+		remaining += len(r.Key) + len(r.Value)
+	}
+	for remaining > 0 {
+		segment := min(remaining, segmentBytes)
+		if !c.sendSegment(ctx, segment) {
+			return registry.Page{}, ctx.Err()
+		}
+		registry.TransferOf(ctx).Add(segment)
+		remaining -= segment
+	}
+	return page, nil
+}
+
+// sendSegment waits until the link to the instance has carried the bytes. It returns false if ctx ends first.
+func (c *platformStoreClient) sendSegment(ctx context.Context, bytes int) bool {
+	c.store.mu.Lock()
+	link := c.store.links[c.instance]
+	if link == nil {
+		c.store.mu.Unlock()
+		return true
+	}
+	if now := time.Now(); link.busyUntil.Before(now) {
+		link.busyUntil = now
+	}
+	link.busyUntil = link.busyUntil.Add(time.Duration(bytes) * time.Second / time.Duration(link.bytesPerSecond))
+	timer := time.NewTimer(time.Until(link.busyUntil))
+	c.store.mu.Unlock()
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Newest implements registry.Store.
 func (c *platformStoreClient) Newest(ctx context.Context, topic string) (registry.Page, error) {
+	page, err := c.newest(ctx, topic)
+	if err != nil {
+		return page, err
+	}
+	return c.transfer(ctx, page)
+}
+
+// newest returns the answer to Newest before its transfer.
+func (c *platformStoreClient) newest(ctx context.Context, topic string) (registry.Page, error) {
 	err := c.beginCall(ctx)
 	defer c.store.mu.Unlock()
 	if err != nil {
@@ -165,7 +237,7 @@
 			return registry.Page{}, problem.New(problem.Unavailable, "wait for the store", "the store went down")
 		}
 		if len(page.Records) > 0 {
-			return page, nil
+			return c.transfer(ctx, page)
 		}
 		select {
 		case <-changed:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,7 @@
 
 // New returns a gateway that is not started.
 func New(o Options, d Dependencies) *Gateway {
+	d.Store = observedStore{d.Store, d.Events, d.Metrics}
 	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now()}
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -2,15 +2,69 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
+	"heatherreel/internal/eventlog"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
 )
 
+// observedStore counts the bytes of the store's answers, and reports the calls that end without a complete answer.
+type observedStore struct {
+	store   registry.Store
+	events  *eventlog.Logger
+	metrics *telemetry.Metrics
+}
+
+var _ registry.Store = observedStore{}
+
+// Newest implements registry.Store.
+func (s observedStore) Newest(ctx context.Context, topic string) (registry.Page, error) {
+	return s.do(ctx, registry.Call{Operation: registry.OperationNewest, Topic: topic})
+}
+
+// Read implements registry.Store.
+func (s observedStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (registry.Page, error) {
+	return s.do(ctx, registry.Call{Operation: registry.OperationRead, Topic: topic, From: from, Wait: wait})
+}
+
+// Append implements registry.Store.
+func (s observedStore) Append(ctx context.Context, topic string, at int64, r registry.Record) (int64, error) {
+	page, err := s.do(ctx, registry.Call{Operation: registry.OperationAppend, Topic: topic, At: at, Record: r})
+	return page.End, err
+}
+
+// do makes the call.
+func (s observedStore) do(ctx context.Context, c registry.Call) (registry.Page, error) {
+	ctx, transfer := registry.TrackTransfer(ctx)
+	started := time.Now()
+	page, err := c.Do(ctx, s.store)
+	received := transfer.Reset()
+	kind := problem.KindOf(err)
+	answered := err == nil || kind == problem.Conflict || kind == problem.PastRetention
+	s.metrics.CountStoreAnswer(received, !answered)
+	if answered {
+		return page, err
+	}
+	ended := eventlog.ConstantText("ended", "failed")
+	var netErr net.Error
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		ended = eventlog.ConstantText("ended", "interrupted")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		ended = eventlog.ConstantText("ended", "timed_out")
+	}
+	s.events.Emit(eventlog.StoreCallEnded, eventlog.Name("operation", c.Operation.String()), eventlog.Name("topic", c.Topic), ended,
+		eventlog.Count("received_bytes", received), eventlog.Duration("took", time.Since(started)), eventlog.Cause(err))
+	return page, err
+}
+
 // maxRelayedCalls bounds the store calls that are in progress for other nodes. A node that cannot reach the store has
 // three reads open, so that a few such nodes can be served.
 const maxRelayedCalls = 24
--- a/internal/registry/call.go
+++ b/internal/registry/call.go
@@ -17,6 +17,20 @@
 	OperationAppend
 )
 
+// String returns the name of the operation in events.
+func (o Operation) String() string {
+	switch o {
+	case OperationNewest:
+		return "newest"
+	case OperationRead:
+		return "read"
+	case OperationAppend:
+		return "append"
+	default:
+		return "unknown"
+	}
+}
+
 // Call describes one call of a Store, so that another node can make it.
 type Call struct {
 	Operation Operation
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,9 +38,10 @@
 	provider *sdkmetric.MeterProvider
 	meter    metric.Meter
 
-	requests, forwarded, retries metric.Int64Counter
-	duration                     metric.Float64Histogram
-	appends, claims, moves       metric.Int64Counter
+	requests, forwarded, retries  metric.Int64Counter
+	duration                      metric.Float64Histogram
+	appends, claims, moves        metric.Int64Counter
+	storeReceived, storeDiscarded metric.Int64Counter
 
 	// services is replaced, never modified, by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -84,6 +85,8 @@
 		{&m.appends, "log_appends", "Appends to the log by outcome."},
 		{&m.claims, "claims", "Claims of this node against other incarnations by step."},
 		{&m.moves, "moved_slices", "Slices that moved to this node (in) or away from it (out)."},
+		{&m.storeReceived, "store_received_bytes", "Bytes of answers of the platform store that arrived, with those of calls that failed."},
+		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
 	for _, c := range counters {
 		var err error
@@ -155,6 +158,15 @@
 	m.moves.Add(context.Background(), int64(slices), m.moveOptions[direction]...)
 }
 
+// CountStoreAnswer counts the bytes that arrived of the answer to a call of the platform store. discarded is set if the
+// call failed before its answer was complete.
+func (m *Metrics) CountStoreAnswer(bytes int, discarded bool) {
+	m.storeReceived.Add(context.Background(), int64(bytes))
+	if discarded {
+		m.storeDiscarded.Add(context.Background(), int64(bytes))
+	}
+}
+
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -36,6 +36,8 @@
 	m.CountAppend(AppendAccepted)
 	m.CountClaimStep(ClaimWon)
 	m.CountMovedSlices(In, 2)
+	m.CountStoreAnswer(300, false)
+	m.CountStoreAnswer(20, true)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
@@ -69,6 +71,8 @@
 		`heatherreel_lease_left_seconds 0.5`,
 		`heatherreel_ledger_lag_records 2`,
 		`heatherreel_queue_depth{pool="ingress"} 7`,
+		`heatherreel_store_received_bytes_total 320`,
+		`heatherreel_store_discarded_bytes_total 20`,
 		`heatherreel_owned_slices{service="other"} 3`,
 	} {
 		if !strings.Contains(text, line+"\n") {
