Do not repeat a slow read of the store through further nodes

A read that fails is made through up to three other nodes. If it failed because its answer was slow, this repeats the transfer: the other nodes read the same records, usually over the same link, each is given up after 1.8 s, and the next call of the reader begins again. Since a direct read ends only on silence, slow ones are rarely relayed any more; this is for nodes that cannot reach the store themselves, and for the total bound.

A direct read whose answer kept arriving until the total bound does not make the store unreachable and is not relayed. The error of the store says so by context.DeadlineExceeded; dial timeouts match that as well and are told apart by their kind (TestReadIsRelayedAfterDialTimeout). A relayed read that exceeds its timeout ends without asking a further node. The next read has twice the time, up to eight times, and tries that node last, so that one that is lost is left at once (TestSilentNodeIsReplaced). Errors, refusals and failed connections still lead to the next node within the call.

Failed before: TestSlowDirectReadIsNotRepeated: "2 calls of nodes, unreachable true". TestSlowRelayedReadCompletes (256 KB in 3 s over a shared link): "first read: context deadline exceeded, 3 calls of nodes; second read: 0 records, context deadline exceeded, 6 calls of nodes; the link carried 946176 bytes for a record of 262144". It completes with the second call now.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -38,8 +38,9 @@
 
 // Store is the platform's store. Errors are problem.Conflict if the partition does not end at the offset that an append
 // expects, problem.PastRetention if the records to read are no longer retained, problem.Overloaded or problem.NotSent
-// if the call had no effect, and problem.Unavailable if it is unknown whether it had one. A Store counts the bytes of
-// answers in the Transfer of the context, if it has one.
+// if the call had no effect, and problem.Unavailable if it is unknown whether it had one. The latter wraps
+// context.DeadlineExceeded if the answer kept arriving but took too long. A Store counts the bytes of answers in the
+// Transfer of the context, if it has one.
 type Store interface {
 	// Newest returns the newest record of each key, and the offset from which to read later records.
 	Newest(ctx context.Context, topic string) (Page, error)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,9 +23,12 @@
 	// maxNodes bounds the nodes that are tried for one call. While no node reaches the store, each call causes up to
 	// this many further calls.
 	maxNodes = 3
-	// relayTimeout is the timeout of a relayed call, in addition to the wait of a read. It is longer than the timeout
-	// of the other node's own call.
+	// relayTimeout is the timeout of a relayed call, in addition to the wait of a read. It is longer than the time after
+	// which the other node's own call ends if the store is silent.
 	relayTimeout = 1800 * time.Millisecond
+	// maxTimeoutDoublings bounds how often the timeout doubles while relayed reads exceed it: the answers may be large
+	// and arrive slowly, and a read that is given up begins again.
+	maxTimeoutDoublings = 3
 )
 
 // Nodes makes calls of the store through other nodes.
@@ -48,6 +51,10 @@
 	lastTried   atomic.Int64
 	// lastNode is the address of the node that made the last relayed call; nil if that call failed.
 	lastNode atomic.Pointer[string]
+	// slowNode is the address of the node that last exceeded the timeout of a read; it is tried last. timeouts counts
+	// the reads in a row that exceeded theirs.
+	slowNode atomic.Pointer[string]
+	timeouts atomic.Int32
 }
 
 var _ registry.Store = (*Store)(nil)
@@ -102,6 +109,12 @@
 	return now.UnixNano()-previous > int64(directInterval) && s.lastTried.CompareAndSwap(previous, now.UnixNano())
 }
 
+// isSlow reports whether a call failed because its answer, which was arriving, took too long. It would not arrive faster
+// at another node.
+func isSlow(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && problem.KindOf(err) == problem.Unavailable && errors.Is(err, context.DeadlineExceeded)
+}
+
 // recordDirect updates the reachability of the store after a direct call, and reports whether the store was
 // unreachable.
 func (s *Store) recordDirect(ctx context.Context, err error) bool {
@@ -113,7 +126,7 @@
 		}
 		return false
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || isSlow(ctx, err) {
 		return false
 	}
 	s.lastTried.Store(time.Now().UnixNano())
@@ -131,19 +144,17 @@
 
 // relay makes the call through other nodes.
 func (s *Store) relay(ctx context.Context, c registry.Call) (registry.Page, error) {
-	addresses := s.nodes.Addresses()
-	if lastNode := s.lastNode.Load(); lastNode != nil && slices.Contains(addresses, *lastNode) {
-		i := slices.Index(addresses, *lastNode)
-		addresses = slices.Concat([]string{*lastNode}, addresses[:i], addresses[i+1:])
-	}
+	addresses := s.orderedAddresses()
 	if len(addresses) > maxNodes {
 		addresses = addresses[:maxNodes]
 	}
 	err := problem.New(problem.NotSent, "check the platform's store and the route to it", "the store is away and no other node is known")
 	for _, address := range addresses {
 		var page registry.Page
-		if page, err = s.callNode(ctx, address, c); err == nil {
+		var timedOut bool
+		if page, timedOut, err = s.callNode(ctx, address, c); err == nil {
 			s.lastNode.Store(&address)
+			s.timeouts.Store(0)
 			return page, nil
 		}
 		s.lastNode.Store(nil)
@@ -151,13 +162,41 @@
 		if kind == problem.Conflict || kind == problem.PastRetention || ctx.Err() != nil || !mayRepeat(c, err) {
 			return registry.Page{}, err
 		}
+		if timedOut {
+			// The node may still read the records; another one would read them over the same link.
+			s.slowNode.Store(&address)
+			s.timeouts.Add(1)
+			return registry.Page{}, err
+		}
 	}
 	return registry.Page{}, err
 }
 
-// callNode makes a call through the node at address.
-func (s *Store) callNode(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+relayTimeout)
+// orderedAddresses returns the addresses of the nodes: the one that made the last call first, a slow one last.
+func (s *Store) orderedAddresses() []string {
+	addresses := slices.Clone(s.nodes.Addresses())
+	move := func(address *string, position int) {
+		if address == nil {
+			return
+		}
+		if i := slices.Index(addresses, *address); i >= 0 {
+			addresses = slices.Insert(slices.Delete(addresses, i, i+1), min(position, len(addresses)-1), *address)
+		}
+	}
+	move(s.slowNode.Load(), len(addresses))
+	move(s.lastNode.Load(), 0)
+	return addresses
+}
+
+// callNode makes a call through the node at address. timedOut reports whether the node was reached but did not answer
+// in time.
+func (s *Store) callNode(ctx context.Context, address string, c registry.Call) (page registry.Page, timedOut bool, err error) {
+	timeout := relayTimeout
+	if c.Operation != registry.OperationAppend {
+		timeout <<= min(s.timeouts.Load(), maxTimeoutDoublings)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+timeout)
 	defer cancel()
-	return s.nodes.StoreCall(ctx, address, c)
+	page, err = s.nodes.StoreCall(ctx, address, c)
+	return page, err != nil && ctx.Err() != nil && problem.KindOf(err) != problem.NotSent, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -107,3 +107,90 @@
 		}
 	})
 }
+
+// failingStore is a store that answers with an error.
+type failingStore struct {
+	registry.Store
+	err error
+}
+
+func (s failingStore) Newest(context.Context, string) (registry.Page, error) {
+	return registry.Page{}, s.err
+}
+
+// Guards against a direct read that is repeated through other nodes although its answer was arriving: they would read
+// the same records over the same link.
+func TestSlowDirectReadIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, n, _ := newTestStore()
+		slow := problem.New(problem.Unavailable, "check the link", "the answer is not complete: %w", context.DeadlineExceeded)
+		s := New(failingStore{store.ClientFor("self"), slow}, n, eventlog.Discard())
+		if _, err := s.Newest(context.Background(), "t"); problem.KindOf(err) != problem.Unavailable || n.calls != 0 || s.Unreachable() {
+			t.Errorf("%v, %d calls of nodes, unreachable %v", err, n.calls, s.Unreachable())
+		}
+	})
+}
+
+// Guards against a node that does not use other nodes while it cannot connect to the store in time.
+func TestReadIsRelayedAfterDialTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, n, _ := newTestStore()
+		unreachable := problem.New(problem.NotSent, "check the link", "dial: %w", context.DeadlineExceeded)
+		s := New(failingStore{store.ClientFor("self"), unreachable}, n, eventlog.Discard())
+		if _, err := s.Newest(context.Background(), "t"); err != nil || n.calls == 0 || !s.Unreachable() {
+			t.Errorf("%v, %d calls of nodes, unreachable %v", err, n.calls, s.Unreachable())
+		}
+	})
+}
+
+// Guards against a read that never completes because each of several nodes is given up while it still reads the same
+// records over the same slow link.
+func TestSlowRelayedReadCompletes(t *testing.T) {
+	const recordBytes, transferTime = 256 << 10, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store, n, s := newTestStore()
+		n.addresses = []string{"other", "third", "fourth"}
+		for _, name := range n.addresses {
+			n.stores[name] = store.ClientFor(name)
+		}
+		store.SetLink(recordBytes*int(time.Second)/int(transferTime), n.addresses...)
+		ctx := context.Background()
+		if _, err := s.Append(ctx, "t", 0, registry.Record{Key: "k", Value: make([]byte, recordBytes)}); err != nil {
+			t.Fatal(err)
+		}
+		store.SetUnreachable("self", true)
+		_, err := s.Newest(ctx, "t")
+		if err == nil || n.calls != 1 {
+			t.Errorf("first read: %v, %d calls of nodes", err, n.calls)
+		}
+		if page, err := s.Newest(ctx, "t"); err != nil || len(page.Records) != 1 || n.calls != 2 {
+			t.Errorf("second read: %d records, %v, %d calls of nodes", len(page.Records), err, n.calls)
+		}
+		if got := store.CarriedBytes("other"); got > 2*recordBytes {
+			t.Errorf("the link carried %d bytes for a record of %d", got, recordBytes)
+		}
+	})
+}
+
+// Guards against a node that keeps to another node that does not answer any more.
+func TestSilentNodeIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, n, s := newTestStore()
+		n.addresses = []string{"silent", "other"}
+		n.stores["silent"] = store.ClientFor("silent")
+		store.SetLink(1, "silent")
+		ctx := context.Background()
+		if _, err := s.Append(ctx, "t", 0, registry.Record{Key: "k", Value: []byte("1")}); err != nil {
+			t.Fatal(err)
+		}
+		store.SetUnreachable("self", true)
+		started := time.Now()
+		_, _ = s.Newest(ctx, "t")
+		if _, err := s.Newest(ctx, "t"); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(started); took > relayTimeout+100*time.Millisecond {
+			t.Errorf("a read through another node completed after %v", took)
+		}
+	})
+}
