Count a request of another node until its answer is written

Cause: Gateway.Dispatch counted a request as ended when it returned its answer. With manual flushing, drpc writes the answer only afterwards, in CloseSend at the end of HandleRPC. A process that drained at that moment closed its connections or exited with the answer in memory.

Change: internal/node's server counts requests around the handler of drpc, so that it is idle only when the write of the last answer has returned; the daemon waits for that. The count in the gateway goes: callers' requests are counted by http.Server.Shutdown, which waits for their answers to be written.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -68,6 +68,7 @@
 	peers        *node.Client
 	backend      *backend.Client
 	callerServer *http.Server
+	nodeServer   *node.Server
 	servers      []*http.Server
 	serveLoops   sync.WaitGroup
 }
@@ -208,15 +209,15 @@
 // listen opens the TCP listeners and starts to serve callers, heartbeats, readiness, metrics and other nodes. Other
 // nodes are served until ctx ends.
 func (d *gatewayDaemon) listen(ctx context.Context) error {
-	server, err := node.NewRouterServer(d.gateway)
-	if err != nil {
+	var err error
+	if d.nodeServer, err = node.NewRouterServer(d.gateway); err != nil {
 		return err
 	}
 	listener, err := d.listenTCP("nodes", d.settings.NodesAddress)
 	if err != nil {
 		return err
 	}
-	d.goServe(func() { _ = server.Serve(ctx, listener) })
+	d.goServe(func() { _ = d.nodeServer.Serve(ctx, listener) })
 	for _, h := range []struct {
 		name, address string
 		handler       http.Handler
@@ -268,7 +269,7 @@
 	d.gateway.PrepareStop(ctx)
 	// Shutdown closes idle connections at once and waits until the requests in progress have finished. Heartbeats are
 	// still answered until the process exits, so that the backend server keeps its keys while the node restarts.
-	if err := d.callerServer.Shutdown(ctx); err != nil || !d.gateway.WaitForRequests(ctx) {
+	if err := d.callerServer.Shutdown(ctx); err != nil || !d.nodeServer.AwaitIdle(ctx) {
 		d.events.Emit(eventlog.ShutdownTimedOut)
 		d.events.Flush()
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,8 +153,6 @@
 	stopTickers                         []func()
 	ctx                                 context.Context
 	started                             time.Time
-	// requestsInProgress counts requests of callers and of other nodes.
-	requestsInProgress atomic.Int64
 }
 
 // Sizes of the control pool, whose jobs are rare.
@@ -230,16 +228,6 @@
 	g.closed.Store(true)
 }
 
-// WaitForRequests waits until no request is in progress. It returns false if ctx ends first.
-func (g *Gateway) WaitForRequests(ctx context.Context) bool {
-	for g.requestsInProgress.Load() > 0 {
-		if !sleep(ctx, idlePollInterval) {
-			return false
-		}
-	}
-	return true
-}
-
 const (
 	// stopServeTime is how long a stopping node still accepts requests: readiness is checked once a second, and two
 	// failed checks count.
@@ -247,7 +235,6 @@
 	// stopAnnounceTime is how long before the end of that time other nodes learn not to choose this node, so that none
 	// of their requests meets the end of the process. It is many times the latency of a record through the store.
 	stopAnnounceTime = 400 * time.Millisecond
-	idlePollInterval = 50 * time.Millisecond
 )
 
 // sleep waits for d. It returns false if ctx ends first.
@@ -282,8 +269,6 @@
 
 // Route serves a request of a caller on a worker of the ingress pool. When ctx ends, the caller has disconnected.
 func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
-	g.requestsInProgress.Add(1)
-	defer g.requestsInProgress.Add(-1)
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
 	defer span.End()
 	result := make(chan routed.Answer, 1)
@@ -301,8 +286,6 @@
 
 // Dispatch implements node.RouterService.
 func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
-	g.requestsInProgress.Add(1)
-	defer g.requestsInProgress.Add(-1)
 	return g.execute(ctx, r, p)
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
@@ -22,7 +21,7 @@
 	if err := nodepb.DRPCRegisterNode(mux, &pingEndpoint{}); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the ping service: %w", err)
 	}
-	return &Server{drpc: drpcserver.NewWithOptions(mux, serverOptions())}, nil
+	return newServer(mux), nil
 }
 
 // routerEndpoint decodes calls of the Router service and encodes the answers.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"storj.io/drpc"
@@ -35,7 +36,79 @@
 
 // Server serves the calls of other nodes over drpc.
 type Server struct {
-	drpc *drpcserver.Server
+	drpc     *drpcserver.Server
+	requests *requestCounter
+}
+
+// newServer returns a server that passes its calls to handler.
+func newServer(handler drpc.Handler) *Server {
+	requests := &requestCounter{next: handler}
+	return &Server{drpc: drpcserver.NewWithOptions(requests, serverOptions()), requests: requests}
+}
+
+// Names of the calls that carry requests of callers.
+const (
+	dispatchCall = "/heatherreel.node.Router/Dispatch"
+	forwardCall  = "/heatherreel.node.Node/Forward"
+)
+
+// requestCounter counts the requests in progress, each until its answer is handed to the operating system: drpc writes
+// an answer in HandleRPC, after the service has returned it.
+//
+// mu guards the fields below it.
+type requestCounter struct {
+	next drpc.Handler
+
+	mu         sync.Mutex
+	inProgress int
+	// idle is closed when no request is in progress any more. It is nil while none is.
+	idle chan struct{}
+}
+
+// HandleRPC implements drpc.Handler.
+func (c *requestCounter) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc == dispatchCall || rpc == forwardCall {
+		c.begin()
+		defer c.end()
+	}
+	return c.next.HandleRPC(stream, rpc)
+}
+
+func (c *requestCounter) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress == 0 {
+		c.idle = make(chan struct{})
+	}
+	c.inProgress++
+}
+
+func (c *requestCounter) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress--; c.inProgress == 0 {
+		close(c.idle)
+		c.idle = nil
+	}
+}
+
+// busy returns a channel that is closed when the server becomes idle, and nil if it is idle.
+func (c *requestCounter) busy() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle
+}
+
+// AwaitIdle waits until no request is in progress and no answer is unwritten. It returns false if ctx ends first.
+func (s *Server) AwaitIdle(ctx context.Context) bool {
+	for idle := s.requests.busy(); idle != nil; idle = s.requests.busy() {
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
 }
 
 // NewServer returns a server that decodes the calls of the Node service of node.proto and passes them to service.
@@ -44,7 +117,7 @@
 	if err := nodepb.DRPCRegisterNode(mux, &nodeEndpoint{service: service}); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the node service: %w", err)
 	}
-	return &Server{drpc: drpcserver.NewWithOptions(mux, serverOptions())}, nil
+	return newServer(mux), nil
 }
 
 // Serve accepts connections until ctx ends. It closes the listener.
