Answer requests that are on their way to a stopping node

What callers saw: on grown fleets with congested links (300 ms and more), requests whose owner stopped in an orderly way ended with 502.

Cause: a gateway ended as soon as its last request had ended, 2.5 s after the signal at the earliest. A request that was on its way then met a closed connection. Its sender cannot know that it did not run, and so may not try another node. The node of the project's own interface lingers for 500 ms (lingerTime) for this reason; the gateway did not.

Change: after it has stopped accepting requests, the gateway refuses requests of other nodes as draining until none has arrived for lingerTime, at the latest until the shutdown time ends. Heartbeats are answered meanwhile as before. Callers' requests need no such time: one that crosses the close of its connection is not read.

Ruled out: callers' own connections (http.Server.Shutdown waits for their answers).

Not covered: a keyed request has no other node to go to, and its sender tries a stopping owner again every 400 ms, which keeps that owner lingering.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,7 +34,7 @@
 
 const (
 	// lingerTime is how long a node that has left still answers callers and nodes that have not read its leave record
-	// yet.
+	// yet. A gateway lingers until no request of another node has arrived for that time.
 	lingerTime = 500 * time.Millisecond
 	// flushInterval is the interval at which the counts of suppressed events are written.
 	flushInterval = 10 * time.Second
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -267,9 +267,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit-min(shutdownMargin, limit/2))
 	defer cancel()
 	d.gateway.PrepareStop(ctx)
+	closedAt := time.Now()
 	// Shutdown closes idle connections at once and waits until the requests in progress have finished. Heartbeats are
 	// still answered until the process exits, so that the backend server keeps its keys while the node restarts.
-	if err := d.callerServer.Shutdown(ctx); err != nil || !d.nodeServer.AwaitIdle(ctx) {
+	err := d.callerServer.Shutdown(ctx)
+	if err == nil {
+		// A request that met the end of the process could not be sent to another node, because its sender could not
+		// know whether it ran.
+		d.nodeServer.AwaitQuiet(ctx, closedAt, lingerTime)
+	}
+	if err != nil || !d.nodeServer.AwaitIdle(ctx) {
 		d.events.Emit(eventlog.ShutdownTimedOut)
 		d.events.Flush()
 		return false
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -63,6 +63,8 @@
 	inProgress int
 	// idle is closed when no request is in progress any more. It is nil while none is.
 	idle chan struct{}
+	// lastArrival is when the last request arrived.
+	lastArrival time.Time
 }
 
 // HandleRPC implements drpc.Handler.
@@ -81,6 +83,7 @@
 		c.idle = make(chan struct{})
 	}
 	c.inProgress++
+	c.lastArrival = time.Now()
 }
 
 func (c *requestCounter) end() {
@@ -92,16 +95,17 @@
 	}
 }
 
-// busy returns a channel that is closed when the server becomes idle, and nil if it is idle.
-func (c *requestCounter) busy() <-chan struct{} {
+// state returns a channel that is closed when the server becomes idle, nil if it is idle, and when the last request
+// arrived.
+func (c *requestCounter) state() (idle <-chan struct{}, lastArrival time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle
+	return c.idle, c.lastArrival
 }
 
 // AwaitIdle waits until no request is in progress and no answer is unwritten. It returns false if ctx ends first.
 func (s *Server) AwaitIdle(ctx context.Context) bool {
-	for idle := s.requests.busy(); idle != nil; idle = s.requests.busy() {
+	for idle, _ := s.requests.state(); idle != nil; idle, _ = s.requests.state() {
 		select {
 		case <-idle:
 		case <-ctx.Done():
@@ -111,6 +115,28 @@
 	return true
 }
 
+// AwaitQuiet waits until no request has arrived for the time quiet, counted from since at the earliest, or until ctx
+// ends. Requests that were sent before their senders knew that the node stops have been answered then.
+func (s *Server) AwaitQuiet(ctx context.Context, since time.Time, quiet time.Duration) {
+	for {
+		_, last := s.requests.state()
+		if last.Before(since) {
+			last = since
+		}
+		wait := time.Until(last.Add(quiet))
+		if wait <= 0 {
+			return
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
 // NewServer returns a server that decodes the calls of the Node service of node.proto and passes them to service.
 func NewServer(service Service) (*Server, error) {
 	mux := drpcmux.New()
