Refuse the waiting requests of a node that stops at once

What callers saw: late or missing answers to requests that waited at a stopping node.

Cause: once a stopping node accepts no more requests for its backend server, it refuses each as draining before the send, also those that wait already. It found that out only when a slot was free or the key arrived. Until then the request kept its sender from asking another node, and kept the process from ending.

Change: waiting requests are refused as draining at the moment when the node stops accepting, for which closed becomes a signal that waits can select on. Requests that the backend server works on are left alone.

TestStoppedNodeRefusesItsQueue fills all slots with requests of 2 s.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -121,7 +121,7 @@
 	if r.Service != g.self.Service {
 		return request.BackendChanged
 	}
-	if g.closed.Load() {
+	if g.closed.isSet() {
 		return request.Draining
 	}
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
@@ -182,6 +182,8 @@
 			p.report()
 		case <-timeout.C:
 			return request.Moving
+		case <-g.closed.happened:
+			return request.Draining
 		case <-ctx.Done():
 			return request.DeadlineTooClose
 		}
@@ -253,7 +255,7 @@
 }
 
 // awaitSlot waits until the queue starts or refuses a waiting request. It returns the reason of a refusal, and cancels
-// the request if ctx ends first.
+// the request if ctx ends first or the node accepts no more requests.
 func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p *progressReporter) request.Reason {
 	for {
 		select {
@@ -261,21 +263,28 @@
 			return reason
 		case <-p.C:
 			p.report()
+		case <-g.closed.happened:
+			return g.cancelWaiting(ticket, waiter, request.Draining)
 		case <-ctx.Done():
-			g.server.mu.Lock()
-			canceled := g.server.queue.Cancel(ticket)
-			delete(g.server.waiters, ticket)
-			g.server.mu.Unlock()
-			if !canceled {
-				// The queue decided at the moment in which ctx ended.
-				if reason := <-waiter; reason != "" {
-					return reason
-				}
-				g.releaseSlot(ticket, false)
-			}
-			return request.DeadlineTooClose
+			return g.cancelWaiting(ticket, waiter, request.DeadlineTooClose)
+		}
+	}
+}
+
+// cancelWaiting takes a request out of the queue for the given reason. It returns the reason of its refusal.
+func (g *Gateway) cancelWaiting(ticket admission.Ticket, waiter <-chan request.Reason, reason request.Reason) request.Reason {
+	g.server.mu.Lock()
+	canceled := g.server.queue.Cancel(ticket)
+	delete(g.server.waiters, ticket)
+	g.server.mu.Unlock()
+	if !canceled {
+		// The queue decided at the same moment.
+		if decided := <-waiter; decided != "" {
+			return decided
 		}
+		g.releaseSlot(ticket, false)
 	}
+	return reason
 }
 
 // releaseSlot returns a slot to the queue. measured says whether the time for which it was taken counts for the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,14 +145,34 @@
 	suspect      atomic.Pointer[string]
 
 	// stopping is set when a planned stop begins, stoppingAnnounced when other nodes must not choose this node any
-	// more, and closed when it accepts no more requests for its backend server.
-	stopping, stoppingAnnounced, closed atomic.Bool
-	topicReaders                        []*topicReader
-	readerGoroutines                    sync.WaitGroup
-	stop                                context.CancelFunc
-	stopTickers                         []func()
-	ctx                                 context.Context
-	started                             time.Time
+	// more, and closed when it accepts no more requests for its backend server and refuses those that wait for it.
+	stopping, stoppingAnnounced atomic.Bool
+	closed                      signal
+	topicReaders                []*topicReader
+	readerGoroutines            sync.WaitGroup
+	stop                        context.CancelFunc
+	stopTickers                 []func()
+	ctx                         context.Context
+	started                     time.Time
+}
+
+// signal is an event that happens once.
+type signal struct {
+	once     *sync.Once
+	happened chan struct{}
+}
+
+func newSignal() signal { return signal{once: new(sync.Once), happened: make(chan struct{})} }
+
+func (s signal) set() { s.once.Do(func() { close(s.happened) }) }
+
+func (s signal) isSet() bool {
+	select {
+	case <-s.happened:
+		return true
+	default:
+		return false
+	}
 }
 
 // Sizes of the control pool, whose jobs are rare.
@@ -163,7 +183,7 @@
 
 // New returns a gateway that is not started.
 func New(o Options, d Dependencies) *Gateway {
-	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now()}
+	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal()}
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
@@ -225,7 +245,7 @@
 	g.stoppingAnnounced.Store(true)
 	g.reconcileTrigger.Fire()
 	sleep(ctx, stopAnnounceTime)
-	g.closed.Store(true)
+	g.closed.set()
 }
 
 const (
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -107,3 +108,82 @@
 		}
 	})
 }
+
+// timedAnswer is an answer and when it arrived.
+type timedAnswer struct {
+	routed.Answer
+	at time.Time
+}
+
+// dispatch sends requests to a node directly and returns a function that waits for their answers.
+func dispatch(g *Gateway, count int, r routed.Request) func() []timedAnswer {
+	answers := make([]timedAnswer, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			sent := r
+			sent.ID = fmt.Sprintf("%s-%d", r.ID, i)
+			a := g.Dispatch(context.Background(), sent, node.DispatchProgress{})
+			answers[i] = timedAnswer{a, time.Now()}
+		})
+	}
+	return func() []timedAnswer {
+		group.Wait()
+		return answers
+	}
+}
+
+// Guards against requests that wait in the queue of a stopping node for a slot in which they may not run, and lose the
+// time to run elsewhere.
+func TestStoppedNodeRefusesItsQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		g, slots := sim.instances["f0"].gateway, 8
+		sim.instances["f0"].server.serviceTime = 2 * time.Second
+		sim.mu.Unlock()
+		go g.PrepareStop(context.Background())
+		synctest.Wait()
+		closeAt := time.Now().Add(stopServeTime)
+		time.Sleep(stopServeTime - 100*time.Millisecond)
+		r := routed.Request{Service: "free", Route: "free", Deadline: time.Now().Add(10 * time.Second)}
+		r.ID = "running"
+		running := dispatch(g, slots, r)
+		synctest.Wait()
+		r.ID = "queued"
+		for _, a := range dispatch(g, 3, r)() {
+			if a.Reason != request.Draining || a.at.After(closeAt) {
+				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+			}
+		}
+		for _, a := range running() {
+			if a.Outcome != request.Done {
+				t.Errorf("a running request got %v %q", a.Outcome, a.Reason)
+			}
+		}
+	})
+}
+
+// Guards against requests that wait at a stopping node for a key that is moving to it.
+func TestStoppedNodeRefusesRequestsThatWaitForKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		g := sim.instances["k1"].gateway
+		sim.mu.Unlock()
+		go g.PrepareStop(context.Background())
+		synctest.Wait()
+		closeAt := time.Now().Add(stopServeTime)
+		time.Sleep(stopServeTime - 5*time.Millisecond)
+		// The backend server holds no key from now on, as if all were still on their way to it.
+		g.server.mu.Lock()
+		g.server.grantsExpireAt = 0
+		g.server.mu.Unlock()
+		r := routed.Request{ID: "r", Service: "keyed", Route: "keyed", Keyed: true, Key: uint16(sim.ownedKey("k1", "k1")), Deadline: time.Now().Add(5 * time.Second)}
+		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Draining || a.at.After(closeAt) {
+			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+		}
+	})
+}
