--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,16 +145,34 @@
 	suspect      atomic.Pointer[string]
 
 	// stopping is set when a planned stop begins, stoppingAnnounced when other nodes must not choose this node any
-	// more, and closed when it accepts no more requests for its backend server.
-	stopping, stoppingAnnounced, closed atomic.Bool
-	topicReaders                        []*topicReader
-	readerGoroutines                    sync.WaitGroup
-	stop                                context.CancelFunc
-	stopTickers                         []func()
-	ctx                                 context.Context
-	started                             time.Time
-	// requestsInProgress counts requests of callers and of other nodes.
-	requestsInProgress atomic.Int64
+	// more, and closed when it accepts no more requests for its backend server and refuses those that wait for it.
+	stopping, stoppingAnnounced atomic.Bool
+	closed                      signal
+	topicReaders                []*topicReader
+	readerGoroutines            sync.WaitGroup
+	stop                        context.CancelFunc
+	stopTickers                 []func()
+	ctx                         context.Context
+	started                     time.Time
+}
+
+// signal is an event that happens once.
+type signal struct {
+	once     *sync.Once
+	happened chan struct{}
+}
+
+func newSignal() signal { return signal{once: new(sync.Once), happened: make(chan struct{})} }
+
+func (s signal) set() { s.once.Do(func() { close(s.happened) }) }
+
+func (s signal) isSet() bool {
+	select {
+	case <-s.happened:
+		return true
+	default:
+		return false
+	}
 }
 
 // Sizes of the control pool, whose jobs are rare.
@@ -166,7 +184,7 @@
 // New returns a gateway that is not started.
 func New(o Options, d Dependencies) *Gateway {
 	d.Store = observedStore{d.Store, d.Events, d.Metrics}
-	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now()}
+	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal()}
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
@@ -228,17 +246,7 @@
 	g.stoppingAnnounced.Store(true)
 	g.reconcileTrigger.Fire()
 	sleep(ctx, stopAnnounceTime)
-	g.closed.Store(true)
-}
-
-// WaitForRequests waits until no request is in progress. It returns false if ctx ends first.
-func (g *Gateway) WaitForRequests(ctx context.Context) bool {
-	for g.requestsInProgress.Load() > 0 {
-		if !sleep(ctx, idlePollInterval) {
-			return false
-		}
-	}
-	return true
+	g.closed.set()
 }
 
 const (
@@ -248,7 +256,6 @@
 	// stopAnnounceTime is how long before the end of that time other nodes learn not to choose this node, so that none
 	// of their requests meets the end of the process. It is many times the latency of a record through the store.
 	stopAnnounceTime = 400 * time.Millisecond
-	idlePollInterval = 50 * time.Millisecond
 )
 
 // sleep waits for d. It returns false if ctx ends first.
@@ -283,8 +290,6 @@
 
 // Route serves a request of a caller on a worker of the ingress pool. When ctx ends, the caller has disconnected.
 func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
-	g.requestsInProgress.Add(1)
-	defer g.requestsInProgress.Add(-1)
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
 	defer span.End()
 	result := make(chan routed.Answer, 1)
@@ -302,8 +307,6 @@
 
 // Dispatch implements node.RouterService.
 func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
-	g.requestsInProgress.Add(1)
-	defer g.requestsInProgress.Add(-1)
 	return g.execute(ctx, r, p)
 }
 
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+)
+
+// ownedKey returns a key that an instance owns, as another one sees it.
+func (sim *simulation) ownedKey(owner, through string) int {
+	table, _ := sim.instances[through].gateway.ranges.get("keyed")
+	for key := 0; key < keyrange.KeyCount; key += 64 {
+		if r, ok := table.Find(uint16(key)); ok && r.Owner.Instance == owner {
+			return key
+		}
+	}
+	sim.t.Fatalf("%s owns no key", owner)
+	return 0
+}
+
+// Guards against requests for keys of a stopping owner that are sent to it again and again, so that some meet the end of
+// its process.
+func TestStoppedOwnerGetsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		key := sim.ownedKey("k1", "k0")
+		var lastDispatch time.Time
+		sim.mu.Lock()
+		sim.onDispatch = func(to string, _ routed.Request) {
+			if to == "k1" {
+				lastDispatch = time.Now()
+			}
+		}
+		sim.mu.Unlock()
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		answers := map[string]routed.Answer{}
+		callers.Go(func() {
+			for i := range 200 {
+				time.Sleep(20 * time.Millisecond)
+				callers.Go(func() {
+					id := fmt.Sprintf("stop-%d", i)
+					a := sim.sendRequest("k0", id, "/keyed/", key, 3*time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					answers[id] = a
+				})
+			}
+		})
+		sim.instances["k1"].gateway.PrepareStop(context.Background())
+		closedAt := time.Now()
+		time.Sleep(time.Second)
+		sim.mu.Lock()
+		late := lastDispatch.Sub(closedAt)
+		sim.mu.Unlock()
+		if late > stopAnnounceTime {
+			t.Errorf("a request was sent to the stopped owner %v after it stopped accepting requests, want at most %v", late, stopAnnounceTime)
+		}
+		sim.killGateway("k1")
+		time.Sleep(100 * time.Millisecond)
+		sim.startGateway("k1")
+		callers.Wait()
+		for id, a := range answers {
+			if a.Outcome != request.Done {
+				t.Errorf("%s got %v %q", id, a.Outcome, a.Reason)
+			}
+		}
+	})
+}
+
+// Guards against requests that are withheld for good from an owner whose next process cannot store its record, and from
+// one whose next process is known.
+func TestRestartIsAwaitedForLimitedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemberTable(Self{Instance: "k0"}, RetryLimits{})
+		stopping := registry.Member{Instance: "k1", Incarnation: 1, Stopping: true}
+		table.put(stopping)
+		for _, step := range []struct {
+			after time.Duration
+			want  bool
+		}{{0, false}, {stopAnnounceTime, true}, {maxRestartWait - time.Millisecond, true}, {time.Millisecond, false}} {
+			time.Sleep(step.after)
+			// The record is read again after a snapshot of the topic.
+			table.put(stopping)
+			if got := table.isRestarting("k1", time.Now()); got != step.want {
+				t.Errorf("%v later: got %v, want %v", step.after, got, step.want)
+			}
+		}
+		stopping.Incarnation = 2
+		table.put(stopping)
+		time.Sleep(stopAnnounceTime)
+		if !table.isRestarting("k1", time.Now()) {
+			t.Error("the stop of the next process is not noticed")
+		}
+		table.put(registry.Member{Instance: "k1", Incarnation: 3})
+		if table.isRestarting("k1", time.Now()) {
+			t.Error("the next process gets no requests")
+		}
+	})
+}
+
+// timedAnswer is an answer and when it arrived.
+type timedAnswer struct {
+	routed.Answer
+	at time.Time
+}
+
+// dispatch sends requests to a node directly and returns a function that waits for their answers.
+func dispatch(g *Gateway, count int, r routed.Request) func() []timedAnswer {
+	answers := make([]timedAnswer, count)
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			sent := r
+			sent.ID = fmt.Sprintf("%s-%d", r.ID, i)
+			a := g.Dispatch(context.Background(), sent, node.DispatchProgress{})
+			answers[i] = timedAnswer{a, time.Now()}
+		})
+	}
+	return func() []timedAnswer {
+		group.Wait()
+		return answers
+	}
+}
+
+// Guards against requests that wait in the queue of a stopping node for a slot in which they may not run, and lose the
+// time to run elsewhere.
+func TestStoppedNodeRefusesItsQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		g, slots := sim.instances["f0"].gateway, 8
+		sim.instances["f0"].server.serviceTime = 2 * time.Second
+		sim.mu.Unlock()
+		go g.PrepareStop(context.Background())
+		synctest.Wait()
+		closeAt := time.Now().Add(stopServeTime)
+		time.Sleep(stopServeTime - 100*time.Millisecond)
+		r := routed.Request{Service: "free", Route: "free", Deadline: time.Now().Add(10 * time.Second)}
+		r.ID = "running"
+		running := dispatch(g, slots, r)
+		synctest.Wait()
+		r.ID = "queued"
+		for _, a := range dispatch(g, 3, r)() {
+			if a.Reason != request.Draining || a.at.After(closeAt) {
+				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+			}
+		}
+		for _, a := range running() {
+			if a.Outcome != request.Done {
+				t.Errorf("a running request got %v %q", a.Outcome, a.Reason)
+			}
+		}
+	})
+}
+
+// Guards against requests that wait at a stopping node for a key that is moving to it.
+func TestStoppedNodeRefusesRequestsThatWaitForKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		g := sim.instances["k1"].gateway
+		sim.mu.Unlock()
+		go g.PrepareStop(context.Background())
+		synctest.Wait()
+		closeAt := time.Now().Add(stopServeTime)
+		time.Sleep(stopServeTime - 5*time.Millisecond)
+		// The backend server holds no key from now on, as if all were still on their way to it.
+		g.server.mu.Lock()
+		g.server.grantsExpireAt = 0
+		g.server.mu.Unlock()
+		r := routed.Request{ID: "r", Service: "keyed", Route: "keyed", Keyed: true, Key: uint16(sim.ownedKey("k1", "k1")), Deadline: time.Now().Add(5 * time.Second)}
+		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Draining || a.at.After(closeAt) {
+			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+		}
+	})
+}
