Decide by a fresh connection whether a silent one is dead

Cause: Client.Dispatch gave up a connection after 700 ms without data. Silence does not tell whether the connection has lost its path or whether the peer or the path to it is slow, and for a request that no other instance can run, or that may not be repeated, giving up gains nothing. The same silence closed the idle connections to the peer, so that the next requests had to dial over the congested path.

Evidence: the new tests, with a relay that delays all data to or from the peer by 1.5 s and requests of 4 s. On the code before this change: TestSlowPathDoesNotLoseAnswer failed in all 8 cases after 0.70 s ("i/o timeout"); TestSlowPathAfterIdleDoesNotLoseAnswer after 0.85 s with 0 runs; TestSilentCallsShareOneCheck with all of its 100 calls after 0.70-0.71 s; TestSilenceDoesNotEndUnrepeatableRequest after 0.70 s; TestSlowPathKeepsIdleConnections with a new connection although 31 were idle; TestDeadConnectionsShareOneCheck because no check was made. TestDeadConnectionIsGivenUp and TestSlowPathIsGivenUpForOtherInstance passed before and pass now: they keep the bound for connections that are dead.

Ruled out: a longer limit, which would find dead connections later and still end requests on a slower path; a blocking check on the reader of each connection, which would hold back an answer that arrives during the check.

Change: after 450 ms of silence the peer is checked with a ping on a connection that carried data since, or else on a new one. The calls that wait for the same peer share one check, which runs on a worker pool of the client and wakes the pending reads by a deadline in the past; its result serves further calls for 100 ms. If the peer answers or refuses, the silent connection is given up at 700 ms as before, and with it the silent idle ones. If it does not answer, only requests that another instance can run are given up at 700 ms; others wait and the check is repeated. A request that will not be repeated anyway (not idempotent, or no attempts left) is given up only if the peer refuses new connections, because TCP may still deliver its answer after new connections work again. The ingress node tells with Repetition what it would do. Idle connections of a peer that was not checked are pinged before their next use instead of being closed, and after a failed ping they are closed only if the peer answers a new connection within the time of a ping. A silence that this process noticed late leaves an interval in which what has arrived is read. Forward, the project's own interface, follows the same rules with its limits of 300 and 400 ms; internal/node/silence_test.go passes unchanged.

Event 515 has the field peer_state, which tells a dead connection from a peer that does not answer or refuses.

Why it works: the path of a new connection is that of the silent one, so that a peer that answers there in time would have been heard, reports being due every 250 ms; and without an answer the request can only gain by waiting.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -240,7 +240,7 @@
 		Text:   "the backend server gave no usable answer to a request; the field outcome tells whether the request may have run",
 		Remedy: "check the backend server on this instance"})
 	NodeCallFailed = define(Event{Number: 515, Name: "node_call_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
-		Text:   "a call to another node for a request failed",
+		Text:   "a call to another node for a request failed; the field peer_state tells whether that node answers on a new connection",
 		Remedy: "check the instance in the field peer_instance and the network to it"})
 )
 
--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -1,18 +1,25 @@
 package fake
 
 import (
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
+// relayQueueSize is how many chunks of at most 64 KiB one direction of a connection holds while they are delayed.
+const relayQueueSize = 64
+
 // Relay is a TCP proxy on the loopback interface. It can stop forwarding on its open connections without closing them,
-// as a middlebox does that has lost the state of its connections, while new connections work.
+// as a middlebox does that has lost the state of its connections, while new connections work. It can also delay all
+// data, as a congested link does.
 //
 // mu guards connections and closed.
 type Relay struct {
 	listener net.Listener
 	target   string
+	// delayToTarget and delayToClient are the delays of data on all connections, in nanoseconds.
+	delayToTarget, delayToClient atomic.Int64
 	// goroutines counts the running goroutines of the relay.
 	goroutines sync.WaitGroup
 
@@ -39,6 +46,10 @@
 // mu guards the fields below it. changed is signalled when stalled or closed changes.
 type relayDirection struct {
 	from, to net.Conn
+	// delay is shared by all connections.
+	delay *atomic.Int64
+	// done is closed with the relay.
+	done chan struct{}
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -85,7 +96,10 @@
 
 // startConnection starts to copy in both directions, or closes the connections if the relay is closed.
 func (r *Relay) startConnection(client, target net.Conn) {
-	c := &relayConnection{toTarget: newRelayDirection(client, target), toClient: newRelayDirection(target, client)}
+	c := &relayConnection{
+		toTarget: newRelayDirection(client, target, &r.delayToTarget),
+		toClient: newRelayDirection(target, client, &r.delayToClient),
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
@@ -99,6 +113,13 @@
 	go c.toClient.copyData(&r.goroutines)
 }
 
+// Delay delays the data of all connections, open ones and new ones, from the time at which it arrives. Connections are
+// established without delay.
+func (r *Relay) Delay(toTarget, toClient time.Duration) {
+	r.delayToTarget.Store(int64(toTarget))
+	r.delayToClient.Store(int64(toClient))
+}
+
 // Silence stops forwarding on all open connections in the chosen directions. Data and the end of a stream are held back
 // until Resume.
 func (r *Relay) Silence(toTarget, toClient bool) {
@@ -158,29 +179,69 @@
 	r.goroutines.Wait()
 }
 
-func newRelayDirection(from, to net.Conn) *relayDirection {
-	d := &relayDirection{from: from, to: to, bytesUntilStall: -1}
+func newRelayDirection(from, to net.Conn, delay *atomic.Int64) *relayDirection {
+	d := &relayDirection{from: from, to: to, delay: delay, done: make(chan struct{}), bytesUntilStall: -1}
 	d.changed = sync.NewCond(&d.mu)
 	return d
 }
 
+// relayChunk is data, or the end of the stream if data is empty, that is forwarded when it is due.
+type relayChunk struct {
+	data []byte
+	due  time.Time
+}
+
 // copyData forwards data until one end is closed, and then closes the other for writing. It discards what arrives after
 // that until the sender closes its end.
 func (d *relayDirection) copyData(goroutines *sync.WaitGroup) {
 	defer goroutines.Done()
+	chunks := make(chan relayChunk, relayQueueSize)
+	goroutines.Add(1)
+	go d.readChunks(chunks, goroutines)
+	forwarding := true
+	for c := range chunks {
+		if forwarding {
+			forwarding = d.awaitDue(c.due) && d.forward(c.data) && len(c.data) > 0
+			if tcp, ok := d.to.(*net.TCPConn); ok && !forwarding {
+				tcp.CloseWrite()
+			}
+		}
+	}
+	d.from.Close()
+}
+
+// readChunks reads until the sender closes its end.
+func (d *relayDirection) readChunks(chunks chan<- relayChunk, goroutines *sync.WaitGroup) {
+	defer goroutines.Done()
+	defer close(chunks)
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := d.from.Read(buffer)
-		if !d.forward(buffer[:n]) || err != nil {
-			break
+		due := time.Now().Add(time.Duration(d.delay.Load()))
+		if n > 0 {
+			chunks <- relayChunk{data: append([]byte(nil), buffer[:n]...), due: due}
 		}
+		if err != nil {
+			chunks <- relayChunk{due: due}
+			return
+		}
+	}
+}
+
+// awaitDue waits until data is due. It returns false if the relay was closed.
+func (d *relayDirection) awaitDue(due time.Time) bool {
+	delay := time.Until(due)
+	if delay <= 0 {
+		return true
 	}
-	d.forward(nil)
-	if c, ok := d.to.(*net.TCPConn); ok {
-		c.CloseWrite()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.done:
+		return false
 	}
-	io.Copy(io.Discard, d.from)
-	d.from.Close()
 }
 
 // forward writes data to the other end, and first waits while the direction is stalled. It returns false if the relay
@@ -227,7 +288,10 @@
 func (d *relayDirection) closeBoth() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.closed = true
+	if !d.closed {
+		d.closed = true
+		close(d.done)
+	}
 	d.from.Close()
 	d.to.Close()
 	d.changed.Broadcast()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -173,6 +173,7 @@
 	a.tried = append(a.tried, instance)
 	g.members.requestSent(instance)
 	a.request.MayDivert = !a.keyed && a.diversions < maxDiversions && g.members.isSameRegion(instance)
+	a.request.Repetition = a.repetition()
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
 		g.members.requestAnswered(instance, answer.Load, true, time.Now())
@@ -203,6 +204,20 @@
 	return answer
 }
 
+// repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
+// counts as an attempt.
+func (a *activeRequest) repetition() routed.Repetition {
+	switch {
+	case !a.request.Idempotent || a.serverAttempts+1 >= a.route.MaxAttempts:
+		return routed.NotRepeated
+	case a.keyed:
+		return routed.RepeatedAtOwner
+	case a.sends >= maxSends:
+		return routed.NotRepeated
+	}
+	return routed.RepeatedElsewhere
+}
+
 // countServerAttempt counts a send if it reached a backend server.
 func (a *activeRequest) countServerAttempt(answer routed.Answer) {
 	if answer.ReachedServer {
@@ -218,7 +233,8 @@
 		// The caller has disconnected; nobody reads the answer.
 		return routed.OutcomeUnknown(request.ConnectionLost)
 	}
-	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance), eventlog.Cause(err))
+	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance),
+		eventlog.Name("peer_state", string(node.PeerStateOf(err))), eventlog.Cause(err))
 	switch {
 	case isNotSent(err):
 		return routed.NotRun(request.OwnerUnreachable, overloadRetryAfter)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -77,14 +77,42 @@
 	}
 	sent := time.Now()
 	message := encodeForward(f, c.correlation.Add(1), sent)
-	conn.watchdog.arm(firstResponseTimeout(len(f.Request.Body)), silenceLimit)
+	remaining := f.Request.Deadline.Sub(sent)
+	interval := progressInterval(remaining)
+	conn.watchdog.arm(newSilenceRule(silenceLimit, interval, remaining, forwardPatience(f.Request.Idempotent)), sendTime(len(f.Request.Body)))
 	answer, err := exchangeForward(ctx, conn, message)
 	conn.watchdog.disarm()
-	interval := progressInterval(f.Request.Deadline.Sub(sent))
-	if err != nil && !conn.watchdog.receivedAfter(sent) && reportOverdue(time.Since(sent), interval) {
-		c.connPool.closeSilent(address, sent)
+	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, interval, err))
+}
+
+// forwardPatience returns how long a forwarded request waits on a silent connection: an idempotent one is repeated, and
+// the outcome of another one stays unknown if its connection is dead.
+func forwardPatience(idempotent bool) patience {
+	if idempotent {
+		return untilLimit
+	}
+	return untilDead
+}
+
+// explainSilence adds the state of the peer to the error of a call whose connection was silent. The other idle
+// connections to the peer that are silent as well are closed, or suspect if nothing is known about the peer.
+func (c *Client) explainSilence(address string, conn *connection, sent time.Time, interval time.Duration, err error) error {
+	if err == nil {
+		return nil
+	}
+	state, silent := conn.watchdog.silentPeer()
+	if !conn.watchdog.receivedAfter(sent) && reportOverdue(time.Since(sent), interval) {
+		switch state {
+		case PeerAnswers, PeerRefuses:
+			c.connPool.closeSilent(address, sent)
+		default:
+			c.connPool.suspectSilent(address, sent)
+		}
+	}
+	if silent {
+		return &silenceError{state: state, cause: err}
 	}
-	return answer, c.finishCall(address, conn, err)
+	return err
 }
 
 // exchangeForward sends a request and waits for its answer. It also reads the end of the stream, so that the connection
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -60,9 +60,9 @@
 	return min(max(remaining/progressDivisor, minProgressInterval), maxProgressInterval)
 }
 
-// firstResponseTimeout returns the longest time without data after a request with a body of bodySize bytes was sent.
-func firstResponseTimeout(bodySize int) time.Duration {
-	return silenceLimit + time.Duration(bodySize)*time.Second/minUploadRate
+// sendTime returns the longest time to send a request with a body of bodySize bytes.
+func sendTime(bodySize int) time.Duration {
+	return time.Duration(bodySize) * time.Second / minUploadRate
 }
 
 // reportOverdue reports whether a progress report should have arrived after the elapsed time. If none did, the
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -67,13 +67,24 @@
 		return routed.Answer{}, err
 	}
 	sent := time.Now()
-	conn.watchdog.arm(dispatchSilenceLimit+firstResponseTimeout(len(r.Body))-silenceLimit, dispatchSilenceLimit)
+	rule := newSilenceRule(dispatchSilenceLimit, dispatchProgressInterval, r.Deadline.Sub(sent), dispatchPatience(r.Repetition))
+	conn.watchdog.arm(rule, sendTime(len(r.Body)))
 	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent))
 	conn.watchdog.disarm()
-	if err != nil && !conn.watchdog.receivedAfter(sent) && reportOverdue(time.Since(sent), dispatchProgressInterval) {
-		c.connPool.closeSilent(address, sent)
+	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, dispatchProgressInterval, err))
+}
+
+// dispatchPatience returns how long a request waits on a silent connection. To give up a request that is not repeated
+// gains nothing, and its answer may still arrive: TCP may repeat lost packets seconds after new connections work again.
+func dispatchPatience(r routed.Repetition) patience {
+	switch r {
+	case routed.RepeatedElsewhere:
+		return untilLimit
+	case routed.RepeatedAtOwner:
+		return untilDead
+	default:
+		return untilRefused
 	}
-	return answer, c.finishCall(address, conn, err)
 }
 
 // exchangeDispatch sends a request on a connection and waits for its answer.
--- /dev/null
+++ b/internal/node/slow_path_test.go
@@ -0,0 +1,281 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+)
+
+// Time limits for dispatched requests.
+const (
+	// dispatchTimeout is the deadline of requests on a slow path.
+	dispatchTimeout = 4 * time.Second
+	// pathDelay is longer than the silence limit of 700 ms.
+	pathDelay = 1500 * time.Millisecond
+	// dispatchAffectedBound is for requests whose connection went silent while new ones work: the silence limit of 700
+	// ms and the time to report the failure.
+	dispatchAffectedBound = 800 * time.Millisecond
+)
+
+// echoRouter answers each request with its body. It counts the runs of all requests.
+type echoRouter struct {
+	runs atomic.Int32
+	// unblock, if set, is closed to unblock requests; until then they report progress.
+	unblock atomic.Pointer[chan struct{}]
+}
+
+// Dispatch implements node.RouterService.
+func (e *echoRouter) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+	e.runs.Add(1)
+	if unblock := e.unblock.Load(); unblock != nil {
+		ticker := time.NewTicker(p.Interval)
+		defer ticker.Stop()
+		for blocked := true; blocked; {
+			select {
+			case <-*unblock:
+				blocked = false
+			case <-ctx.Done():
+				blocked = false
+			case <-ticker.C:
+				p.Report()
+			}
+		}
+	}
+	return routed.Answer{Outcome: request.Done, Status: 200, Body: r.Body}
+}
+
+// Probe implements node.RouterService.
+func (*echoRouter) Probe(int64) (string, routed.Load) { return "echo", routed.Load{} }
+
+// StoreCall implements node.RouterService.
+func (*echoRouter) StoreCall(context.Context, registry.Call) (registry.Page, error) {
+	return registry.Page{}, nil
+}
+
+// routerFixture is a client that is connected to a router through a relay.
+type routerFixture struct {
+	*fixture
+	router *echoRouter
+}
+
+func newRouterFixture(t *testing.T) *routerFixture {
+	t.Helper()
+	router := &echoRouter{}
+	server, err := node.NewRouterServer(router)
+	requireNoError(t, err)
+	return &routerFixture{fixture: newFixtureFor(t, server.Serve), router: router}
+}
+
+// dispatch sends one request and returns the answer and how long it took.
+func (f *routerFixture) dispatch(r routed.Request, timeout time.Duration) (routed.Answer, time.Duration, error) {
+	started := time.Now()
+	r.Deadline = started.Add(timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	defer cancel()
+	answer, err := f.client.Dispatch(ctx, f.relay.Address(), r)
+	return answer, time.Since(started), err
+}
+
+// connect leaves count idle connections in the client's pool.
+func (f *routerFixture) connect(t *testing.T, count int) {
+	t.Helper()
+	unblock := make(chan struct{})
+	f.router.unblock.Store(&unblock)
+	var calls sync.WaitGroup
+	for range count {
+		calls.Go(func() {
+			if _, _, err := f.dispatch(routed.Request{ID: "connect", Idempotent: true}, dispatchTimeout); err != nil {
+				t.Errorf("filling the pool: %v", err)
+			}
+		})
+	}
+	for f.router.runs.Load() < int32(count) && !t.Failed() {
+		<-time.After(time.Millisecond)
+	}
+	f.router.unblock.Store(nil)
+	close(unblock)
+	calls.Wait()
+	f.router.runs.Store(0)
+}
+
+// unrepeatable are requests that no other instance can run.
+var unrepeatable = map[string]routed.Request{
+	"keyed":              {ID: "r", Idempotent: true, Keyed: true, Repetition: routed.RepeatedAtOwner, Body: []byte("r")},
+	"not idempotent":     {ID: "r", Repetition: routed.NotRepeated, Body: []byte("r")},
+	"last attempt":       {ID: "r", Idempotent: true, Repetition: routed.NotRepeated, Body: []byte("r")},
+	"non-idempotent key": {ID: "r", Keyed: true, Repetition: routed.NotRepeated, Body: []byte("r")},
+}
+
+// Guards against giving up a request because its path is slow, although no other instance can run it.
+func TestSlowPathDoesNotLoseAnswer(t *testing.T) {
+	for name, r := range unrepeatable {
+		for direction, delays := range map[string][2]time.Duration{"to peer": {pathDelay, 0}, "from peer": {0, pathDelay}} {
+			t.Run(name+" "+direction, func(t *testing.T) {
+				t.Parallel()
+				f := newRouterFixture(t)
+				f.connect(t, 1)
+				f.relay.Delay(delays[0], delays[1])
+				answer, took, err := f.dispatch(r, dispatchTimeout)
+				if err != nil || string(answer.Body) != "r" {
+					t.Fatalf("answer %q after %v, error %v; want the body", answer.Body, took, err)
+				}
+				if n := f.router.runs.Load(); n != 1 {
+					t.Fatalf("the request ran %d times, want once", n)
+				}
+			})
+		}
+	}
+}
+
+// Guards against giving up a request that ran into a slow path after its idle connection had to be replaced.
+func TestSlowPathAfterIdleDoesNotLoseAnswer(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, 4)
+	<-time.After(idleBeforePing)
+	f.relay.Delay(pathDelay, 0)
+	answer, took, err := f.dispatch(unrepeatable["not idempotent"], dispatchTimeout)
+	if err != nil || string(answer.Body) != "r" || f.router.runs.Load() != 1 {
+		t.Fatalf("answer %q after %v and %d runs, error %v; want the body after one", answer.Body, took, f.router.runs.Load(), err)
+	}
+}
+
+// Guards against waiting for the slow peer when another instance can run the request.
+func TestSlowPathIsGivenUpForOtherInstance(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, 1)
+	f.relay.Delay(pathDelay, 0)
+	_, took, err := f.dispatch(routed.Request{ID: "r", Idempotent: true, Repetition: routed.RepeatedElsewhere}, dispatchTimeout)
+	requireOutcomeUnknown(t, took, err, dispatchAffectedBound)
+}
+
+// Guards against waiting on a dead connection for a request that can be repeated on a new one.
+func TestDeadConnectionIsGivenUp(t *testing.T) {
+	for _, repetition := range []routed.Repetition{routed.RepeatedAtOwner, routed.RepeatedElsewhere} {
+		t.Run(fmt.Sprint(repetition), func(t *testing.T) {
+			f := newRouterFixture(t)
+			f.connect(t, pooledConnections)
+			f.relay.Silence(true, true)
+			r := routed.Request{ID: "r", Idempotent: true, Keyed: true, Repetition: repetition, Body: []byte("r")}
+			_, took, err := f.dispatch(r, dispatchTimeout)
+			requireOutcomeUnknown(t, took, err, dispatchAffectedBound)
+			for range pooledConnections {
+				if _, took, err := f.dispatch(r, dispatchTimeout); err != nil || took > unaffectedBound {
+					t.Fatalf("error %v after %v on a new connection", err, took)
+				}
+			}
+		})
+	}
+}
+
+// Guards against giving up a request that cannot be repeated while its connection may still deliver the answer.
+func TestSilenceDoesNotEndUnrepeatableRequest(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, 1)
+	f.relay.Silence(true, true)
+	time.AfterFunc(pathDelay, f.relay.Resume)
+	answer, took, err := f.dispatch(unrepeatable["not idempotent"], dispatchTimeout)
+	if err != nil || string(answer.Body) != "r" || f.router.runs.Load() != 1 {
+		t.Fatalf("answer %q after %v and %d runs, error %v; want the body after one", answer.Body, took, f.router.runs.Load(), err)
+	}
+}
+
+// Guards against closing working idle connections because the path of one request is slow.
+func TestSlowPathKeepsIdleConnections(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, pooledConnections)
+	f.relay.Delay(pathDelay, 0)
+	_, took, err := f.dispatch(routed.Request{ID: "r", Idempotent: true, Repetition: routed.RepeatedElsewhere}, dispatchTimeout)
+	requireOutcomeUnknown(t, took, err, dispatchAffectedBound)
+	f.relay.Delay(0, 0)
+	before := f.relay.Connections()
+	for range pooledConnections {
+		if _, took, err := f.dispatch(unrepeatable["keyed"], dispatchTimeout); err != nil {
+			t.Fatalf("error %v after %v", err, took)
+		}
+	}
+	if n := f.relay.Connections() - before; n > 0 {
+		t.Errorf("%d connections were opened although %d were idle", n, pooledConnections-1)
+	}
+}
+
+// Guards against a stampede of checks when many calls wait for the same slow peer.
+func TestSilentCallsShareOneCheck(t *testing.T) {
+	const calls = 100
+	f := newRouterFixture(t)
+	f.relay.Delay(pathDelay, 0)
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() {
+			if _, took, err := f.dispatch(unrepeatable["keyed"], dispatchTimeout); err != nil {
+				t.Errorf("error %v after %v", err, took)
+			}
+		})
+	}
+	running.Wait()
+	// Each check takes up to 500 ms, and the next one follows 250 ms later.
+	if n := f.relay.Connections() - calls; n > int(pathDelay/(750*time.Millisecond))+1 {
+		t.Errorf("%d checks of one peer", n)
+	}
+}
+
+// Guards against a stampede of checks when many connections are dead and new ones work.
+func TestDeadConnectionsShareOneCheck(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, pooledConnections)
+	f.relay.Silence(true, true)
+	var running sync.WaitGroup
+	for range pooledConnections {
+		running.Go(func() {
+			if _, took, err := f.dispatch(unrepeatable["keyed"], dispatchTimeout); !errors.Is(err, problem.Unavailable) || took > dispatchAffectedBound {
+				t.Errorf("error %v after %v, want an unknown outcome within %v", err, took, dispatchAffectedBound)
+			}
+		})
+	}
+	running.Wait()
+	if n := f.relay.Connections() - pooledConnections; n != 1 {
+		t.Errorf("%d connections were opened to check the peer, want 1", n)
+	}
+}
+
+// Guards against logs in which a dead connection looks like a peer that does not answer.
+func TestFailureTellsStateOfPeer(t *testing.T) {
+	keyed := routed.Request{ID: "r", Idempotent: true, Keyed: true, Repetition: routed.RepeatedAtOwner}
+	for name, test := range map[string]struct {
+		fault func(*routerFixture)
+		state node.PeerState
+	}{
+		"dead connection": {func(f *routerFixture) { f.relay.Silence(true, true) }, node.PeerAnswers},
+		"silent peer":     {func(f *routerFixture) { f.relay.Delay(time.Hour, 0) }, node.PeerSilent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newRouterFixture(t)
+			f.connect(t, 1)
+			test.fault(f)
+			_, _, err := f.dispatch(keyed, 2*time.Second)
+			if !errors.Is(err, problem.Unavailable) || node.PeerStateOf(err) != test.state {
+				t.Fatalf("peer state %q, error %v; want %q", node.PeerStateOf(err), err, test.state)
+			}
+		})
+	}
+}
+
+// Guards against logs in which a refused connection looks like a peer that does not answer.
+func TestFailureTellsRefusal(t *testing.T) {
+	f := newRouterFixture(t)
+	f.relay.Close()
+	_, _, err := f.dispatch(routed.Request{ID: "r"}, dispatchTimeout)
+	if !errors.Is(err, problem.NotSent) || node.PeerStateOf(err) != node.PeerRefuses {
+		t.Fatalf("peer state %q, error %v; want %q", node.PeerStateOf(err), err, node.PeerRefuses)
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -46,11 +46,26 @@
 	Revision uint64
 	// MayDivert reports whether the ingress node would try another backend server if this one is temporarily slow.
 	MayDivert bool
+	// Repetition tells what the ingress node would do if the outcome here stayed unknown. It is not sent.
+	Repetition Repetition
 	// Traceparent is the W3C trace context of the hop that sent the request; empty without one. The header that the
 	// caller sent is in Header and reaches the backend server unchanged.
 	Traceparent string
 }
 
+// Repetition tells where a request is sent again if the outcome of a send is unknown.
+type Repetition int
+
+// Repetitions. The zero value is the one with which a node waits longest for an answer.
+const (
+	// NotRepeated is for requests that may not run twice, or that have no attempt left.
+	NotRepeated Repetition = iota
+	// RepeatedAtOwner is for requests that only the owner of their key can run.
+	RepeatedAtOwner
+	// RepeatedElsewhere is for requests that another instance can run.
+	RepeatedElsewhere
+)
+
 // Load is what a node reports about the backend server on its instance.
 type Load struct {
 	// Known is false for a node without a backend server.
