Keep what a check found about a peer for the requests that follow

What callers would have seen: with the change before, a request that only a silent peer can run waits until its deadline. Further requests for the same owner were sent on idle connections and waited as well, instead of being refused as not run; and an owner that answers on a new connection counted as unreachable for 300 ms because an old connection was dead, so that requests for its keys were refused although it could run them.

Cause: the result of a check was used only by the calls that waited for it. The ingress node took a call that ended by its deadline for no failure of the node, and any other failed call for one, whatever the check had found.

Evidence: TestSilentPeerMakesIdleConnectionsSuspect failed before ("connection is silent while the peer answers on another one", the second request was sent on an idle connection); TestPeerStateDecidesReachability failed for "dead connection" (unreachable: true, want false) and "silent until the deadline" (unreachable: false, want true).

Change: when a peer does not answer a check, its idle connections on which nothing arrived meanwhile are pinged before their next use. The ingress node counts a call as a failure of the node by the state of the peer: not if the peer answers, and also at the deadline if it does not.

Why it works: a failed ping and a failed dial prove that nothing was sent, so that the caller learns at once when to retry; and the backoff of an instance begins only if that instance is at fault.

A path that takes longer than 150 ms for a ping and 500 ms for a new connection now refuses such requests as not sent where an idle connection might have carried them late.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -227,14 +227,17 @@
 
 // callFailure returns the answer for a call to a node that failed.
 func (g *Gateway) callFailure(ctx context.Context, a *activeRequest, instance string, err error) routed.Answer {
-	// A call that ended by its deadline or because the caller disconnected does not count as a failure of the node.
-	g.members.requestAnswered(instance, routed.Load{}, ctx.Err() != nil, time.Now())
+	peer := node.PeerStateOf(err)
+	// A call that ended by its deadline or because the caller disconnected does not count as a failure of the node,
+	// unless the node was found not to answer.
+	reached := peer == node.PeerAnswers || ctx.Err() != nil && peer != node.PeerSilent
+	g.members.requestAnswered(instance, routed.Load{}, reached, time.Now())
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The caller has disconnected; nobody reads the answer.
 		return routed.OutcomeUnknown(request.ConnectionLost)
 	}
 	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance),
-		eventlog.Name("peer_state", string(node.PeerStateOf(err))), eventlog.Cause(err))
+		eventlog.Name("peer_state", string(peer)), eventlog.Cause(err))
 	switch {
 	case isNotSent(err):
 		return routed.NotRun(request.OwnerUnreachable, overloadRetryAfter)
--- /dev/null
+++ b/internal/gateway/ingress_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/routed"
+)
+
+// Guards against refusing requests for the keys of an owner that answers on a new connection, because an old connection
+// was dead, and against sending more requests to one that does not, because a call to it ended by its deadline.
+func TestPeerStateDecidesReachability(t *testing.T) {
+	for name, test := range map[string]struct {
+		state       node.PeerState
+		expired     bool
+		unreachable bool
+	}{
+		"dead connection":            {node.PeerAnswers, false, false},
+		"silent until the limit":     {node.PeerSilent, false, true},
+		"silent until the deadline":  {node.PeerSilent, true, true},
+		"refused":                    {node.PeerRefuses, false, true},
+		"not checked":                {node.PeerUnchecked, false, true},
+		"deadline before any check":  {node.PeerUnchecked, true, false},
+		"answers until the deadline": {node.PeerAnswers, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				g := sim.instances["f0"].gateway
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				if test.expired {
+					time.Sleep(time.Second + time.Millisecond)
+				}
+				err := problem.New(problem.Unavailable, "check the node", "call: %w", &node.SilenceError{Peer: test.state, Cause: errors.New("no data")})
+				g.callFailure(ctx, &activeRequest{request: routed.Request{ID: "r"}}, "k1", err)
+				if got := g.members.unreachableFor("k1", time.Now()) > 0; got != test.unreachable {
+					t.Errorf("unreachable: %v, want %v", got, test.unreachable)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -110,7 +110,7 @@
 		}
 	}
 	if silent {
-		return &silenceError{state: state, cause: err}
+		return &SilenceError{Peer: state, Cause: err}
 	}
 	return err
 }
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -16,7 +16,7 @@
 	*drpcconn.Conn
 	watchdog *watchdogConn
 	// suspect is set while the connection is idle if another one to the same peer went silent and the peer was not
-	// checked.
+	// checked or does not answer.
 	suspect bool
 }
 
--- a/internal/node/peer_check.go
+++ b/internal/node/peer_check.go
@@ -45,11 +45,11 @@
 
 // PeerStateOf returns the state of the peer in the error of a call.
 func PeerStateOf(err error) PeerState {
-	var silence *silenceError
+	var silence *SilenceError
 	var opError *net.OpError
 	switch {
 	case errors.As(err, &silence):
-		return silence.state
+		return silence.Peer
 	case errors.As(err, &opError) && opError.Op == "dial":
 		return stateAfterError(err)
 	}
@@ -64,27 +64,28 @@
 	return PeerSilent
 }
 
-// silenceError is the error of a call that received no data for too long.
-type silenceError struct {
-	state PeerState
-	cause error
+// SilenceError is the error of a call that received no data for too long.
+type SilenceError struct {
+	// Peer is the state of the peer.
+	Peer  PeerState
+	Cause error
 }
 
 // Error returns the state of the peer and the cause.
-func (e *silenceError) Error() string {
-	switch e.state {
+func (e *SilenceError) Error() string {
+	switch e.Peer {
 	case PeerAnswers:
-		return "connection is silent while the peer answers on another one: " + e.cause.Error()
+		return "connection is silent while the peer answers on another one: " + e.Cause.Error()
 	case PeerRefuses:
-		return "connection is silent and the peer refuses new ones: " + e.cause.Error()
+		return "connection is silent and the peer refuses new ones: " + e.Cause.Error()
 	case PeerSilent:
-		return "peer does not answer on a new connection either: " + e.cause.Error()
+		return "peer does not answer on a new connection either: " + e.Cause.Error()
 	}
-	return "connection is silent: " + e.cause.Error()
+	return "connection is silent: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
-func (e *silenceError) Unwrap() error { return e.cause }
+func (e *SilenceError) Unwrap() error { return e.Cause }
 
 // checkResult is the result of a check.
 type checkResult struct {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -19,7 +19,13 @@
 		KeyCapacity: maxIdlePerPeer,
 		Capacity:    maxIdleConnections,
 	})}
-	c.checks = newPeerChecks(c.checkPeer)
+	c.checks = newPeerChecks(func(ctx context.Context, address string, since time.Time) PeerState {
+		state := c.checkPeer(ctx, address, since)
+		if state == PeerSilent {
+			c.suspectSilent(address, since)
+		}
+		return state
+	})
 	return c
 }
 
@@ -82,7 +88,7 @@
 }
 
 // suspectSilent marks the idle connections to a peer on which no data arrived since the given time. It is called when a
-// connection that was used at that time is silent and nothing is known about the peer.
+// connection that was used at that time is silent and the peer was not checked or does not answer.
 func (c *connPool) suspectSilent(address string, since time.Time) {
 	for _, conn := range c.takeIdle(address, silentSince(since), maxIdlePerPeer) {
 		conn.suspect = true
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -208,6 +208,23 @@
 	}
 }
 
+// Guards against sending further requests on idle connections while the peer is known not to answer.
+func TestSilentPeerMakesIdleConnectionsSuspect(t *testing.T) {
+	f := newRouterFixture(t)
+	f.connect(t, pooledConnections)
+	f.relay.Delay(time.Hour, 0)
+	var waiting sync.WaitGroup
+	waiting.Go(func() { _, _, _ = f.dispatch(unrepeatable["keyed"], dispatchTimeout) })
+	// The check begins after 450 ms without data and takes at most 500 ms.
+	<-time.After(time.Second)
+	f.relay.Silence(true, true)
+	f.relay.Delay(0, 0)
+	if _, took, err := f.dispatch(unrepeatable["keyed"], dispatchTimeout); err != nil || took > unaffectedBound {
+		t.Errorf("error %v after %v, want an answer within %v", err, took, unaffectedBound)
+	}
+	waiting.Wait()
+}
+
 // Guards against a stampede of checks when many calls wait for the same slow peer.
 func TestSilentCallsShareOneCheck(t *testing.T) {
 	const calls = 100
