End an exchange in time when the server switches protocols

What callers saw: a request to a backend server that answered "101 Switching Protocols" (with Connection: Upgrade) and then sent little or nothing never got an answer. Its worker and its slot stayed taken, and a query of the work figure stayed under way, until the server closed the connection.

The cause: after 101, net/http hands the connection over as the body and no longer watches the context of the request, so that reading the body ignores the deadline. The transport read the body of every response, whatever its status.

The evidence: the new test sends bytes without end in 28 places of an answer, fast and slowly, over real sockets.

Ruled out: interim answers without end (102, 103) count towards the limit of the header, so they end the exchange.

The change: a response with a status below 200 is not a final answer. The transport returns an error and closes the connection without reading from it, so that no read can outlive the deadline.

--- /dev/null
+++ b/internal/httpwire/endless_test.go
@@ -0,0 +1,173 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherreel/internal/problem"
+)
+
+const (
+	// endlessTimeout is the deadline of an exchange with a server that sends bytes without end.
+	endlessTimeout = 250 * time.Millisecond
+	// endlessSlack is the time that an exchange may take after its deadline.
+	endlessSlack = 200 * time.Millisecond
+	// closeLimit is the time within which the server must notice the close of the connection.
+	closeLimit = 500 * time.Millisecond
+	// trickle is the pause between single bytes of a slow server.
+	trickle = 100 * time.Millisecond
+	// headOK begins an answer.
+	headOK = "HTTP/1.1 200 OK\r\n"
+)
+
+// endlessServer sends bytes without end on its first connection, and an answer on each later one.
+type endlessServer struct {
+	listener net.Listener
+	conns    atomic.Int64
+	// closed is closed when the client has closed the first connection.
+	closed chan struct{}
+}
+
+// endlessBytes are a beginning and bytes that follow again and again, with a pause after each if pause is not zero.
+type endlessBytes struct {
+	begin, repeat string
+	pause         time.Duration
+}
+
+func newEndlessServer(t *testing.T, b endlessBytes) *endlessServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &endlessServer{listener: listener, closed: make(chan struct{})}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, b, s.conns.Add(1) == 1)
+		}
+	}()
+	return s
+}
+
+func (s *endlessServer) serve(conn net.Conn, b endlessBytes, endless bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if endless {
+			break
+		}
+		if _, err := io.WriteString(conn, headOK+"Content-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, reader)
+		close(s.closed)
+	}()
+	repeat := b.repeat
+	if b.pause == 0 {
+		repeat = strings.Repeat(b.repeat, 1+4096/len(b.repeat))
+	}
+	_, err := io.WriteString(conn, b.begin)
+	for err == nil {
+		_, err = io.WriteString(conn, repeat)
+		time.Sleep(b.pause)
+	}
+}
+
+// endlessAnswers are bytes without end that are no answer.
+var endlessAnswers = map[string]endlessBytes{
+	"no protocol":             {"", "\x00\x01garbage", 0},
+	"empty lines":             {"", "\r\n", 0},
+	"status line":             {"HTTP/1.1 200 ", "x", 0},
+	"header lines":            {headOK, "X-A: x\r\n", 0},
+	"header line":             {headOK + "X-A: ", "x", 0},
+	"header name":             {headOK, "x", 0},
+	"continued header line":   {headOK + "X-A: x\r\n", " x\r\n", 0},
+	"interim answers":         {"", "HTTP/1.1 102 Processing\r\n\r\n", 0},
+	"early hints":             {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 0},
+	"switched protocol":       {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "x", 0},
+	"chunks":                  {headOK + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n", 0},
+	"chunk":                   {headOK + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffff\r\n", "x", 0},
+	"chunk size":              {headOK + "Transfer-Encoding: chunked\r\n\r\n", "0", 0},
+	"chunk extension":         {headOK + "Transfer-Encoding: chunked\r\n\r\n1;", "x", 0},
+	"chunk extensions":        {headOK + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 500) + "\r\nx\r\n", 0},
+	"trailer lines":           {headOK + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X-A: x\r\n", 0},
+	"trailer line":            {headOK + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-A: ", "x", 0},
+	"until close":             {headOK + "\r\n", "x", 0},
+	"length":                  {headOK + "Content-Length: 9223372036854775807\r\n\r\n", "x", 0},
+	"slow status line":        {"HTTP/1.1 200 ", "x", trickle},
+	"slow header":             {headOK + "X-A: ", "x", trickle},
+	"slow interim answers":    {"", "HTTP/1.1 102 Processing\r\n\r\n", trickle},
+	"slow switched protocol":  {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "x", trickle},
+	"slow chunks":             {headOK + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", trickle},
+	"slow chunk extension":    {headOK + "Transfer-Encoding: chunked\r\n\r\n1;", "x", trickle},
+	"slow trailer":            {headOK + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-A: ", "x", trickle},
+	"slow body until close":   {headOK + "\r\n", "x", trickle},
+	"slow body with a length": {headOK + "Content-Length: 1000\r\n\r\n", "x", trickle},
+}
+
+// checkEndless makes one exchange with a server that sends b. The exchange must end in time with an error that leaves
+// open whether the request ran, and the connection must be closed.
+func checkEndless(t *testing.T, b endlessBytes, closeDelimited bool) {
+	t.Helper()
+	s := newEndlessServer(t, b)
+	transport := NewTransport(Options{MaxConnections: 1, DialTimeout: time.Second, IdleTimeout: time.Minute})
+	defer transport.Close()
+	call := Call{Method: "POST", Address: s.listener.Addr().String(), Path: "/k", Body: []byte("b"),
+		MaxResponseBytes: 256 << 10, AllowCloseDelimited: closeDelimited}
+	ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() {
+		_, err := transport.Do(ctx, call)
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		if !errors.Is(err, problem.Unavailable) && !errors.Is(err, problem.TooLarge) {
+			t.Errorf("error %v, want unavailable or too_large", err)
+		}
+	case <-time.After(endlessTimeout + endlessSlack):
+		t.Fatalf("the exchange has not ended %v after its deadline", endlessSlack)
+	}
+	select {
+	case <-s.closed:
+	case <-time.After(closeLimit):
+		t.Fatalf("the connection is still open %v after the exchange", closeLimit)
+	}
+	if r, err := transport.Do(t.Context(), call); err != nil || string(r.Body) != "ok" {
+		t.Errorf("next exchange: %q, %v", r.Body, err)
+	}
+}
+
+// Guards against an exchange that does not end because the server sends bytes without end that are no answer.
+func TestBytesWithoutEndEndTheExchange(t *testing.T) {
+	for name, b := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkEndless(t, b, true)
+			checkEndless(t, b, false)
+		})
+	}
+}
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -28,6 +28,10 @@
 // maxHeaderBytes is the maximum size of the headers of a response.
 const maxHeaderBytes = 64 << 10
 
+// minFinalStatus is the lowest status of a final answer. After 101 (Switching Protocols) net/http hands over the
+// connection, and a read from it does not end with the context of the request.
+const minFinalStatus = 200
+
 // Transport makes HTTP/1.1 exchanges over persistent connections, one at a time on each. It follows no redirects, uses
 // no proxy and no compression, and sends each request at most once.
 type Transport struct {
@@ -101,7 +105,12 @@
 		t.closeIdleAfterDeadline(ctx)
 		return Response{}, e.classifyError(ctx, err)
 	}
+	// Close ends the connection unless the body was read to its end.
 	defer response.Body.Close()
+	if response.StatusCode < minFinalStatus {
+		return Response{}, problem.New(problem.Unavailable, "ask with the same request id whether it ran",
+			"status %d is not that of a final answer", response.StatusCode)
+	}
 	body, err := readBody(c, response)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
