Answer the caller when a backend server sends an impossible status

What callers saw: when a backend server answered with a status below 100 (such as "HTTP/1.1 042") and the right request id, the connection of the caller was closed without an answer. 101, 199 and 600 to 999 reached the caller as if they were answers.

The cause: net/http's client accepts any three digits, and its server panics in WriteHeader below 100 ("invalid WriteHeader code 42"). The handler of callers' requests passed the status on as it came. internal/caller checks it, platform/caller and the transport did not.

The change: the check of internal/caller moves to httpwire.IsFinalStatus.

--- a/internal/caller/encode.go
+++ b/internal/caller/encode.go
@@ -38,7 +38,7 @@
 // writeAnswer writes an answer as the HTTP response. path is the percent-encoded path of the request, which a redirect
 // repeats; detail may be empty.
 func writeAnswer(w http.ResponseWriter, path string, a request.Answer, detail string) {
-	if a.Outcome == request.Done && !isFinalStatus(a.Status) {
+	if a.Outcome == request.Done && !httpwire.IsFinalStatus(a.Status) {
 		a = request.Uncertain(request.ConnectionLost, "report the backend server: its answer has no valid status")
 	}
 	w.Header().Set(httpwire.HeaderOutcome, a.Outcome.String())
@@ -55,9 +55,6 @@
 	httpwire.WriteProblem(w, body)
 }
 
-// isFinalStatus reports whether a status of a backend server is valid as the final status of a response.
-func isFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
-
 // writeBackendAnswer passes on the response of the backend server.
 func writeBackendAnswer(w http.ResponseWriter, a request.Answer) {
 	h := w.Header()
--- a/internal/httpwire/endless_test.go
+++ b/internal/httpwire/endless_test.go
@@ -91,7 +91,7 @@
 	_, err := io.WriteString(conn, b.begin)
 	for err == nil {
 		_, err = io.WriteString(conn, repeat)
-		time.Sleep(b.pause)
+		<-time.After(b.pause)
 	}
 }
 
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -28,9 +28,10 @@
 // maxHeaderBytes is the maximum size of the headers of a response.
 const maxHeaderBytes = 64 << 10
 
-// minFinalStatus is the lowest status of a final answer. After 101 (Switching Protocols) net/http hands over the
-// connection, and a read from it does not end with the context of the request.
-const minFinalStatus = 200
+// IsFinalStatus reports whether a status is valid as that of an answer. A handler of net/http panics if it passes on one
+// below 100, and after 101 (Switching Protocols) net/http hands over the connection, so that a read from it does not end
+// with the context of the request.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
 
 // Transport makes HTTP/1.1 exchanges over persistent connections, one at a time on each. It follows no redirects, uses
 // no proxy and no compression, and sends each request at most once.
@@ -107,7 +108,7 @@
 	}
 	// Close ends the connection unless the body was read to its end.
 	defer response.Body.Close()
-	if response.StatusCode < minFinalStatus {
+	if !IsFinalStatus(response.StatusCode) {
 		return Response{}, problem.New(problem.Unavailable, "ask with the same request id whether it ran",
 			"status %d is not that of a final answer", response.StatusCode)
 	}
