Drop bytes that their head proves to be no answer without reading the body

What callers saw: a backend server in trouble that sends bytes without end kept a slot and a worker until the deadline of the request, or until 16 MiB had been read, although the head showed already that the bytes were no answer: another request id or none, a success without a signature, an encoded body, a refusal status without Heatherreel-Not-Executed. The same holds for an answer whose stated length is over the limit.

The cause: the transport read the whole body before its caller looked at the head.

The change: Call.CheckHead lets the caller of the transport judge the head before the body is read. A stated length over the limit is refused at once.

--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -79,6 +79,9 @@
 	// AllowCloseDelimited accepts a response body that is delimited only by the close of the connection (RFC 9112,
 	// section 6.3). The caller must have another way to tell a complete body from a truncated one.
 	AllowCloseDelimited bool
+	// CheckHead is called before the body is read, unless it is nil. If it returns an error, the bytes received are not
+	// an answer to the request: the exchange ends without reading the body.
+	CheckHead func(status int, h http.Header) error
 }
 
 // Response is a complete HTTP response.
@@ -90,7 +93,8 @@
 
 // Do sends one request and reads the whole response. If ctx ends first, the connection is closed. Errors are
 // problem.NotSent if no byte was sent, problem.TooLarge for a response over the limit, and problem.Unavailable for any
-// failure after sending began; they wrap the error of ctx if it ended.
+// failure after sending began; they wrap the error of ctx if it ended, and a problem.Malformed error if the bytes
+// received are not an answer to the request.
 func (t *Transport) Do(ctx context.Context, c Call) (Response, error) {
 	request, err := c.request()
 	if err != nil {
@@ -108,9 +112,8 @@
 	}
 	// Close ends the connection unless the body was read to its end.
 	defer response.Body.Close()
-	if !IsFinalStatus(response.StatusCode) {
-		return Response{}, problem.New(problem.Unavailable, "ask with the same request id whether it ran",
-			"status %d is not that of a final answer", response.StatusCode)
+	if err := checkHead(c, response); err != nil {
+		return Response{}, err
 	}
 	body, err := readBody(c, response)
 	if err != nil {
@@ -180,17 +183,45 @@
 	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "lost after sending: %w", err)
 }
 
-// readBody reads the body of response and checks that it is complete.
-func readBody(c Call, response *http.Response) ([]byte, error) {
+// errNoAnswer returns the problem.Unavailable error for bytes that are not an answer to the request. It wraps cause,
+// which is a problem.Malformed error.
+func errNoAnswer(cause error) error {
+	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "the server sent no answer: %w", cause)
+}
+
+// checkHead checks what can be known about response before its body is read. A body without end would otherwise hold
+// the exchange until its deadline, or until the size limit has been read.
+func checkHead(c Call, response *http.Response) error {
+	if !IsFinalStatus(response.StatusCode) {
+		return errNoAnswer(problem.New(problem.Malformed, "correct the server", "status %d is not that of a final answer", response.StatusCode))
+	}
+	if c.CheckHead != nil {
+		if err := c.CheckHead(response.StatusCode, response.Header); err != nil {
+			return errNoAnswer(err)
+		}
+	}
 	if !c.AllowCloseDelimited && !isSelfDelimited(c.Method, response) {
-		return nil, problem.New(problem.Unavailable, "have the server state the length of its answer", "the answer has no length")
+		return problem.New(problem.Unavailable, "have the server state the length of its answer", "the answer has no length")
+	}
+	if c.Method != http.MethodHead && response.ContentLength > c.MaxResponseBytes {
+		return errTooLarge(c)
 	}
+	return nil
+}
+
+// errTooLarge returns the error for an answer over the size limit of c.
+func errTooLarge(c Call) error {
+	return problem.New(problem.TooLarge, "ask for less data at once", "the answer is over %d bytes", c.MaxResponseBytes)
+}
+
+// readBody reads the body of response and checks that it is complete.
+func readBody(c Call, response *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.MaxResponseBytes+1))
 	if err != nil {
 		return nil, problem.New(problem.Unavailable, "ask with the same request id whether it ran", "the answer was cut short: %w", err)
 	}
 	if int64(len(body)) > c.MaxResponseBytes {
-		return nil, problem.New(problem.TooLarge, "ask for less data at once", "the answer is over %d bytes", c.MaxResponseBytes)
+		return nil, errTooLarge(c)
 	}
 	return body, nil
 }
