Drop the answer to another request without reading its body

What callers saw: over the project's own interface to backend servers, an answer that names another request id and does not end kept its request until the deadline.

The cause: Client.Execute compared the request id only after the whole body had been read.

The evidence: the case "another id" of TestAnswerWithoutEndEndsTheExchange failed with "deadline_exceeded" after 1.0 s; "this id", an answer that may still be one, held and stays as a guard.

The change: the id is checked with Call.CheckHead, before the body is read. Outcome and reason are the same as for such an answer that ends.

--- a/internal/backendserver/execute.go
+++ b/internal/backendserver/execute.go
@@ -32,11 +32,20 @@
 		Header:           executeHeaders(slice, fence, deadline, remaining, r),
 		Body:             r.Body,
 		MaxResponseBytes: c.maxResponseBytes,
+		CheckHead:        func(_ int, h http.Header) error { return checkHead(r, h) },
 	})
 	if err != nil {
 		return failureAnswer(err)
 	}
-	return decodeAnswer(r, response)
+	return decodeAnswer(response)
+}
+
+// checkHead returns a problem.Malformed error if the response belongs to another request than r.
+func checkHead(r request.Request, h http.Header) error {
+	if echoed := h.Get(httpwire.HeaderRequestID); echoed != "" && echoed != r.ID {
+		return problem.New(problem.Malformed, "report the backend server", "it answered another request")
+	}
+	return nil
 }
 
 // executeHeaders returns the headers of a request. remaining is in milliseconds. The deadline is also sent as wall
@@ -67,6 +76,8 @@
 		return request.Refuse(request.BackendUnreachable, "retry; the node looks for its backend server")
 	case errors.Is(err, problem.TooLarge):
 		return request.Uncertain(request.AnswerTooLarge, "ask for less data at once; the request has run")
+	case errors.Is(err, problem.Malformed):
+		return request.Uncertain(request.ConnectionLost, "report the backend server: what it sent is no answer to the request")
 	case errors.Is(err, context.DeadlineExceeded):
 		return request.Uncertain(request.DeadlineExceeded, checkWhetherItRan)
 	default:
@@ -74,11 +85,8 @@
 	}
 }
 
-// decodeAnswer decodes a complete response to r.
-func decodeAnswer(r request.Request, response httpwire.Response) request.Answer {
-	if echoed := response.Header.Get(httpwire.HeaderRequestID); echoed != "" && echoed != r.ID {
-		return request.Uncertain(request.ConnectionLost, "report the backend server: it answered another request")
-	}
+// decodeAnswer decodes a complete response.
+func decodeAnswer(response httpwire.Response) request.Answer {
 	switch refused := response.Header.Get(httpwire.HeaderRefused); {
 	case refused == httpwire.RefusedFence && response.Status == http.StatusConflict:
 		return request.Refuse(request.BackendRefused, "retry; the key may have a new owner")
