Bound the memory of answers that do not end

What callers saw: a backend server in trouble that sends a valid head and then a body without end on all its slots at once could make the node exceed its memory, which ends the process and every request on the node.

The cause: each answer was read into one buffer of up to 16 MiB, which was copied to a larger one whenever it was full, and nothing bounded the sum over the 64 workers of the gateway.

The interface to the project's own backend servers keeps its limit of 16 MiB for an answer, with 40 MiB for all together.

--- a/internal/backendserver/client.go
+++ b/internal/backendserver/client.go
@@ -25,6 +25,8 @@
 	dialTimeout             = 500 * time.Millisecond
 	idleTimeout             = 30 * time.Second
 	maxControlResponseBytes = 64 << 10
+	// maxBufferedBytes bounds the memory of all answers that are being read, in bytes. Reading one takes twice its size.
+	maxBufferedBytes = 40 << 20
 )
 
 // Grants are all slices for which the node may send requests. They replace the grants sent before.
@@ -73,9 +75,10 @@
 
 func newTransport(connections int) *httpwire.Transport {
 	return httpwire.NewTransport(httpwire.Options{
-		MaxConnections: connections,
-		DialTimeout:    dialTimeout,
-		IdleTimeout:    idleTimeout,
+		MaxConnections:   connections,
+		DialTimeout:      dialTimeout,
+		IdleTimeout:      idleTimeout,
+		MaxBufferedBytes: maxBufferedBytes,
 	})
 }
 
