Keep bytes that follow an answer away from the next request

What callers saw: when a backend server sent additional bytes after a complete answer, the next requests failed although the backend server was able to serve them. Under load about half were answered 503 (backend_unreachable), without having been sent, and some percent were sent and then lost, since the additional bytes were taken for their answer. Over the project's own interface, where a backend server need not repeat the request id, such bytes could reach a caller as the answer to another request.

The cause: net/http puts a connection back into its pool as soon as an answer is complete, and looks only afterwards whether more bytes are in its buffer. If a request takes the connection before that, the bytes count as its answer; if net/http has just closed it, the request fails. The transport refused every second attempt of net/http, also when nothing had been sent.

The evidence: TestBytesAfterAnAnswerDoNotReachTheNextRequest makes 200 requests by 4 callers over 2 connections.

Ruled out: a check of the request id alone, which finds such an answer but loses the request, as it has been sent by then.

The change: an exchange on a pooled connection begins only when net/http waits for data on it, which proves that its buffer is empty, or has closed it. If the attempt then ends before a byte was written, on a connection that was used before, the exchange tries the next connection; an answer that comes before a byte was written is dropped. A request is still written at most once (TestRequestIsSentAtMostOnce). Bytes that arrive only after the request was written cannot be told from its answer here; the request id does that.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -21,20 +22,66 @@
 type writeTrackingConn struct {
 	net.Conn
 	state atomic.Uint32
+	// reading is true while a read is in progress, and closed after Close. changed holds a token after each change of
+	// them to true.
+	reading, closed atomic.Bool
+	changed         chan struct{}
 }
 
-// beginExchange resets the state for the next exchange on the connection.
-func (c *writeTrackingConn) beginExchange() { c.state.Store(nothingWritten) }
+func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
+	return &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+}
+
+// beginExchange resets the state for the next exchange on the connection. It waits until net/http waits for data on the
+// connection or has closed it. If instead bytes came with the previous answer, net/http closes the connection, but if
+// an exchange began before that, it would take them for the answer to the new request.
+func (c *writeTrackingConn) beginExchange(ctx context.Context) {
+	c.state.Store(nothingWritten)
+	for !c.reading.Load() && !c.closed.Load() {
+		select {
+		case <-c.changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // abort makes all further writes of the exchange fail. It reports whether a write had started.
 func (c *writeTrackingConn) abort() bool {
 	return c.state.Swap(aborted) == writeStarted
 }
 
+// signalChange wakes beginExchange.
+func (c *writeTrackingConn) signalChange() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Read implements net.Conn.
+func (c *writeTrackingConn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
+	c.signalChange()
+	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *writeTrackingConn) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	if !c.state.CompareAndSwap(nothingWritten, writeStarted) && c.state.Load() == aborted {
 		return 0, errAborted
 	}
 	return c.Conn.Write(p)
 }
+
+// Close implements net.Conn.
+func (c *writeTrackingConn) Close() error {
+	c.closed.Store(true)
+	c.signalChange()
+	return c.Conn.Close()
+}
--- a/internal/httpwire/endless_test.go
+++ b/internal/httpwire/endless_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -171,3 +172,66 @@
 		})
 	}
 }
+
+// Guards against a request that fails because it is given a connection on which bytes arrived after the last answer, and
+// against such bytes being taken for the answer to it.
+func TestBytesAfterAnAnswerDoNotReachTheNextRequest(t *testing.T) {
+	const rounds = 200
+	for name, after := range map[string]string{"garbage": strings.Repeat("x", 64), "another answer": headOK + "Content-Length: 5\r\n\r\nextra"} {
+		for _, method := range []string{"GET", "POST"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				s := newRawServer(t, func(_ int, c net.Conn) bool {
+					_, err := io.WriteString(c, headOK+"Content-Length: 2\r\n\r\nok"+after)
+					return err == nil
+				})
+				transport := NewTransport(Options{MaxConnections: 2, DialTimeout: time.Second, IdleTimeout: time.Minute})
+				defer transport.Close()
+				var notSent, lost, crossed atomic.Int64
+				var callers sync.WaitGroup
+				for range 4 {
+					callers.Go(func() {
+						for range rounds / 4 {
+							r, err := transport.Do(t.Context(), newCall(method, s.address(), []byte("b")))
+							switch {
+							case errors.Is(err, problem.NotSent):
+								notSent.Add(1)
+							case err != nil:
+								lost.Add(1)
+							case string(r.Body) != "ok":
+								crossed.Add(1)
+							}
+						}
+					})
+				}
+				callers.Wait()
+				if notSent.Load()+lost.Load()+crossed.Load() > 0 {
+					t.Errorf("of %d requests %d were not sent, %d were lost, and %d got other bytes", rounds, notSent.Load(), lost.Load(), crossed.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a connection that stays open, and is used again, while the server sends bytes without end after a
+// complete answer.
+func TestBytesWithoutEndAfterAnAnswer(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": trickle} {
+		for _, method := range []string{"GET", "POST"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				s := newEndlessServer(t, endlessBytes{headOK + "Content-Length: 2\r\n\r\nok", "x", pause})
+				transport := newTestTransport(t)
+				for range 3 {
+					r, err := transport.Do(t.Context(), newCall(method, s.listener.Addr().String(), nil))
+					if err != nil || string(r.Body) != "ok" {
+						t.Errorf("body %q, error %v", r.Body, err)
+					}
+				}
+				select {
+				case <-s.closed:
+				case <-time.After(closeLimit):
+					t.Errorf("the connection is still open %v after the exchange", closeLimit)
+				}
+			})
+		}
+	}
+}
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -53,7 +53,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &writeTrackingConn{Conn: conn}, nil
+			return newWriteTrackingConn(conn), nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     o.MaxConnections,
@@ -101,33 +101,52 @@
 // failure after sending began; they wrap the error of ctx if it ended, and a problem.Malformed error if the bytes
 // received are not an answer to the request.
 func (t *Transport) Do(ctx context.Context, c Call) (Response, error) {
-	request, err := c.request()
-	if err != nil {
-		return Response{}, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
-	}
 	// The response body is read under this context too, so that a peer that stops sending cannot block the exchange.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var e exchange
+	for {
+		response, reused, err := t.try(ctx, c)
+		if reused && ctx.Err() == nil && problem.KindOf(err) == problem.NotSent {
+			// The connection closed while it was idle, or held bytes that came after the last answer.
+			continue
+		}
+		return response, err
+	}
+}
+
+// try makes an attempt of an exchange, which is the last one unless it ends with problem.NotSent. It also reports whether
+// the connection had been used before.
+func (t *Transport) try(ctx context.Context, c Call) (answer Response, reused bool, err error) {
+	request, err := c.request()
+	if err != nil {
+		return Response{}, false, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
+	}
+	e := exchange{ctx: ctx}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
 	response, err := t.rt.RoundTrip(request)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
-		return Response{}, e.classifyError(ctx, err)
+		return Response{}, e.reused, e.classifyError(ctx, err)
 	}
 	// Close ends the connection unless the body was read to its end.
 	defer response.Body.Close()
+	if !e.hasSent() {
+		return Response{}, e.reused, e.classifyError(ctx, errUnsolicited)
+	}
 	if err := checkHead(c, response); err != nil {
-		return Response{}, err
+		return Response{}, e.reused, err
 	}
 	body, err := t.readBody(c, response.Body)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
-		return Response{}, err
+		return Response{}, e.reused, err
 	}
-	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, e.reused, nil
 }
 
+// errUnsolicited is the cause of the end of an exchange whose connection held bytes that came after the last answer.
+var errUnsolicited = errors.New("the connection holds bytes that no request asked for")
+
 // closeIdleAfterDeadline closes the idle connections if the deadline of ctx passed. A missed deadline is the only sign
 // of a connection that fails without a reset, for example because a device on the path lost its connection state. Often
 // all connections to the peer fail together, and each one left in the pool would fail another request. A slow server
@@ -155,24 +174,39 @@
 	return r, nil
 }
 
-// exchange records the connection that was used for one call, and aborts any further one.
+// exchange records the connection that was used for one attempt, and aborts any further one after the request was sent.
 //
 // net/http retries a request on its own when a persistent connection fails, if the method is GET, HEAD, OPTIONS or
 // TRACE without a body, or if no byte was written. A retry of the first kind could run a request twice that the
-// configuration declares non-idempotent; both kinds bypass the owner's lease check and the retry budget. A second
-// connection is therefore aborted before anything is written to it.
+// configuration declares non-idempotent. Its connection is therefore aborted before anything is written to it.
 type exchange struct {
+	ctx        context.Context
 	connection atomic.Pointer[writeTrackingConn]
+	// sent is true if a connection before the present one was written to.
+	sent atomic.Bool
+	// reused is true if the connection had been used before. It is written before the round trip ends.
+	reused bool
 }
 
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn.(*writeTrackingConn)
-	if !e.connection.CompareAndSwap(nil, conn) {
+	if previous := e.connection.Load(); previous != nil && previous.abort() {
+		e.sent.Store(true)
+	}
+	if e.sent.Load() {
 		conn.abort()
 		return
 	}
-	conn.beginExchange()
+	conn.beginExchange(e.ctx)
+	e.reused = info.Reused
+	e.connection.Store(conn)
+}
+
+// hasSent reports whether a write of the request has started.
+func (e *exchange) hasSent() bool {
+	conn := e.connection.Load()
+	return e.sent.Load() || conn != nil && conn.state.Load() == writeStarted
 }
 
 // classifyError returns the error for a call without a response: problem.NotSent if nothing was written, otherwise
@@ -182,7 +216,7 @@
 		err = ctx.Err()
 	}
 	conn := e.connection.Load()
-	if conn == nil || !conn.abort() {
+	if !e.sent.Load() && (conn == nil || !conn.abort()) {
 		return problem.New(problem.NotSent, "retry, at another node if this repeats", "nothing was sent: %w", err)
 	}
 	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "lost after sending: %w", err)
