Answer typed when an answer is larger than a message between nodes

What callers saw: a request that another node ran, with an answer of about 16 MiB or more, ended as "connection lost" between the nodes, and the connection was closed.

The cause: the sender did not compare an answer with the size limit of messages, which the receiver enforces by breaking the connection.

The change: an answer with a body over 15.75 MiB is sent as "outcome unknown", answer_too_large, with what else the answer says about the node. The gateway's own limit of 8 MiB is below that already; this covers the interface to the project's own backend servers, which may send 16 MiB, and nodes with other limits.

--- a/internal/node/codec.go
+++ b/internal/node/codec.go
@@ -82,7 +82,16 @@
 	}
 }
 
+// maxAnswerBody is the maximum size of the body of an answer, in bytes. The rest of the message is for the header, which
+// has at most 64 KiB as a backend server sends it. A larger message would break the connection.
+const maxAnswerBody = maxMessageSize - 256<<10
+
 func encodeAnswer(a request.Answer, correlation uint64) *nodepb.ForwardResponse {
+	if len(a.Body) > maxAnswerBody {
+		offset := a.LedgerOffset
+		a = request.Uncertain(request.AnswerTooLarge, "ask for less data at once; the request has run")
+		a.LedgerOffset = offset
+	}
 	return &nodepb.ForwardResponse{
 		Correlation:  correlation,
 		Outcome:      encodeOutcome(a.Outcome),
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -111,6 +111,9 @@
 }
 
 func encodeDispatchAnswer(a routed.Answer) *nodepb.DispatchResponse {
+	if len(a.Body) > maxAnswerBody {
+		a.Outcome, a.Reason, a.Status, a.Header, a.Body = request.Unknown, request.AnswerTooLarge, 0, nil, nil
+	}
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: encodeDuration(a.RetryAfter),
 		Status: uint32(a.Status), Header: encodeHeader(a.Header), Body: a.Body, Offered: a.ReachedServer,
