Tell bytes that are no answer from lost connections in the log

What operators saw: event 514 and the metrics had the reason connection_lost when a backend server sent bytes that are no answer, such as a header, interim answers, chunk extensions or trailers without end, or none of the protocol at all. It looked like a fault of the connection.

The cause: the transport had one error for all failures after sending.

The change: if a response fails although no read on its connection failed and the deadline has not passed, the bytes are the cause: the error also is problem.Malformed, and the reason answer_invalid. Outcome and status (502) stay.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -26,6 +26,8 @@
 	// them to true.
 	reading, closed atomic.Bool
 	changed         chan struct{}
+	// readFailed is true after a read has failed, also at the end of the connection.
+	readFailed atomic.Bool
 }
 
 func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
@@ -64,6 +66,9 @@
 	c.reading.Store(true)
 	c.signalChange()
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readFailed.Store(true)
+	}
 	c.reading.Store(false)
 	return n, err
 }
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -139,6 +139,9 @@
 	body, err := t.readBody(c, response.Body)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
+		if e.receivedMalformed() && problem.KindOf(err) == problem.Unavailable {
+			err = errNoAnswer(problem.New(problem.Malformed, "correct the server", "%w", err))
+		}
 		return Response{}, e.reused, err
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, e.reused, nil
@@ -219,9 +222,19 @@
 	if !e.sent.Load() && (conn == nil || !conn.abort()) {
 		return problem.New(problem.NotSent, "retry, at another node if this repeats", "nothing was sent: %w", err)
 	}
+	if e.receivedMalformed() {
+		return errNoAnswer(problem.New(problem.Malformed, "correct the server", "%w", err))
+	}
 	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "lost after sending: %w", err)
 }
 
+// receivedMalformed reports, for an exchange that failed after sending, whether the bytes received are the cause: neither
+// the connection failed nor did the context end.
+func (e *exchange) receivedMalformed() bool {
+	conn := e.connection.Load()
+	return conn != nil && e.ctx.Err() == nil && !e.sent.Load() && !conn.readFailed.Load()
+}
+
 // errNoAnswer returns the problem.Unavailable error for bytes that are not an answer to the request. It wraps cause,
 // which is a problem.Malformed error.
 func errNoAnswer(cause error) error {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -130,7 +130,7 @@
 	// MachineSlow means that the machine of the backend server is slow at present, so another backend server may be
 	// faster.
 	MachineSlow Reason = "machine_slow"
-	// AnswerInvalid means that the answer of the backend server was truncated or does not belong to the request.
+	// AnswerInvalid means that the backend server sent bytes that are malformed or no answer to the request.
 	AnswerInvalid Reason = "answer_invalid"
 	// AnswerTooLarge means that the request ran, but its answer exceeds the size limit of the router.
 	AnswerTooLarge Reason = "answer_too_large"
