--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -23,27 +23,37 @@
 	DialTimeout time.Duration
 	// IdleTimeout is the time after which an idle connection is closed.
 	IdleTimeout time.Duration
+	// MaxBufferedBytes bounds the memory of all large response bodies that are being read, in bytes.
+	MaxBufferedBytes int64
 }
 
 // maxHeaderBytes is the maximum size of the headers of a response.
 const maxHeaderBytes = 64 << 10
 
+// IsFinalStatus reports whether a status is valid as that of an answer. A handler of net/http panics if it passes on one
+// below 100, and after 101 (Switching Protocols) net/http hands over the connection, so that a read from it does not end
+// with the context of the request.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+
 // Transport makes HTTP/1.1 exchanges over persistent connections, one at a time on each. It follows no redirects, uses
 // no proxy and no compression, and sends each request at most once.
 type Transport struct {
-	rt *http.Transport
+	rt        *http.Transport
+	maxShared int64
+	// shared is the memory of the large response bodies that are being read, in bytes.
+	shared atomic.Int64
 }
 
 // NewTransport returns a transport without open connections. Call Close when it is no longer used.
 func NewTransport(o Options) *Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	return &Transport{rt: &http.Transport{
+	return &Transport{maxShared: o.MaxBufferedBytes, rt: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &writeTrackingConn{Conn: conn}, nil
+			return newWriteTrackingConn(conn), nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     o.MaxConnections,
@@ -74,6 +84,9 @@
 	// AllowCloseDelimited accepts a response body that is delimited only by the close of the connection (RFC 9112,
 	// section 6.3). The caller must have another way to tell a complete body from a truncated one.
 	AllowCloseDelimited bool
+	// CheckHead is called before the body is read, unless it is nil. If it returns an error, the bytes received are not
+	// an answer to the request: the exchange ends without reading the body.
+	CheckHead func(status int, h http.Header) error
 }
 
 // Response is a complete HTTP response.
@@ -85,31 +98,58 @@
 
 // Do sends one request and reads the whole response. If ctx ends first, the connection is closed. Errors are
 // problem.NotSent if no byte was sent, problem.TooLarge for a response over the limit, and problem.Unavailable for any
-// failure after sending began; they wrap the error of ctx if it ended.
+// failure after sending began; they wrap the error of ctx if it ended, and a problem.Malformed error if the bytes
+// received are not an answer to the request.
 func (t *Transport) Do(ctx context.Context, c Call) (Response, error) {
-	request, err := c.request()
-	if err != nil {
-		return Response{}, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
-	}
 	// The response body is read under this context too, so that a peer that stops sending cannot block the exchange.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var e exchange
+	for {
+		response, reused, err := t.try(ctx, c)
+		if reused && ctx.Err() == nil && problem.KindOf(err) == problem.NotSent {
+			// The connection closed while it was idle, or held bytes that came after the last answer.
+			continue
+		}
+		return response, err
+	}
+}
+
+// try makes an attempt of an exchange, which is the last one unless it ends with problem.NotSent. It also reports whether
+// the connection had been used before.
+func (t *Transport) try(ctx context.Context, c Call) (answer Response, reused bool, err error) {
+	request, err := c.request()
+	if err != nil {
+		return Response{}, false, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
+	}
+	e := exchange{ctx: ctx}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
 	response, err := t.rt.RoundTrip(request)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
-		return Response{}, e.classifyError(ctx, err)
+		return Response{}, e.reused, e.classifyError(ctx, err)
 	}
+	// Close ends the connection unless the body was read to its end.
 	defer response.Body.Close()
-	body, err := readBody(c, response)
+	if !e.hasSent() {
+		return Response{}, e.reused, e.classifyError(ctx, errUnsolicited)
+	}
+	if err := checkHead(c, response); err != nil {
+		return Response{}, e.reused, err
+	}
+	body, err := t.readBody(c, response.Body)
 	if err != nil {
 		t.closeIdleAfterDeadline(ctx)
-		return Response{}, err
+		if e.receivedMalformed() && problem.KindOf(err) == problem.Unavailable {
+			err = errNoAnswer(problem.New(problem.Malformed, "correct the server", "%w", err))
+		}
+		return Response{}, e.reused, err
 	}
-	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, e.reused, nil
 }
 
+// errUnsolicited is the cause of the end of an exchange whose connection held bytes that came after the last answer.
+var errUnsolicited = errors.New("the connection holds bytes that no request asked for")
+
 // closeIdleAfterDeadline closes the idle connections if the deadline of ctx passed. A missed deadline is the only sign
 // of a connection that fails without a reset, for example because a device on the path lost its connection state. Often
 // all connections to the peer fail together, and each one left in the pool would fail another request. A slow server
@@ -137,24 +177,39 @@
 	return r, nil
 }
 
-// exchange records the connection that was used for one call, and aborts any further one.
+// exchange records the connection that was used for one attempt, and aborts any further one after the request was sent.
 //
 // net/http retries a request on its own when a persistent connection fails, if the method is GET, HEAD, OPTIONS or
 // TRACE without a body, or if no byte was written. A retry of the first kind could run a request twice that the
-// configuration declares non-idempotent; both kinds bypass the owner's lease check and the retry budget. A second
-// connection is therefore aborted before anything is written to it.
+// configuration declares non-idempotent. Its connection is therefore aborted before anything is written to it.
 type exchange struct {
+	ctx        context.Context
 	connection atomic.Pointer[writeTrackingConn]
+	// sent is true if a connection before the present one was written to.
+	sent atomic.Bool
+	// reused is true if the connection had been used before. It is written before the round trip ends.
+	reused bool
 }
 
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn.(*writeTrackingConn)
-	if !e.connection.CompareAndSwap(nil, conn) {
+	if previous := e.connection.Load(); previous != nil && previous.abort() {
+		e.sent.Store(true)
+	}
+	if e.sent.Load() {
 		conn.abort()
 		return
 	}
-	conn.beginExchange()
+	conn.beginExchange(e.ctx)
+	e.reused = info.Reused
+	e.connection.Store(conn)
+}
+
+// hasSent reports whether a write of the request has started.
+func (e *exchange) hasSent() bool {
+	conn := e.connection.Load()
+	return e.sent.Load() || conn != nil && conn.state.Load() == writeStarted
 }
 
 // classifyError returns the error for a call without a response: problem.NotSent if nothing was written, otherwise
@@ -164,25 +219,126 @@
 		err = ctx.Err()
 	}
 	conn := e.connection.Load()
-	if conn == nil || !conn.abort() {
+	if !e.sent.Load() && (conn == nil || !conn.abort()) {
 		return problem.New(problem.NotSent, "retry, at another node if this repeats", "nothing was sent: %w", err)
 	}
+	if e.receivedMalformed() {
+		return errNoAnswer(problem.New(problem.Malformed, "correct the server", "%w", err))
+	}
 	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "lost after sending: %w", err)
 }
 
-// readBody reads the body of response and checks that it is complete.
-func readBody(c Call, response *http.Response) ([]byte, error) {
+// receivedMalformed reports, for an exchange that failed after sending, whether the bytes received are the cause: neither
+// the connection failed nor did the context end.
+func (e *exchange) receivedMalformed() bool {
+	conn := e.connection.Load()
+	return conn != nil && e.ctx.Err() == nil && !e.sent.Load() && !conn.readFailed.Load()
+}
+
+// errNoAnswer returns the problem.Unavailable error for bytes that are not an answer to the request. It wraps cause,
+// which is a problem.Malformed error.
+func errNoAnswer(cause error) error {
+	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "the server sent no answer: %w", cause)
+}
+
+// checkHead checks what can be known about response before its body is read. A body without end would otherwise hold
+// the exchange until its deadline, or until the size limit has been read.
+func checkHead(c Call, response *http.Response) error {
+	if !IsFinalStatus(response.StatusCode) {
+		return errNoAnswer(problem.New(problem.Malformed, "correct the server", "status %d is not that of a final answer", response.StatusCode))
+	}
+	if c.CheckHead != nil {
+		if err := c.CheckHead(response.StatusCode, response.Header); err != nil {
+			return errNoAnswer(err)
+		}
+	}
 	if !c.AllowCloseDelimited && !isSelfDelimited(c.Method, response) {
-		return nil, problem.New(problem.Unavailable, "have the server state the length of its answer", "the answer has no length")
+		return problem.New(problem.Unavailable, "have the server state the length of its answer", "the answer has no length")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.MaxResponseBytes+1))
+	if c.Method != http.MethodHead && response.ContentLength > c.MaxResponseBytes {
+		return errTooLarge(c)
+	}
+	return nil
+}
+
+// errTooLarge returns the error for an answer over the size limit of c.
+func errTooLarge(c Call) error {
+	return problem.New(problem.TooLarge, "ask for less data at once", "the answer is over %d bytes", c.MaxResponseBytes)
+}
+
+// Sizes of the buffers of a response body, in bytes.
+const (
+	// unsharedBytes is the part of each body that does not count towards Options.MaxBufferedBytes, so that usual answers
+	// arrive whatever else is being read.
+	unsharedBytes = 64 << 10
+	// chunkBytes is the size of the buffers for the rest. One buffer that doubles would take three times the memory while
+	// it is copied.
+	chunkBytes = 64 << 10
+)
+
+// readBody reads a response body and checks that it is complete.
+func (t *Transport) readBody(c Call, r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, min(unsharedBytes, c.MaxResponseBytes)+1))
 	if err != nil {
-		return nil, problem.New(problem.Unavailable, "ask with the same request id whether it ran", "the answer was cut short: %w", err)
+		return nil, errCutShort(err)
 	}
 	if int64(len(body)) > c.MaxResponseBytes {
-		return nil, problem.New(problem.TooLarge, "ask for less data at once", "the answer is over %d bytes", c.MaxResponseBytes)
+		return nil, errTooLarge(c)
+	}
+	if len(body) <= unsharedBytes {
+		return body, nil
 	}
-	return body, nil
+	return t.readLargeBody(c, r, body)
+}
+
+// readLargeBody reads the rest of a body that begins with begin, and returns the whole.
+func (t *Transport) readLargeBody(c Call, r io.Reader, begin []byte) ([]byte, error) {
+	var reserved int64
+	defer func() { t.shared.Add(-reserved) }()
+	reserve := func(size int64) error {
+		reserved += size
+		if t.shared.Add(size) > t.maxShared {
+			return problem.New(problem.TooLarge, "ask for less data at once", "the answers being read are over %d bytes", t.maxShared)
+		}
+		return nil
+	}
+	chunks, size := [][]byte{begin}, int64(len(begin))
+	for {
+		if err := reserve(chunkBytes); err != nil {
+			return nil, err
+		}
+		chunk := make([]byte, chunkBytes)
+		n, err := readFull(r, chunk)
+		chunks = append(chunks, chunk[:n])
+		size += int64(n)
+		switch {
+		case size > c.MaxResponseBytes:
+			return nil, errTooLarge(c)
+		case err == io.EOF:
+			if err := reserve(size); err != nil {
+				return nil, err
+			}
+			return bytes.Join(chunks, nil), nil
+		case err != nil:
+			return nil, errCutShort(err)
+		}
+	}
+}
+
+// readFull reads until buffer is full or an error occurs. Unlike io.ReadFull it returns the error of r, which is
+// io.ErrUnexpectedEOF for a truncated body and io.EOF for a complete one.
+func readFull(r io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var read int
+		read, err = r.Read(buffer[n:])
+		n += read
+	}
+	return n, err
+}
+
+// errCutShort returns the error for an answer whose body ended with err.
+func errCutShort(err error) error {
+	return problem.New(problem.Unavailable, "ask with the same request id whether it ran", "the answer was cut short: %w", err)
 }
 
 // isSelfDelimited reports whether the end of the response body is marked by a length or by chunked encoding. A body
