Try a request that may have run until its deadline

What callers saw: a keyed idempotent request whose first send got no answer was answered "unknown" at 60% of its time, or at once if the owner refused the second send for a full queue, although the owner might have answered in the time left.

Cause: awaitOwnerChange limits the wait for an owner as for a request that has not run. Such a request gains from an early end, because it is refused and the caller learns when to retry. A request that may have run cannot be refused: its early end is the outcome "unknown" that its deadline brings anyway.

Change: the limits apply only to requests that have not run. Others try the owner every 400 ms until the deadline.

Why it works: only idempotent requests get here after an unknown outcome, and the attempts and the retry budget of the service still bound the sends that reach a backend server.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -22,8 +22,8 @@
 	// notConfiguredRetryAfter is when a caller may retry at a node that has not read a configuration yet.
 	notConfiguredRetryAfter = 500 * time.Millisecond
 	// ownerRetryInterval is the longest time between two tries of a request whose key has no reachable owner.
-	// ownerWaitPercent is the part of its time, in percent, for which such a request is kept: a key that moves is
-	// served again after about a second.
+	// ownerWaitPercent is the part of its time, in percent, for which such a request is kept if it has not run: a key
+	// that moves is served again after about a second.
 	ownerRetryInterval = 400 * time.Millisecond
 	ownerWaitPercent   = 60
 	// serverRetryInterval is the time between two tries of a request that no backend server can serve. Such a request
@@ -288,17 +288,7 @@
 // awaitOwnerChange delays a request whose key has no reachable owner or is moving. It reports whether the request is
 // tried again.
 func (g *Gateway) awaitOwnerChange(ctx context.Context, a *activeRequest, now time.Time) bool {
-	switch a.lastAnswer.Reason {
-	case request.OwnerUnreachable:
-		if a.unknownReason == "" {
-			// The caller learns at once when to retry. That is not possible if the request may have run.
-			return false
-		}
-	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
-		// No change is expected soon; the caller learns at once when to retry.
-		return false
-	}
-	if now.Sub(a.started) > a.request.Deadline.Sub(a.started)*ownerWaitPercent/100 {
+	if a.unknownReason == "" && !a.awaitsOwner(now) {
 		return false
 	}
 	defer g.skipBatchDelay(registry.RangesTopic)()
@@ -320,6 +310,18 @@
 	}
 }
 
+// awaitsOwner reports whether a request that has not run waits for a change of the owner of its key; otherwise it is
+// refused, and the caller learns when to retry. A request that may have run cannot be refused, and tries the owner until
+// its deadline.
+func (a *activeRequest) awaitsOwner(now time.Time) bool {
+	switch a.lastAnswer.Reason {
+	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
+		// No change is expected soon.
+		return false
+	}
+	return now.Sub(a.started) <= a.request.Deadline.Sub(a.started)*ownerWaitPercent/100
+}
+
 // awaitServer delays a request that no further node can be asked for, if the last one had no ready backend server, was
 // draining or could not be reached. Other refusals, such as a full queue, are final. It reports whether the request is
 // tried again.
--- a/internal/gateway/ingress_test.go
+++ b/internal/gateway/ingress_test.go
@@ -9,6 +9,7 @@
 
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 )
 
@@ -47,3 +48,30 @@
 		})
 	}
 }
+
+// Guards against answering "unknown" with time left, when the owner that may have run the request is reached again.
+func TestUnknownSendUsesTheTimeLeft(t *testing.T) {
+	const timeout = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		table, _ := sim.instances["f0"].gateway.ranges.get("keyed")
+		r, _ := table.Find(10)
+		owner := r.Owner.Instance
+		sim.mu.Lock()
+		sim.silentAfterRun = owner
+		sim.mu.Unlock()
+		reconnected := timeout * 7 / 10
+		reconnect := time.AfterFunc(reconnected, func() {
+			sim.mu.Lock()
+			defer sim.mu.Unlock()
+			sim.silentAfterRun, sim.disconnected[owner] = "", false
+		})
+		defer reconnect.Stop()
+		started := time.Now()
+		a := sim.sendRequest("f0", "unknown", "/keyed/", 10, timeout)
+		if took := time.Since(started); a.Outcome != request.Done {
+			t.Errorf("got %v %q after %v, want an answer of %s, which is reached again after %v", a.Outcome, a.Reason, took, owner, reconnected)
+		}
+	})
+}
