Give up a silent send only if the retry budget allows another

What callers would see: when a path is congested, all requests that wait on it become silent together. Each was given up to be sent again, but the retry budget allows only a fraction of them; the others were answered "unknown" at once although their answers might still arrive.

Cause: the connection was given up before the budget was asked.

Evidence: TestSlowPathWithoutRetriesDoesNotLoseAnswer, with a path that is slow by 1.5 s and a deadline of 4 s, failed before for both kinds of requests after 0.70 s ("connection is silent"). That the budget is used up on the grown fleets was not shown.

Change: Dispatch asks for a retry when it is about to give up; the ingress node takes it from the budget then and does not charge it again. Without a retry the request waits like one that is not repeated. A send that is given up at the limit while the check of the peer still runs names the peer "silent" instead of "unchecked": it did not answer within 250 ms.

Why it works: a send is given up only in exchange for another. TestUnknownSendUsesTheTimeLeft has one retry to spend and fails if it is charged twice (tried).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,9 @@
 
 // Peers calls the nodes of other instances.
 type Peers interface {
-	Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error)
+	// Dispatch sends a request to a node. It calls takeRetry before it gives up a node that may still answer, and waits
+	// on if that returns false.
+	Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error)
 	// Probe asks a node for its instance name and load. rangesEnd is the end offset of the topic of range tables up to
 	// which this node has read; a node that has read less reads again at once.
 	Probe(ctx context.Context, address string, rangesEnd int64) (instance string, load routed.Load, err error)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/choice"
@@ -71,6 +72,8 @@
 	// unknownReason is why an earlier send ended with an unknown outcome; empty if none did. The request may have run
 	// then, even if a later send is refused.
 	unknownReason request.Reason
+	// retryTaken is set if a retry was taken from the retry budget when the last send was given up.
+	retryTaken atomic.Bool
 	// chosen is the instance that was asked last, and chosenReportAge the age of the load report that it was chosen by.
 	chosen          string
 	chosenReportAge time.Duration
@@ -188,7 +191,7 @@
 	g.deps.Metrics.CountForwarded(a.request.Service)
 	hopCtx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
 	a.request.Traceparent = g.deps.Tracing.Traceparent(hopCtx)
-	answer, err := g.deps.Peers.Dispatch(hopCtx, member.Address, a.request)
+	answer, err := g.deps.Peers.Dispatch(hopCtx, member.Address, a.request, a.takeRetryOnce(g.members))
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
 	if err != nil {
@@ -204,6 +207,16 @@
 	return answer
 }
 
+// takeRetryOnce returns a function that takes a retry from the retry budget for a send that is given up.
+func (a *activeRequest) takeRetryOnce(members *memberTable) func() bool {
+	service := a.request.Service
+	return func() bool {
+		taken := members.takeRetry(service, time.Now())
+		a.retryTaken.Store(taken)
+		return taken
+	}
+}
+
 // repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
 // counts as an attempt.
 func (a *activeRequest) repetition() routed.Repetition {
@@ -259,7 +272,7 @@
 	}
 	if a.lastAnswer.ReachedServer {
 		// Only a retry after a send that reached a backend server is charged to the retry budget of the service.
-		if !g.members.takeRetry(a.request.Service, now) {
+		if !a.retryTaken.Swap(false) && !g.members.takeRetry(a.request.Service, now) {
 			return false
 		}
 		g.deps.Metrics.CountRetry(a.request.Service)
--- a/internal/gateway/ingress_test.go
+++ b/internal/gateway/ingress_test.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// Guards against answering "unknown" with time left, when the owner that may have run the request is reached again.
+// Guards against answering "unknown" with time left, when the owner that may have run the request is reached again, and
+// against charging the retry budget twice for it: the budget has one retry.
 func TestUnknownSendUsesTheTimeLeft(t *testing.T) {
 	const timeout = 4 * time.Second
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -430,7 +430,7 @@
 }
 
 // Dispatch implements Peers.
-func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error) {
+func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error) {
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return routed.Answer{}, err
@@ -445,6 +445,7 @@
 	defer p.sim.mu.Unlock()
 	if address == p.sim.silentAfterRun {
 		p.sim.disconnected[address] = true
+		takeRetry()
 		return routed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s stopped responding", address)
 	}
 	return answer, nil
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -61,13 +61,17 @@
 
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
 // problem.Unavailable if its outcome is unknown.
-func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request) (routed.Answer, error) {
+//
+// takeRetry is called when a silent connection is about to be given up although its answer may still arrive. If it
+// returns false, the request is not repeated, and the answer is awaited.
+func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error) {
 	conn, err := c.connPool.take(ctx, address, !r.Idempotent)
 	if err != nil {
 		return routed.Answer{}, err
 	}
 	sent := time.Now()
 	rule := newSilenceRule(dispatchSilenceLimit, dispatchProgressInterval, r.Deadline.Sub(sent), dispatchPatience(r.Repetition))
+	rule.takeRetry = takeRetry
 	conn.watchdog.arm(rule, sendTime(len(r.Body)))
 	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent))
 	conn.watchdog.disarm()
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -66,6 +66,8 @@
 type routerFixture struct {
 	*fixture
 	router *echoRouter
+	// noRetries is set when the retry budget is used up.
+	noRetries atomic.Bool
 }
 
 func newRouterFixture(t *testing.T) *routerFixture {
@@ -82,10 +84,13 @@
 	r.Deadline = started.Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	defer cancel()
-	answer, err := f.client.Dispatch(ctx, f.relay.Address(), r)
+	answer, err := f.client.Dispatch(ctx, f.relay.Address(), r, f.takeRetry)
 	return answer, time.Since(started), err
 }
 
+// takeRetry allows a retry unless noRetries is set.
+func (f *routerFixture) takeRetry() bool { return !f.noRetries.Load() }
+
 // connect leaves count idle connections in the client's pool.
 func (f *routerFixture) connect(t *testing.T, count int) {
 	t.Helper()
@@ -149,6 +154,30 @@
 	}
 }
 
+// Guards against giving up a request that is not sent again because the retry budget is used up.
+func TestSlowPathWithoutRetriesDoesNotLoseAnswer(t *testing.T) {
+	for _, repetition := range []routed.Repetition{routed.RepeatedElsewhere, routed.RepeatedAtOwner} {
+		t.Run(fmt.Sprint(repetition), func(t *testing.T) {
+			t.Parallel()
+			f := newRouterFixture(t)
+			f.connect(t, 1)
+			f.noRetries.Store(true)
+			if repetition == routed.RepeatedElsewhere {
+				f.relay.Delay(pathDelay, 0)
+			} else {
+				// New connections work, but the answer still arrives on the silent one.
+				f.relay.Silence(true, true)
+				time.AfterFunc(pathDelay, f.relay.Resume)
+			}
+			r := routed.Request{ID: "r", Idempotent: true, Repetition: repetition, Body: []byte("r")}
+			answer, took, err := f.dispatch(r, dispatchTimeout)
+			if err != nil || string(answer.Body) != "r" || f.router.runs.Load() != 1 {
+				t.Fatalf("answer %q after %v and %d runs, error %v; want the body after one", answer.Body, took, f.router.runs.Load(), err)
+			}
+		})
+	}
+}
+
 // Guards against waiting for the slow peer when another instance can run the request.
 func TestSlowPathIsGivenUpForOtherInstance(t *testing.T) {
 	f := newRouterFixture(t)
--- a/internal/node/watchdog.go
+++ b/internal/node/watchdog.go
@@ -28,6 +28,9 @@
 	// still awaited from then on. The peer is not checked if lastChance is zero.
 	checkAfter, lastChance time.Duration
 	patience               patience
+	// takeRetry, if set, is called once before a connection is given up whose peer may still answer on it. If it returns
+	// false, the patience becomes untilRefused. It is called without mu.
+	takeRetry func() bool
 }
 
 // newSilenceRule returns the rule for a call during which the peer reports progress at the interval. The check precedes
@@ -117,7 +120,24 @@
 	case closeSiblings, giveUpAll:
 		c.connPool.closeSilent(c.address, since)
 	}
-	return step != giveUp && step != giveUpAll
+	return step != giveUp && step != giveUpAll || c.holdOn()
+}
+
+// holdOn reports whether a connection that would be given up is kept because the request would not be repeated.
+func (c *watchdogConn) holdOn() bool {
+	c.mu.Lock()
+	takeRetry := c.rule.takeRetry
+	c.rule.takeRetry = nil
+	c.mu.Unlock()
+	if takeRetry == nil || takeRetry() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rule.patience = untilRefused
+	// The next step is decided anew.
+	_ = c.SetReadDeadline(time.Now())
+	return true
 }
 
 // nextStep decides what follows after the read deadline has passed, and sets the next one. It also returns the silence
@@ -165,7 +185,11 @@
 	if due := c.limitTime(); now.Before(due) {
 		return keepReading, due
 	}
-	if c.silence.known && c.silence.result.state != PeerSilent {
+	if !c.silence.known {
+		// The peer has not answered for as long as data was still awaited.
+		c.silence.result.state = PeerSilent
+	}
+	if c.silence.result.state != PeerSilent {
 		return giveUpAll, time.Time{}
 	}
 	return giveUp, time.Time{}
