--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -68,7 +68,7 @@
 	}
 	results := make(chan result, 1)
 	dispatch := func(id string) {
-		answer, err := client.Dispatch(context.Background(), relay.Address(), routed.Request{ID: id, Service: "orders", Idempotent: true, Deadline: time.Now().Add(2 * time.Second)})
+		answer, err := client.Dispatch(context.Background(), relay.Address(), routed.Request{ID: id, Service: "orders", Idempotent: true, Deadline: time.Now().Add(2 * time.Second)}, nil)
 		results <- result{answer, err}
 	}
 	<-time.After(time.Until(began.Add(acceptTime - 200*time.Millisecond)))
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/choice"
@@ -22,8 +23,8 @@
 	// notConfiguredRetryAfter is when a caller may retry at a node that has not read a configuration yet.
 	notConfiguredRetryAfter = 500 * time.Millisecond
 	// ownerRetryInterval is the longest time between two tries of a request whose key has no reachable owner.
-	// ownerWaitPercent is the part of its time, in percent, for which such a request is kept: a key that moves is
-	// served again after about a second.
+	// ownerWaitPercent is the part of its time, in percent, for which such a request is kept if it has not run: a key
+	// that moves is served again after about a second.
 	ownerRetryInterval = 400 * time.Millisecond
 	ownerWaitPercent   = 60
 	// serverRetryInterval is the time between two tries of a request that no backend server can serve. Such a request
@@ -71,6 +72,8 @@
 	// unknownReason is why an earlier send ended with an unknown outcome; empty if none did. The request may have run
 	// then, even if a later send is refused.
 	unknownReason request.Reason
+	// retryTaken is set if a retry was taken from the retry budget when the last send was given up.
+	retryTaken atomic.Bool
 	// chosen is the instance that was asked last, and chosenReportAge the age of the load report that it was chosen by.
 	chosen          string
 	chosenReportAge time.Duration
@@ -193,7 +196,7 @@
 	g.deps.Metrics.CountForwarded(a.request.Service)
 	hopCtx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
 	a.request.Traceparent = g.deps.Tracing.Traceparent(hopCtx)
-	answer, err := g.deps.Peers.Dispatch(hopCtx, member.Address, a.request)
+	answer, err := g.deps.Peers.Dispatch(hopCtx, member.Address, a.request, a.takeRetryOnce(g.members))
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
 	if err != nil {
@@ -209,6 +212,16 @@
 	return answer
 }
 
+// takeRetryOnce returns a function that takes a retry from the retry budget for a send that is given up.
+func (a *activeRequest) takeRetryOnce(members *memberTable) func() bool {
+	service := a.request.Service
+	return func() bool {
+		taken := members.takeRetry(service, time.Now())
+		a.retryTaken.Store(taken)
+		return taken
+	}
+}
+
 // repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
 // counts as an attempt.
 func (a *activeRequest) repetition() routed.Repetition {
@@ -264,7 +277,7 @@
 	}
 	if a.lastAnswer.ReachedServer {
 		// Only a retry after a send that reached a backend server is charged to the retry budget of the service.
-		if !g.members.takeRetry(a.request.Service, now) {
+		if !a.retryTaken.Swap(false) && !g.members.takeRetry(a.request.Service, now) {
 			return false
 		}
 		g.deps.Metrics.CountRetry(a.request.Service)
@@ -293,17 +306,7 @@
 // awaitOwnerChange delays a request whose key has no reachable owner or is moving. It reports whether the request is
 // tried again.
 func (g *Gateway) awaitOwnerChange(ctx context.Context, a *activeRequest, now time.Time) bool {
-	switch a.lastAnswer.Reason {
-	case request.OwnerUnreachable:
-		if a.unknownReason == "" {
-			// The caller learns at once when to retry. That is not possible if the request may have run.
-			return false
-		}
-	case request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
-		// No change is expected soon; the caller learns at once when to retry.
-		return false
-	}
-	if now.Sub(a.started) > a.request.Deadline.Sub(a.started)*ownerWaitPercent/100 {
+	if a.unknownReason == "" && !a.awaitsOwner(now) {
 		return false
 	}
 	defer g.skipBatchDelay(registry.RangesTopic)()
@@ -325,6 +328,18 @@
 	}
 }
 
+// awaitsOwner reports whether a request that has not run waits for a change of the owner of its key; otherwise it is
+// refused, and the caller learns when to retry. A request that may have run cannot be refused, and tries the owner until
+// its deadline.
+func (a *activeRequest) awaitsOwner(now time.Time) bool {
+	switch a.lastAnswer.Reason {
+	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
+		// No change is expected soon.
+		return false
+	}
+	return now.Sub(a.started) <= a.request.Deadline.Sub(a.started)*ownerWaitPercent/100
+}
+
 // awaitServer delays a request that no further node can be asked for, if the last one had no ready backend server, was
 // draining or could not be reached. Other refusals, such as a full queue, are final. It reports whether the request is
 // tried again.
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -66,7 +66,7 @@
 		client := node.NewClient()
 		deadline := time.Now().Add(5 * time.Second)
 		ctx, cancel := context.WithDeadline(t.Context(), deadline)
-		routedAnswer, err := client.Dispatch(ctx, serveNode(t, routerServer), routed.Request{ID: "r", Idempotent: true, Deadline: deadline})
+		routedAnswer, err := client.Dispatch(ctx, serveNode(t, routerServer), routed.Request{ID: "r", Idempotent: true, Deadline: deadline}, nil)
 		if err != nil || routedAnswer.Outcome != c.want || (c.want == request.Unknown) != (routedAnswer.Reason == request.AnswerTooLarge) ||
 			routedAnswer.Instance != "i-1" || routedAnswer.Revision != 7 || !routedAnswer.ReachedServer {
 			t.Errorf("Dispatch, %d bytes: %v %q of instance %q, error %v", c.size, routedAnswer.Outcome, routedAnswer.Reason, routedAnswer.Instance, err)
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -78,7 +78,7 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		answer, err := client.Dispatch(ctx, listener.Addr().String(), routed.Request{ID: "r", Body: []byte("body"), Deadline: time.Now().Add(callTimeout)})
+		answer, err := client.Dispatch(ctx, listener.Addr().String(), routed.Request{ID: "r", Body: []byte("body"), Deadline: time.Now().Add(callTimeout)}, nil)
 		results <- result{answer, err}
 	}()
 	<-blocking.started
