Answer all requests before the shutdown time ends

What callers see: a request that runs or waits when the shutdown time of a node ends gets no answer.

Cause: a stopping gateway accepts requests for 2.5 s with their full deadline. 5.5 s after the signal (shutdown_s is 6) it ended with those that still ran or waited, and closed their connections without a word.

Change: from the signal on, the deadline of a new request is at most 5.2 s after the signal, for the request's route to other nodes too, so that queue and owner decide in time. 5.3 s after the signal all requests in progress are answered: as not run where that is certain (they wait for a worker, a slot or a key), otherwise with an unknown outcome. A request that the backend server works on is left until then. 0.2 s remain to write the answers. Event 106 and the exit status stay.

Tests, with what they reported before the change: - TestStopBoundsTimeOfNewRequests: answers to a caller and to another node 4 s after the end of the stop. - TestEndOfStopAnswersRequests (with an empty EndRequests): answers 4 to 5 s after the end. It also checks that what is refused has not run. - TestLongRequestIsAnsweredBeforeStopEnds, on a daemon with sockets: "got unknown, error unavailable: call to node ...: context canceled"; with the change an answer with an unknown outcome, in time.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,8 +46,10 @@
 	logPollInterval = 100 * time.Millisecond
 	// drainMargin is the part of the drain time that is reserved for requests already on their way.
 	drainMargin = 500 * time.Millisecond
-	// shutdownMargin is the part of the shutdown time that is left when running requests are aborted.
+	// shutdownMargin is the part of the shutdown time that is left when the process ends although requests run.
 	shutdownMargin = 500 * time.Millisecond
+	// finalAnswersTime is the time before that in which these requests are answered.
+	finalAnswersTime = 200 * time.Millisecond
 	// gcPercent is the growth of the heap in percent between two garbage collections. A low value saves memory, which
 	// costs money on each instance; as the heap is only a few megabytes, a collection takes little time.
 	gcPercent = 40
@@ -104,8 +106,8 @@
 	d.gateway.Start()
 	d.watchSettings(ctx, source)
 	if !d.drain() {
-		// The requests that still run are aborted by the exit of the process. Waiting for them would exceed the
-		// shutdown time.
+		// The backend server may still work on requests, which are answered. Waiting for it would exceed the shutdown
+		// time.
 		return problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
 	}
 	d.close(stopServing)
@@ -261,27 +263,40 @@
 	}()
 }
 
-// drain shuts the gateway down gracefully within the shutdown time and reports whether all requests finished.
+// drain shuts the gateway down gracefully within the shutdown time and reports whether all requests finished. Those that
+// have not finished by then are answered before it returns.
 func (d *gatewayDaemon) drain() bool {
 	limit := d.settings.ShutdownTimeout()
-	ctx, cancel := context.WithTimeout(context.Background(), limit-min(shutdownMargin, limit/2))
+	limit -= min(shutdownMargin, limit/2)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	d.gateway.PrepareStop(ctx)
-	closedAt := time.Now()
+	requestsCtx, cancelRequests := context.WithTimeout(ctx, limit-min(finalAnswersTime, limit/2))
+	defer cancelRequests()
+	d.gateway.PrepareStop(requestsCtx)
+	if d.finishRequests(requestsCtx, time.Now()) {
+		return true
+	}
+	d.events.Emit(eventlog.ShutdownTimedOut)
+	d.gateway.EndRequests()
+	// Without an error the answers are written; with one, their time is over.
+	_ = d.callerServer.Shutdown(ctx)
+	d.nodeServer.AwaitIdle(ctx)
+	d.events.Flush()
+	return false
+}
+
+// finishRequests waits until no request is in progress or on its way from another node. The gateway has accepted none
+// since closedAt. finishRequests returns false if ctx ends first.
+func (d *gatewayDaemon) finishRequests(ctx context.Context, closedAt time.Time) bool {
 	// Shutdown closes idle connections at once and waits until the requests in progress have finished. Heartbeats are
 	// still answered until the process exits, so that the backend server keeps its keys while the node restarts.
-	err := d.callerServer.Shutdown(ctx)
-	if err == nil {
-		// A request that met the end of the process could not be sent to another node, because its sender could not
-		// know whether it ran.
-		d.nodeServer.AwaitQuiet(ctx, closedAt, lingerTime)
-	}
-	if err != nil || !d.nodeServer.AwaitIdle(ctx) {
-		d.events.Emit(eventlog.ShutdownTimedOut)
-		d.events.Flush()
+	if d.callerServer.Shutdown(ctx) != nil {
 		return false
 	}
-	return true
+	// A request that met the end of the process could not be sent to another node, because its sender could not know
+	// whether it ran.
+	d.nodeServer.AwaitQuiet(ctx, closedAt, lingerTime)
+	return d.nodeServer.AwaitIdle(ctx)
 }
 
 // close closes all parts, the gateway before the clients that it uses.
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherreel/internal/fake"
+	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/node"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -16,18 +17,17 @@
 // acceptTime is how long a stopping node still accepts requests; see gateway.PrepareStop.
 const acceptTime = 2500 * time.Millisecond
 
-// startStopping starts a gateway and its stop. It returns the address for other nodes, when the stop began, and a channel
-// that receives a value when the process would have ended.
-func startStopping(t *testing.T) (address string, began time.Time, ended <-chan time.Time) {
+// startDaemon starts a gateway and returns it and what stops its server for other nodes.
+func startDaemon(t *testing.T, backendAddress string) (d *gatewayDaemon, stopServing func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address = listener.Addr().String()
+	address := listener.Addr().String()
 	listener.Close()
 	const anyPort = "127.0.0.1:0"
-	d, err := newGatewayDaemon(settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: "127.0.0.1:1",
+	d, err = newGatewayDaemon(settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: backendAddress,
 		CallersAddress: anyPort, NodesAddress: address, HeartbeatsAddress: anyPort, ReadyAddress: anyPort, MetricsAddress: anyPort,
 		StoreAddress: "127.0.0.1:1", MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62}, &logBuffer{})
 	if err != nil {
@@ -38,24 +38,26 @@
 		t.Fatal(err)
 	}
 	d.gateway.Start()
-	end := make(chan time.Time, 1)
-	began = time.Now()
-	go func() {
-		if !d.drain() {
-			t.Error("the node stopped while it ran requests")
-		}
-		end <- time.Now()
-		d.close(stopServing)
-		close(end)
-	}()
-	return address, began, end
+	return d, stopServing
 }
 
 // Guards against an unknown outcome of a request that was sent before its sender could know that the node stops, and
 // that arrives after the node has stopped accepting requests.
 func TestRequestOnItsWayToStoppingNodeIsRefused(t *testing.T) {
-	address, began, ended := startStopping(t)
-	relay, err := fake.NewRelay(address)
+	t.Parallel()
+	d, stopServing := startDaemon(t, "127.0.0.1:1")
+	defer d.close(stopServing)
+	ended := make(chan time.Time, 1)
+	began := time.Now()
+	go func() {
+		if !d.drain() {
+			t.Error("the node stopped while it ran requests")
+		}
+		// The process ends.
+		ended <- time.Now()
+		stopServing()
+	}()
+	relay, err := fake.NewRelay(d.settings.NodesAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,5 +92,51 @@
 	if after := end.Sub(arrived); after < lingerTime || after > 2*lingerTime {
 		t.Errorf("the node stopped %v after the last request, want about %v", after, lingerTime)
 	}
-	<-ended
+}
+
+// Guards against a request without an answer because the backend server needs longer for it than a stopping node has.
+func TestLongRequestIsAnsweredBeforeStopEnds(t *testing.T) {
+	t.Parallel()
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := backend.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	d, stopServing := startDaemon(t, backend.Addr().String())
+	defer d.close(stopServing)
+	if _, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend.Addr().String(), Slots: 8, StartedUnixMS: 1, Sequence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	type result struct {
+		answer routed.Answer
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		client := node.NewClient()
+		defer client.Close()
+		answer, err := client.Dispatch(context.Background(), d.settings.NodesAddress, routed.Request{ID: "r", Method: "GET", Path: "/", Service: "orders", Deadline: time.Now().Add(20 * time.Second)})
+		results <- result{answer, err}
+	}()
+	conn := <-accepted
+	defer backend.Close()
+	// The exchange ends when the backend server closes the connection.
+	defer conn.Close()
+	began := time.Now()
+	if d.drain() {
+		t.Error("the node reports that no request was in progress")
+	}
+	if took := time.Since(began); took > d.settings.ShutdownTimeout()-shutdownMargin+100*time.Millisecond {
+		t.Errorf("the stop took %v", took)
+	}
+	// The process ends.
+	stopServing()
+	if r := <-results; r.err != nil || r.answer.Outcome != request.Unknown {
+		t.Errorf("got %v %q, error %v; want an answer with an unknown outcome", r.answer.Outcome, r.answer.Reason, r.err)
+	}
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -334,6 +334,15 @@
 		case answer := <-result:
 			g.finishExchange(r, e, &answer)
 			return answer
+		case <-g.requestsEnded.happened:
+			answer := routed.OutcomeUnknown(request.ConnectionLost)
+			select {
+			case answer = <-result:
+			default:
+				// The backend server may still work on the request.
+			}
+			g.finishExchange(r, e, &answer)
+			return answer
 		case <-p.C:
 			p.report()
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,12 +148,15 @@
 	// more, and closed when it accepts no more requests for its backend server and refuses those that wait for it.
 	stopping, stoppingAnnounced atomic.Bool
 	closed                      signal
-	topicReaders                []*topicReader
-	readerGoroutines            sync.WaitGroup
-	stop                        context.CancelFunc
-	stopTickers                 []func()
-	ctx                         context.Context
-	started                     time.Time
+	// requestsEndAt is when a planned stop ends the requests in progress; nil before a stop. requestsEnded is set then.
+	requestsEndAt    atomic.Pointer[time.Time]
+	requestsEnded    signal
+	topicReaders     []*topicReader
+	readerGoroutines sync.WaitGroup
+	stop             context.CancelFunc
+	stopTickers      []func()
+	ctx              context.Context
+	started          time.Time
 }
 
 // signal is an event that happens once.
@@ -183,7 +186,7 @@
 
 // New returns a gateway that is not started.
 func New(o Options, d Dependencies) *Gateway {
-	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal()}
+	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal(), requestsEnded: newSignal()}
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
@@ -236,8 +239,12 @@
 }
 
 // PrepareStop begins a planned stop: the node is no longer ready, but still serves requests until callers have noticed
-// that. PrepareStop returns after that time, or when ctx ends.
+// that. PrepareStop returns after that time, or when ctx ends. The end of ctx bounds the time of the requests that arrive
+// from now on.
 func (g *Gateway) PrepareStop(ctx context.Context) {
+	if end, ok := ctx.Deadline(); ok {
+		g.requestsEndAt.Store(&end)
+	}
 	g.stopping.Store(true)
 	g.events.Emit(eventlog.Stopping)
 	g.reconcileTrigger.Fire()
@@ -248,6 +255,22 @@
 	g.closed.set()
 }
 
+// EndRequests answers all requests in progress at once, as the process is about to end: as not run where that is
+// certain, otherwise with an unknown outcome.
+func (g *Gateway) EndRequests() {
+	g.closed.set()
+	g.requestsEnded.set()
+}
+
+// limitToStop returns the deadline of a request, or an earlier one if the node ends before it: the request is then
+// decided in time for an answer.
+func (g *Gateway) limitToStop(deadline time.Time) time.Time {
+	if end := g.requestsEndAt.Load(); end != nil && end.Add(-answerGrace).Before(deadline) {
+		return end.Add(-answerGrace)
+	}
+	return deadline
+}
+
 const (
 	// stopServeTime is how long a stopping node still accepts requests: readiness is checked once a second, and two
 	// failed checks count.
@@ -291,10 +314,17 @@
 func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
 	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	result := make(chan routed.Answer, 1)
 	answer := routed.NotRun(request.QueueFull, overloadRetryAfter)
 	if err := g.ingressPool.Submit(func() { result <- g.route(ctx, r) }); err == nil {
-		answer = <-result
+		select {
+		case answer = <-result:
+		case <-g.requestsEnded.happened:
+			cancel()
+			answer = <-result
+		}
 	}
 	span.Result(answer.Outcome, answer.Reason)
 	return answer
@@ -306,6 +336,7 @@
 
 // Dispatch implements node.RouterService.
 func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
+	r.Deadline = g.limitToStop(r.Deadline)
 	return g.execute(ctx, r, p)
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -80,6 +80,8 @@
 func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
 	table, matched, service := g.routes.find(r.Host, r.Path)
 	switch {
+	case g.requestsEnded.isSet():
+		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.Draining, overloadRetryAfter))
 	case table == nil:
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
 	case matched == nil:
@@ -96,6 +98,7 @@
 			r.Deadline = limit
 		}
 	}
+	r.Deadline = g.limitToStop(r.Deadline)
 	if matched.Objective > 0 {
 		r.Objective = now.Add(matched.Objective)
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -187,3 +187,80 @@
 		}
 	})
 }
+
+// Guards against requests that a stopping node accepts although they need longer than it has, and that get no answer.
+func TestStopBoundsTimeOfNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		for _, inst := range sim.instances {
+			inst.server.serviceTime = 8 * time.Second
+		}
+		g := sim.instances["f0"].gateway
+		sim.mu.Unlock()
+		const timeLeft = 5 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
+		defer cancel()
+		end := time.Now().Add(timeLeft)
+		go g.PrepareStop(ctx)
+		time.Sleep(time.Second)
+		var caller sync.WaitGroup
+		caller.Go(func() {
+			a := sim.sendRequest("f0", "from-caller", "/free/", -1, 10*time.Second)
+			if a.Outcome != request.Unknown || time.Now().After(end) {
+				t.Errorf("a caller got %v %q %v after the end of the stop", a.Outcome, a.Reason, time.Since(end))
+			}
+		})
+		a := dispatch(g, 1, routed.Request{ID: "r", Service: "free", Route: "free", Deadline: time.Now().Add(10 * time.Second)})()[0]
+		if a.Outcome != request.Unknown || a.at.After(end) {
+			t.Errorf("another node got %v %q %v after the end of the stop", a.Outcome, a.Reason, a.at.Sub(end))
+		}
+		caller.Wait()
+	})
+}
+
+// Guards against requests without an answer at the end of a stop, and against refusals then of requests that may have
+// run.
+func TestEndOfStopAnswersRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		for _, inst := range sim.instances {
+			inst.server.serviceTime = 8 * time.Second
+		}
+		g := sim.instances["f0"].gateway
+		sim.mu.Unlock()
+		// Some run, some wait for a slot, and some wait for a worker of the ingress pool.
+		answers := map[string]timedAnswer{}
+		var mu sync.Mutex
+		var callers sync.WaitGroup
+		for i := range 80 {
+			callers.Go(func() {
+				id, path := fmt.Sprintf("r-%d", i), "/free/"
+				if i%4 == 0 {
+					path = "/home/" // not idempotent
+				}
+				a := sim.sendRequest("f0", id, path, -1, 10*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[id] = timedAnswer{a, time.Now()}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		end := time.Now()
+		g.EndRequests()
+		callers.Wait()
+		outcomes := map[request.Outcome]int{}
+		for id, a := range answers {
+			outcomes[a.Outcome]++
+			if a.at.After(end) || a.Outcome == request.NotRun && sim.runs[id] > 0 {
+				t.Errorf("%s ran %d times and got %v %q %v after the end", id, sim.runs[id], a.Outcome, a.Reason, a.at.Sub(end))
+			}
+		}
+		if outcomes[request.NotRun] == 0 || outcomes[request.Unknown] == 0 {
+			t.Errorf("outcomes %v, want refusals and unknown ones", outcomes)
+		}
+	})
+}
