Tell callers when the owner of a key serves again after a stop

What callers saw: a request for a key whose owner stops is refused as draining (503) with a Retry-After that has nothing to do with the restart, and a caller that follows it is refused again.

Cause: the owner estimates the wait for a free slot, 62.5 ms in the test, although it accepts nothing any more. An ingress node that withholds the request named 500 ms.

An ingress node names at least 500 ms. Requests without an owner go to other nodes and are as before.

TestRetryAfterCoversRestartOfOwner failed before with "the owner refuses with a retry after 62.5ms, want 1.1s" and, through an ingress node, a repetition 910 ms after the owner stopped accepting.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -103,6 +103,10 @@
 	load := g.server.load(time.Now())
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting))
+	if r.Keyed && g.serviceKeyed() && g.closed.isSet() {
+		// Only this node can run the request.
+		return routed.NotRun(reason, restartTime)
+	}
 	return routed.NotRun(reason, expectedSlotWait(load))
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -157,9 +157,9 @@
 			a.lastAnswer = routed.NotRun(request.OwnerUnreachable, max(wait, overloadRetryAfter))
 			return "", false
 		}
-		if g.members.isRestarting(r.Owner.Instance, now) {
+		if wait := g.members.nextProcessWait(r.Owner.Instance, now); wait > 0 {
 			// A request that meets the end of the owner's process has an unknown outcome.
-			a.lastAnswer = routed.NotRun(request.Draining, overloadRetryAfter)
+			a.lastAnswer = routed.NotRun(request.Draining, wait)
 			return "", false
 		}
 		return r.Owner.Instance, true
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -238,17 +238,25 @@
 // although its record is not known.
 const maxRestartWait = 4 * time.Second
 
-// isRestarting reports whether an instance has stopped accepting requests for its backend server and its next process is
-// not known yet. A stopping instance accepts requests for stopAnnounceTime after it has announced its stop.
-func (t *memberTable) isRestarting(instance string, now time.Time) bool {
+// restartTime is the time from the moment when a stopping node accepts no more requests to the start of its next process:
+// it lingers for half a second, and a start takes about 0.6 s.
+const restartTime = 1100 * time.Millisecond
+
+// nextProcessWait returns when to try an instance again that has stopped accepting requests for its backend server and
+// whose next process is not known yet; zero for other instances. A stopping instance accepts requests for
+// stopAnnounceTime after it has announced its stop.
+func (t *memberTable) nextProcessWait(instance string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[instance]
 	if p == nil || p.stoppingSince.IsZero() {
-		return false
+		return 0
 	}
 	stopped := now.Sub(p.stoppingSince) - stopAnnounceTime
-	return stopped >= 0 && stopped < maxRestartWait
+	if stopped < 0 || stopped >= maxRestartWait {
+		return 0
+	}
+	return max(restartTime-stopped, overloadRetryAfter)
 }
 
 // candidateQuery selects the members that may serve a request.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -92,18 +92,18 @@
 			time.Sleep(step.after)
 			// The record is read again after a snapshot of the topic.
 			table.put(stopping)
-			if got := table.isRestarting("k1", time.Now()); got != step.want {
+			if got := table.nextProcessWait("k1", time.Now()) > 0; got != step.want {
 				t.Errorf("%v later: got %v, want %v", step.after, got, step.want)
 			}
 		}
 		stopping.Incarnation = 2
 		table.put(stopping)
 		time.Sleep(stopAnnounceTime)
-		if !table.isRestarting("k1", time.Now()) {
+		if table.nextProcessWait("k1", time.Now()) == 0 {
 			t.Error("the stop of the next process is not noticed")
 		}
 		table.put(registry.Member{Instance: "k1", Incarnation: 3})
-		if table.isRestarting("k1", time.Now()) {
+		if table.nextProcessWait("k1", time.Now()) > 0 {
 			t.Error("the next process gets no requests")
 		}
 	})
@@ -264,3 +264,31 @@
 		}
 	})
 }
+
+// Guards against callers who are told to repeat a request for a key while its owner cannot serve it yet, because its
+// process restarts.
+func TestRetryAfterCoversRestartOfOwner(t *testing.T) {
+	// The owner lingers for 0.5 s, and its next process is started about 0.6 s after that.
+	const restart = 1100 * time.Millisecond
+	for _, afterClose := range []time.Duration{10 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(afterClose.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				key := sim.ownedKey("k1", "k0")
+				sim.instances["k1"].gateway.PrepareStop(context.Background())
+				closedAt := time.Now()
+				refused := dispatch(sim.instances["k1"].gateway, 1, routed.Request{ID: "r", Service: "keyed", Keyed: true, Key: uint16(key), Deadline: time.Now().Add(time.Second)})()[0]
+				if refused.RetryAfter != restart {
+					t.Errorf("the owner refuses with a retry after %v, want %v", refused.RetryAfter, restart)
+				}
+				time.Sleep(afterClose)
+				a := sim.sendRequest("k0", "r", "/keyed/", key, 300*time.Millisecond)
+				retryAt := time.Since(closedAt) + a.RetryAfter
+				if a.Outcome != request.NotRun || a.Reason != request.Draining || retryAt < restart || retryAt > 2*restart {
+					t.Errorf("got %v %q, repeated %v after the owner stopped accepting; want a refusal as draining, repeated after %v", a.Outcome, a.Reason, retryAt, restart)
+				}
+			})
+		})
+	}
+}
