Learn of the stop of a node from its refusals

Cause: other nodes learnt of a stop only from the member record. The announcement is written by the reconcile job, behind any write of ranges, within 2 s; readers add a batch delay of 0.2 s and the path. 400 ms are not enough for a slow store.

Ruled out: announcing earlier. The node serves until 2.5 s after the signal and would be left without work of others.

Change: a refusal because the process stops has a reason of its own, "stopping". The ingress node that gets it chooses that incarnation no more, and withholds requests for its keys, until the next incarnation is known, for 4 s at most. A refusal that arrives after the record of the next incarnation changes nothing, as it names the incarnation that was asked. A node of an earlier version treats the reason like any refusal and asks another node.

TestRefusalShowsStopWithoutStore stops a node while the store is away and sends 6 requests one after the other.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -84,8 +84,8 @@
 	<-time.After(time.Until(began.Add(acceptTime + 300*time.Millisecond)))
 	relay.Resume()
 	arrived := time.Now()
-	if r := <-results; r.err != nil || r.answer.Outcome != request.NotRun || r.answer.Reason != request.Draining {
-		t.Errorf("got %v %q, error %v; want a refusal as draining", r.answer.Outcome, r.answer.Reason, r.err)
+	if r := <-results; r.err != nil || r.answer.Outcome != request.NotRun || r.answer.Reason != request.Stopping {
+		t.Errorf("got %v %q, error %v; want a refusal as stopping", r.answer.Outcome, r.answer.Reason, r.err)
 	}
 	// A further request may be on its way behind this one.
 	end := <-ended
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -103,7 +103,7 @@
 	load := g.server.load(time.Now())
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting))
-	if r.Keyed && g.serviceKeyed() && g.closed.isSet() {
+	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
 	}
@@ -126,7 +126,7 @@
 		return request.BackendChanged
 	}
 	if g.closed.isSet() {
-		return request.Draining
+		return request.Stopping
 	}
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
@@ -187,7 +187,7 @@
 		case <-timeout.C:
 			return request.Moving
 		case <-g.closed.happened:
-			return request.Draining
+			return request.Stopping
 		case <-ctx.Done():
 			return request.DeadlineTooClose
 		}
@@ -268,7 +268,7 @@
 		case <-p.C:
 			p.report()
 		case <-g.closed.happened:
-			return g.cancelWaiting(ticket, waiter, request.Draining)
+			return g.cancelWaiting(ticket, waiter, request.Stopping)
 		case <-ctx.Done():
 			return g.cancelWaiting(ticket, waiter, request.DeadlineTooClose)
 		}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -81,7 +81,7 @@
 	table, matched, service := g.routes.find(r.Host, r.Path)
 	switch {
 	case g.requestsEnded.isSet():
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.Draining, overloadRetryAfter))
+		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.Stopping, overloadRetryAfter))
 	case table == nil:
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
 	case matched == nil:
@@ -118,7 +118,11 @@
 	for {
 		instance, ok := g.chooseInstance(a, time.Now())
 		if ok {
+			asked, _ := g.members.get(instance)
 			a.lastAnswer = g.send(ctx, a, instance)
+			if a.lastAnswer.Reason == request.Stopping {
+				g.members.recordStop(asked, time.Now())
+			}
 		}
 		if a.lastAnswer.Outcome == request.Unknown {
 			a.unknownReason = a.lastAnswer.Reason
@@ -159,7 +163,7 @@
 		}
 		if wait := g.members.nextProcessWait(r.Owner.Instance, now); wait > 0 {
 			// A request that meets the end of the owner's process has an unknown outcome.
-			a.lastAnswer = routed.NotRun(request.Draining, wait)
+			a.lastAnswer = routed.NotRun(request.Stopping, wait)
 			return "", false
 		}
 		return r.Owner.Instance, true
@@ -314,7 +318,7 @@
 // tried again.
 func (g *Gateway) awaitServer(ctx context.Context, a *activeRequest, now time.Time) bool {
 	switch a.lastAnswer.Reason {
-	case request.NoServer, request.OwnerUnreachable, request.Draining:
+	case request.NoServer, request.OwnerUnreachable, request.Draining, request.Stopping:
 		a.tried = a.tried[:0]
 		return a.sleep(ctx, now)
 	}
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -20,7 +20,8 @@
 	failures        int
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
-	// stoppingSince is when this node learnt that the peer stops; zero if the peer does not stop.
+	// stoppingSince is when this node learnt that this incarnation of the peer stops, and stopAnnounceTime before that if
+	// it learnt it from a refusal; zero if it does not stop.
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
@@ -109,10 +110,10 @@
 		// one.
 		p.failures, p.retryAt, p.load = 0, time.Time{}, routed.Load{}
 	}
-	switch {
-	case !m.Stopping:
+	if m.Incarnation != p.Incarnation {
 		p.stoppingSince = time.Time{}
-	case p.stoppingSince.IsZero() || m.Incarnation != p.Incarnation:
+	}
+	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
 	}
 	p.Member = m
@@ -248,8 +249,14 @@
 func (t *memberTable) nextProcessWait(instance string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peers[instance]
-	if p == nil || p.stoppingSince.IsZero() {
+	if p := t.peers[instance]; p != nil {
+		return p.nextProcessWait(now)
+	}
+	return 0
+}
+
+func (p *peer) nextProcessWait(now time.Time) time.Duration {
+	if p.stoppingSince.IsZero() {
 		return 0
 	}
 	stopped := now.Sub(p.stoppingSince) - stopAnnounceTime
@@ -259,6 +266,16 @@
 	return max(restartTime-stopped, overloadRetryAfter)
 }
 
+// recordStop records that an incarnation of an instance has refused a request because it stops. Its record may not show
+// that, or not yet.
+func (t *memberTable) recordStop(asked registry.Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[asked.Instance]; p != nil && p.Incarnation == asked.Incarnation && p.nextProcessWait(now) == 0 {
+		p.stoppingSince = now.Add(-stopAnnounceTime)
+	}
+}
+
 // candidateQuery selects the members that may serve a request.
 type candidateQuery struct {
 	service string
@@ -278,7 +295,7 @@
 	defer t.mu.Unlock()
 	var found []choice.Candidate
 	for name, p := range t.peers {
-		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || q.evacuated[p.DataCentre] ||
+		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || p.nextProcessWait(now) > 0 || q.evacuated[p.DataCentre] ||
 			!regionAllowed(q.homeRegions, p.Region) || slices.Contains(q.tried, name) || now.Before(p.retryAt) {
 			continue
 		}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -153,8 +153,8 @@
 		synctest.Wait()
 		r.ID = "queued"
 		for _, a := range dispatch(g, 3, r)() {
-			if a.Reason != request.Draining || a.at.After(closeAt) {
-				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+			if a.Reason != request.Stopping || a.at.After(closeAt) {
+				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as stopping at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
 			}
 		}
 		for _, a := range running() {
@@ -182,8 +182,8 @@
 		g.server.grantsExpireAt = 0
 		g.server.mu.Unlock()
 		r := routed.Request{ID: "r", Service: "keyed", Route: "keyed", Keyed: true, Key: uint16(sim.ownedKey("k1", "k1")), Deadline: time.Now().Add(5 * time.Second)}
-		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Draining || a.at.After(closeAt) {
-			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Stopping || a.at.After(closeAt) {
+			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as stopping at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
 		}
 	})
 }
@@ -285,8 +285,55 @@
 				time.Sleep(afterClose)
 				a := sim.sendRequest("k0", "r", "/keyed/", key, 300*time.Millisecond)
 				retryAt := time.Since(closedAt) + a.RetryAfter
-				if a.Outcome != request.NotRun || a.Reason != request.Draining || retryAt < restart || retryAt > 2*restart {
-					t.Errorf("got %v %q, repeated %v after the owner stopped accepting; want a refusal as draining, repeated after %v", a.Outcome, a.Reason, retryAt, restart)
+				if a.Outcome != request.NotRun || a.Reason != request.Stopping || retryAt < restart || retryAt > 2*restart {
+					t.Errorf("got %v %q, repeated %v after the owner stopped accepting; want a refusal as stopping, repeated after %v", a.Outcome, a.Reason, retryAt, restart)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a node that goes on choosing a stopped one while the record of the stop cannot be stored or read.
+func TestRefusalShowsStopWithoutStore(t *testing.T) {
+	for _, c := range []struct{ stopping, path string }{{"k1", "/keyed/"}, {"f0", "/home/"}} {
+		t.Run(c.stopping, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				key := -1
+				if c.path == "/keyed/" {
+					key = sim.ownedKey(c.stopping, "k0")
+				}
+				sim.store.SetDown(true)
+				sim.instances[c.stopping].gateway.PrepareStop(context.Background())
+				sends := 0
+				sim.mu.Lock()
+				sim.onDispatch = func(to string, _ routed.Request) {
+					if to == c.stopping {
+						sends++
+					}
+				}
+				sim.mu.Unlock()
+				for i := range 6 {
+					sim.sendRequest("k0", fmt.Sprintf("r-%d", i), c.path, key, 500*time.Millisecond)
+				}
+				if sends != 1 {
+					t.Errorf("%d requests were sent to the stopped node, want 1", sends)
+				}
+				sim.mu.Lock()
+				sim.onDispatch = nil
+				sim.mu.Unlock()
+				sim.store.SetDown(false)
+				sim.killGateway(c.stopping)
+				sim.startGateway(c.stopping)
+				time.Sleep(3 * time.Second)
+				served := false
+				for i := range 20 {
+					a := sim.sendRequest("k0", fmt.Sprintf("after-%d", i), c.path, key, time.Second)
+					served = served || string(a.Body) == c.stopping
+				}
+				if !served {
+					t.Error("the next process gets no requests")
 				}
 			})
 		})
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -102,8 +102,10 @@
 	QueueFull Reason = "queue_full"
 	// DeadlineTooClose means that too little time was left for the request to finish before its deadline.
 	DeadlineTooClose Reason = "deadline_too_close"
-	// Draining means that the node is stopping.
+	// Draining means that the node is stopping, or, at a gateway, that its backend server is.
 	Draining Reason = "draining"
+	// Stopping means that the process of the node, a gateway, ends and another one takes its place.
+	Stopping Reason = "stopping"
 	// NotConfigured means that no configuration is in force.
 	NotConfigured Reason = "not_configured"
 	// BackendRefused means that the backend server refused the fence of the request.
