--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -103,6 +103,10 @@
 	load := g.server.load(time.Now())
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting))
+	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
+		// Only this node can run the request.
+		return routed.NotRun(reason, restartTime)
+	}
 	return routed.NotRun(reason, expectedSlotWait(load))
 }
 
@@ -122,7 +126,7 @@
 		return request.BackendChanged
 	}
 	if g.closed.isSet() {
-		return request.Draining
+		return request.Stopping
 	}
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
@@ -183,7 +187,7 @@
 		case <-timeout.C:
 			return request.Moving
 		case <-g.closed.happened:
-			return request.Draining
+			return request.Stopping
 		case <-ctx.Done():
 			return request.DeadlineTooClose
 		}
@@ -264,7 +268,7 @@
 		case <-p.C:
 			p.report()
 		case <-g.closed.happened:
-			return g.cancelWaiting(ticket, waiter, request.Draining)
+			return g.cancelWaiting(ticket, waiter, request.Stopping)
 		case <-ctx.Done():
 			return g.cancelWaiting(ticket, waiter, request.DeadlineTooClose)
 		}
@@ -334,6 +338,15 @@
 		case answer := <-result:
 			g.finishExchange(r, e, &answer)
 			return answer
+		case <-g.requestsEnded.happened:
+			answer := routed.OutcomeUnknown(request.ConnectionLost)
+			select {
+			case answer = <-result:
+			default:
+				// The backend server may still work on the request.
+			}
+			g.finishExchange(r, e, &answer)
+			return answer
 		case <-p.C:
 			p.report()
 		}
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -20,7 +20,8 @@
 	failures        int
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
-	// stoppingSince is when this node learnt that the peer stops; zero if the peer does not stop.
+	// stoppingSince is when this node learnt that this incarnation of the peer stops, and stopAnnounceTime before that if
+	// it learnt it from a refusal; zero if it does not stop.
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
@@ -109,10 +110,10 @@
 		// one.
 		p.failures, p.retryAt, p.load = 0, time.Time{}, routed.Load{}
 	}
-	switch {
-	case !m.Stopping:
+	if m.Incarnation != p.Incarnation {
 		p.stoppingSince = time.Time{}
-	case p.stoppingSince.IsZero() || m.Incarnation != p.Incarnation:
+	}
+	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
 	}
 	p.Member = m
@@ -238,17 +239,41 @@
 // although its record is not known.
 const maxRestartWait = 4 * time.Second
 
-// isRestarting reports whether an instance has stopped accepting requests for its backend server and its next process is
-// not known yet. A stopping instance accepts requests for stopAnnounceTime after it has announced its stop.
-func (t *memberTable) isRestarting(instance string, now time.Time) bool {
+// restartTime is the time from the moment when a stopping node accepts no more requests to the start of its next process:
+// it lingers for half a second, and a start takes about 0.6 s.
+const restartTime = 1100 * time.Millisecond
+
+// nextProcessWait returns when to try an instance again that has stopped accepting requests for its backend server and
+// whose next process is not known yet; zero for other instances. A stopping instance accepts requests for
+// stopAnnounceTime after it has announced its stop.
+func (t *memberTable) nextProcessWait(instance string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peers[instance]
-	if p == nil || p.stoppingSince.IsZero() {
-		return false
+	if p := t.peers[instance]; p != nil {
+		return p.nextProcessWait(now)
+	}
+	return 0
+}
+
+func (p *peer) nextProcessWait(now time.Time) time.Duration {
+	if p.stoppingSince.IsZero() {
+		return 0
 	}
 	stopped := now.Sub(p.stoppingSince) - stopAnnounceTime
-	return stopped >= 0 && stopped < maxRestartWait
+	if stopped < 0 || stopped >= maxRestartWait {
+		return 0
+	}
+	return max(restartTime-stopped, overloadRetryAfter)
+}
+
+// recordStop records that an incarnation of an instance has refused a request because it stops. Its record may not show
+// that, or not yet.
+func (t *memberTable) recordStop(asked registry.Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[asked.Instance]; p != nil && p.Incarnation == asked.Incarnation && p.nextProcessWait(now) == 0 {
+		p.stoppingSince = now.Add(-stopAnnounceTime)
+	}
 }
 
 // candidateQuery selects the members that may serve a request.
@@ -270,7 +295,7 @@
 	defer t.mu.Unlock()
 	var found []choice.Candidate
 	for name, p := range t.peers {
-		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || q.evacuated[p.DataCentre] ||
+		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || p.nextProcessWait(now) > 0 || q.evacuated[p.DataCentre] ||
 			!regionAllowed(q.homeRegions, p.Region) || slices.Contains(q.tried, name) || now.Before(p.retryAt) {
 			continue
 		}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -92,18 +92,18 @@
 			time.Sleep(step.after)
 			// The record is read again after a snapshot of the topic.
 			table.put(stopping)
-			if got := table.isRestarting("k1", time.Now()); got != step.want {
+			if got := table.nextProcessWait("k1", time.Now()) > 0; got != step.want {
 				t.Errorf("%v later: got %v, want %v", step.after, got, step.want)
 			}
 		}
 		stopping.Incarnation = 2
 		table.put(stopping)
 		time.Sleep(stopAnnounceTime)
-		if !table.isRestarting("k1", time.Now()) {
+		if table.nextProcessWait("k1", time.Now()) == 0 {
 			t.Error("the stop of the next process is not noticed")
 		}
 		table.put(registry.Member{Instance: "k1", Incarnation: 3})
-		if table.isRestarting("k1", time.Now()) {
+		if table.nextProcessWait("k1", time.Now()) > 0 {
 			t.Error("the next process gets no requests")
 		}
 	})
@@ -153,8 +153,8 @@
 		synctest.Wait()
 		r.ID = "queued"
 		for _, a := range dispatch(g, 3, r)() {
-			if a.Reason != request.Draining || a.at.After(closeAt) {
-				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+			if a.Reason != request.Stopping || a.at.After(closeAt) {
+				t.Errorf("a waiting request got %v %q %v after the node stopped accepting, want a refusal as stopping at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
 			}
 		}
 		for _, a := range running() {
@@ -182,8 +182,160 @@
 		g.server.grantsExpireAt = 0
 		g.server.mu.Unlock()
 		r := routed.Request{ID: "r", Service: "keyed", Route: "keyed", Keyed: true, Key: uint16(sim.ownedKey("k1", "k1")), Deadline: time.Now().Add(5 * time.Second)}
-		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Draining || a.at.After(closeAt) {
-			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as draining at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
+		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Stopping || a.at.After(closeAt) {
+			t.Errorf("got %v %q %v after the node stopped accepting, want a refusal as stopping at once", a.Outcome, a.Reason, a.at.Sub(closeAt))
 		}
 	})
 }
+
+// Guards against requests that a stopping node accepts although they need longer than it has, and that get no answer.
+func TestStopBoundsTimeOfNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		for _, inst := range sim.instances {
+			inst.server.serviceTime = 8 * time.Second
+		}
+		g := sim.instances["f0"].gateway
+		sim.mu.Unlock()
+		const timeLeft = 5 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
+		defer cancel()
+		end := time.Now().Add(timeLeft)
+		go g.PrepareStop(ctx)
+		time.Sleep(time.Second)
+		var caller sync.WaitGroup
+		caller.Go(func() {
+			a := sim.sendRequest("f0", "from-caller", "/free/", -1, 10*time.Second)
+			if a.Outcome != request.Unknown || time.Now().After(end) {
+				t.Errorf("a caller got %v %q %v after the end of the stop", a.Outcome, a.Reason, time.Since(end))
+			}
+		})
+		a := dispatch(g, 1, routed.Request{ID: "r", Service: "free", Route: "free", Deadline: time.Now().Add(10 * time.Second)})()[0]
+		if a.Outcome != request.Unknown || a.at.After(end) {
+			t.Errorf("another node got %v %q %v after the end of the stop", a.Outcome, a.Reason, a.at.Sub(end))
+		}
+		caller.Wait()
+	})
+}
+
+// Guards against requests without an answer at the end of a stop, and against refusals then of requests that may have
+// run.
+func TestEndOfStopAnswersRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		for _, inst := range sim.instances {
+			inst.server.serviceTime = 8 * time.Second
+		}
+		g := sim.instances["f0"].gateway
+		sim.mu.Unlock()
+		// Some run, some wait for a slot, and some wait for a worker of the ingress pool.
+		answers := map[string]timedAnswer{}
+		var mu sync.Mutex
+		var callers sync.WaitGroup
+		for i := range 80 {
+			callers.Go(func() {
+				id, path := fmt.Sprintf("r-%d", i), "/free/"
+				if i%4 == 0 {
+					path = "/home/" // not idempotent
+				}
+				a := sim.sendRequest("f0", id, path, -1, 10*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[id] = timedAnswer{a, time.Now()}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		end := time.Now()
+		g.EndRequests()
+		callers.Wait()
+		outcomes := map[request.Outcome]int{}
+		for id, a := range answers {
+			outcomes[a.Outcome]++
+			if a.at.After(end) || a.Outcome == request.NotRun && sim.runs[id] > 0 {
+				t.Errorf("%s ran %d times and got %v %q %v after the end", id, sim.runs[id], a.Outcome, a.Reason, a.at.Sub(end))
+			}
+		}
+		if outcomes[request.NotRun] == 0 || outcomes[request.Unknown] == 0 {
+			t.Errorf("outcomes %v, want refusals and unknown ones", outcomes)
+		}
+	})
+}
+
+// Guards against callers who are told to repeat a request for a key while its owner cannot serve it yet, because its
+// process restarts.
+func TestRetryAfterCoversRestartOfOwner(t *testing.T) {
+	// The owner lingers for 0.5 s, and its next process is started about 0.6 s after that.
+	const restart = 1100 * time.Millisecond
+	for _, afterClose := range []time.Duration{10 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(afterClose.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				key := sim.ownedKey("k1", "k0")
+				sim.instances["k1"].gateway.PrepareStop(context.Background())
+				closedAt := time.Now()
+				refused := dispatch(sim.instances["k1"].gateway, 1, routed.Request{ID: "r", Service: "keyed", Keyed: true, Key: uint16(key), Deadline: time.Now().Add(time.Second)})()[0]
+				if refused.RetryAfter != restart {
+					t.Errorf("the owner refuses with a retry after %v, want %v", refused.RetryAfter, restart)
+				}
+				time.Sleep(afterClose)
+				a := sim.sendRequest("k0", "r", "/keyed/", key, 300*time.Millisecond)
+				retryAt := time.Since(closedAt) + a.RetryAfter
+				if a.Outcome != request.NotRun || a.Reason != request.Stopping || retryAt < restart || retryAt > 2*restart {
+					t.Errorf("got %v %q, repeated %v after the owner stopped accepting; want a refusal as stopping, repeated after %v", a.Outcome, a.Reason, retryAt, restart)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a node that goes on choosing a stopped one while the record of the stop cannot be stored or read.
+func TestRefusalShowsStopWithoutStore(t *testing.T) {
+	for _, c := range []struct{ stopping, path string }{{"k1", "/keyed/"}, {"f0", "/home/"}} {
+		t.Run(c.stopping, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				key := -1
+				if c.path == "/keyed/" {
+					key = sim.ownedKey(c.stopping, "k0")
+				}
+				sim.store.SetDown(true)
+				sim.instances[c.stopping].gateway.PrepareStop(context.Background())
+				sends := 0
+				sim.mu.Lock()
+				sim.onDispatch = func(to string, _ routed.Request) {
+					if to == c.stopping {
+						sends++
+					}
+				}
+				sim.mu.Unlock()
+				for i := range 6 {
+					sim.sendRequest("k0", fmt.Sprintf("r-%d", i), c.path, key, 500*time.Millisecond)
+				}
+				if sends != 1 {
+					t.Errorf("%d requests were sent to the stopped node, want 1", sends)
+				}
+				sim.mu.Lock()
+				sim.onDispatch = nil
+				sim.mu.Unlock()
+				sim.store.SetDown(false)
+				sim.killGateway(c.stopping)
+				sim.startGateway(c.stopping)
+				time.Sleep(3 * time.Second)
+				served := false
+				for i := range 20 {
+					a := sim.sendRequest("k0", fmt.Sprintf("after-%d", i), c.path, key, time.Second)
+					served = served || string(a.Body) == c.stopping
+				}
+				if !served {
+					t.Error("the next process gets no requests")
+				}
+			})
+		})
+	}
+}
