--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -120,7 +120,7 @@
 	go func() {
 		client := node.NewClient()
 		defer client.Close()
-		answer, err := client.Dispatch(context.Background(), d.settings.NodesAddress, routed.Request{ID: "r", Method: "GET", Path: "/", Service: "orders", Deadline: time.Now().Add(20 * time.Second)})
+		answer, err := client.Dispatch(context.Background(), d.settings.NodesAddress, routed.Request{ID: "r", Method: "GET", Path: "/", Service: "orders", Deadline: time.Now().Add(20 * time.Second)}, nil)
 		results <- result{answer, err}
 	}()
 	conn := <-accepted
