Count the bytes of a relayed read of the store as they arrive

What callers saw: nothing directly. A node that reads the configuration through another node interrupts the read when other nodes report a newer revision, although its answer is arriving, and transfers it once more.

Cause: topicReader.interrupt keeps a read of whose answer bytes have arrived (registry.Transfer). Only platform/store counts bytes. A relayed read has none, so that each one was interrupted as if nothing had arrived. The read that follows an interrupted one is not interrupted, so each relayed record was transferred at most about twice. The simulation of package gateway hides this: its peers pass the context with the Transfer on to the node that relays.

Change: node.Client.StoreCall counts the data that arrives on its connection in the Transfer of its context. No other data arrives on a connection during such a call.

TestArrivingAnswerOfRelayedReadIsCounted failed before: "0 bytes are counted, want the 16384 that have arrived".

--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -325,3 +325,50 @@
 		t.Fatalf("peer state %q, error %v; want %q", node.PeerStateOf(err), err, node.PeerRefuses)
 	}
 }
+
+// pageRouter answers each call of the store with a page.
+type pageRouter struct {
+	echoRouter
+	page registry.Page
+}
+
+// StoreCall implements node.RouterService.
+func (p *pageRouter) StoreCall(context.Context, registry.Call) (registry.Page, error) {
+	return p.page, nil
+}
+
+// Guards against interrupting a relayed read of the store whose answer arrives, as if nothing had arrived: the next one
+// would transfer it once more.
+func TestArrivingAnswerOfRelayedReadIsCounted(t *testing.T) {
+	const recordBytes, arrivedBytes = 256 << 10, 16 << 10
+	server, err := node.NewRouterServer(&pageRouter{page: registry.Page{End: 1, Records: []registry.Record{{Key: "config", Value: make([]byte, recordBytes)}}}})
+	requireNoError(t, err)
+	f := newFixtureFor(t, server.Serve)
+	_, _, err = f.client.Probe(context.Background(), f.relay.Address(), 0)
+	requireNoError(t, err)
+	f.relay.SilenceToClientAfter(arrivedBytes)
+	ctx, cancel := context.WithTimeout(context.Background(), dispatchTimeout)
+	defer cancel()
+	ctx, transfer := registry.TrackTransfer(ctx)
+	var page registry.Page
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		page, err = f.client.StoreCall(ctx, f.relay.Address(), registry.Call{Operation: registry.OperationRead, Topic: "operators"})
+	})
+	for transfer.Received() < arrivedBytes && ctx.Err() == nil {
+		<-time.After(time.Millisecond)
+	}
+	if got := transfer.Received(); got != arrivedBytes {
+		t.Errorf("%d bytes are counted, want the %d that have arrived", got, arrivedBytes)
+	}
+	f.relay.Resume()
+	reading.Wait()
+	if ctx.Err() == nil && (err != nil || len(page.Records) != 1 || transfer.Received() < recordBytes) {
+		t.Errorf("%d records, %d bytes, error %v", len(page.Records), transfer.Received(), err)
+	}
+	// The next call on the connection is not counted.
+	before := transfer.Received()
+	if _, _, err := f.client.Probe(context.Background(), f.relay.Address(), 0); err != nil || transfer.Received() != before {
+		t.Errorf("%d further bytes are counted, error %v", transfer.Received()-before, err)
+	}
+}
--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -31,7 +31,9 @@
 	if err != nil {
 		return registry.Page{}, err
 	}
+	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
 	response, err := nodepb.NewDRPCRouterClient(conn).StoreCall(ctx, encodeStoreCall(call))
+	conn.watchdog.transfer.Store(nil)
 	if err = c.finishCall(address, conn, err); err != nil {
 		return registry.Page{}, err
 	}
--- a/internal/node/watchdog.go
+++ b/internal/node/watchdog.go
@@ -5,7 +5,10 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"heatherreel/internal/registry"
 )
 
 // patience is how long a call waits on a silent connection.
@@ -67,6 +70,8 @@
 	net.Conn
 	connPool *connPool
 	address  string
+	// transfer counts the data that arrives for a call of the store; nil during other calls.
+	transfer atomic.Pointer[registry.Transfer]
 
 	mu sync.Mutex
 	// armed is set while a call waits, and rule applies to it.
@@ -102,6 +107,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
+			c.transfer.Load().Add(n)
 			c.recordReceive()
 			return n, err
 		}
