Test that a stop awaits the request that a backend server works on

The review took AwaitIdle out of the drain of the gateway, and no test failed. TestStopAwaitsRunningRequest has a backend server that answers 3.5 s after the signal, half a second after the node would end for want of further requests. Without AwaitIdle it fails: "got unknown, error unavailable: call to node ...: context canceled" after 3.0 s; with it the caller gets the answer. What it shares with TestLongRequestIsAnsweredBeforeStopEnds is in startRequest; that test asserts what it did.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -94,13 +95,28 @@
 	}
 }
 
-// Guards against a request without an answer because the backend server needs longer for it than a stopping node has.
-func TestLongRequestIsAnsweredBeforeStopEnds(t *testing.T) {
-	t.Parallel()
+// runningRequest is a request of another node on which the backend server works.
+type runningRequest struct {
+	daemon      *gatewayDaemon
+	stopServing context.CancelFunc
+	// backend is the connection on which the backend server owes the answer.
+	backend net.Conn
+	answers <-chan dispatchResult
+}
+
+type dispatchResult struct {
+	answer routed.Answer
+	err    error
+}
+
+// startRequest starts a gateway and a request with the id "r" that its backend server receives and does not answer.
+func startRequest(t *testing.T) runningRequest {
+	t.Helper()
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { backend.Close() })
 	accepted := make(chan net.Conn, 1)
 	go func() {
 		if conn, err := backend.Accept(); err == nil {
@@ -108,35 +124,57 @@
 		}
 	}()
 	d, stopServing := startDaemon(t, backend.Addr().String())
-	defer d.close(stopServing)
 	if _, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend.Addr().String(), Slots: 8, StartedUnixMS: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
-	type result struct {
-		answer routed.Answer
-		err    error
-	}
-	results := make(chan result, 1)
+	answers := make(chan dispatchResult, 1)
 	go func() {
 		client := node.NewClient()
 		defer client.Close()
-		answer, err := client.Dispatch(context.Background(), d.settings.NodesAddress, routed.Request{ID: "r", Method: "GET", Path: "/", Service: "orders", Deadline: time.Now().Add(20 * time.Second)}, nil)
-		results <- result{answer, err}
+		r := routed.Request{ID: "r", Method: "GET", Path: "/", Service: "orders", Deadline: time.Now().Add(20 * time.Second)}
+		answer, err := client.Dispatch(context.Background(), d.settings.NodesAddress, r, nil)
+		answers <- dispatchResult{answer, err}
 	}()
-	conn := <-accepted
-	defer backend.Close()
+	return runningRequest{daemon: d, stopServing: stopServing, backend: <-accepted, answers: answers}
+}
+
+// Guards against a request without an answer because the backend server needs longer for it than a stopping node has.
+func TestLongRequestIsAnsweredBeforeStopEnds(t *testing.T) {
+	t.Parallel()
+	r := startRequest(t)
+	defer r.daemon.close(r.stopServing)
 	// The exchange ends when the backend server closes the connection.
-	defer conn.Close()
+	defer r.backend.Close()
 	began := time.Now()
-	if d.drain() {
+	if r.daemon.drain() {
 		t.Error("the node reports that no request was in progress")
 	}
-	if took := time.Since(began); took > d.settings.ShutdownTimeout()-shutdownMargin+100*time.Millisecond {
+	if took := time.Since(began); took > r.daemon.settings.ShutdownTimeout()-shutdownMargin+100*time.Millisecond {
 		t.Errorf("the stop took %v", took)
 	}
 	// The process ends.
-	stopServing()
-	if r := <-results; r.err != nil || r.answer.Outcome != request.Unknown {
-		t.Errorf("got %v %q, error %v; want an answer with an unknown outcome", r.answer.Outcome, r.answer.Reason, r.err)
+	r.stopServing()
+	if got := <-r.answers; got.err != nil || got.answer.Outcome != request.Unknown {
+		t.Errorf("got %v %q, error %v; want an answer with an unknown outcome", got.answer.Outcome, got.answer.Reason, got.err)
+	}
+}
+
+// Guards against a stop that ends once no requests arrive any more, although the backend server still works on one.
+func TestStopAwaitsRunningRequest(t *testing.T) {
+	t.Parallel()
+	r := startRequest(t)
+	defer r.daemon.close(r.stopServing)
+	defer r.backend.Close()
+	go func() {
+		<-time.After(acceptTime + lingerTime + 500*time.Millisecond)
+		_, _ = io.WriteString(r.backend, "HTTP/1.1 200 OK\r\nHeatherreel-Request-Id: r\r\nHeatherreel-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+	}()
+	if !r.daemon.drain() {
+		t.Error("the stop did not await the request")
+	}
+	// The process ends.
+	r.stopServing()
+	if got := <-r.answers; got.err != nil || got.answer.Outcome != request.Done || string(got.answer.Body) != "ok" {
+		t.Errorf("got %v %q, error %v; want the answer of the backend server", got.answer.Outcome, got.answer.Reason, got.err)
 	}
 }
