Track what an exchange has written apart from its connection

What callers saw: a write ran twice. Requests were also answered "not run" although they had run.

Cause: net/http puts the connection of an answer without a body back into its pool before it returns that answer. If the next exchange took the connection at that moment, it reset the state "a write has started", which belonged to the connection. The first exchange then took its answer for bytes that came before it had sent anything: it ended as not sent, and as the connection had been used before, the transport sent the request again.

Class: state of one user of a shared resource that is kept at the resource, and read after it has been handed on.

Ruled out: a second dispatch by the ingress node, which would have begun a hop and waited for a slot; a retry by net/http, as an exchange aborts it. Answers with a body are returned before their connection is pooled.

Evidence: TestAnswerWithoutBodyIsNotTakenForUnsent makes 2,400 requests by 8 callers over 2 connections.

Change: each exchange has a state of its own for its writes; the connection points to that of the exchange that began last.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -10,18 +10,33 @@
 // errAborted is returned by writes on an aborted connection.
 var errAborted = errors.New("exchange aborted before sending")
 
-// States of a writeTrackingConn during one exchange.
+// Values of a writeState.
 const (
 	nothingWritten uint32 = iota
 	writeStarted
 	aborted
 )
 
-// writeTrackingConn records whether a write has started since beginExchange, and rejects all writes after abort. Only
-// if the connection was aborted in state nothingWritten is it certain that the request of the exchange was not sent.
+// writeState records whether a write of one exchange has started, and rejects its writes after abort. Only if it was
+// aborted at nothingWritten is it certain that the request of the exchange was not sent. Each exchange has its own:
+// net/http may begin the next one on a connection before it returns the answer of the previous one.
+type writeState struct{ value atomic.Uint32 }
+
+// abort makes all further writes of the exchange fail. It reports whether a write had started.
+func (s *writeState) abort() bool { return s.value.Swap(aborted) == writeStarted }
+
+// hasStarted reports whether a write has started and the exchange was not aborted.
+func (s *writeState) hasStarted() bool { return s.value.Load() == writeStarted }
+
+// startWrite records a write. It reports whether the write may be made.
+func (s *writeState) startWrite() bool {
+	return s.value.CompareAndSwap(nothingWritten, writeStarted) || s.value.Load() == writeStarted
+}
+
+// writeTrackingConn tracks the writes of the exchange that was the last to begin on it.
 type writeTrackingConn struct {
 	net.Conn
-	state atomic.Uint32
+	writes atomic.Pointer[writeState]
 	// reading is true while a read is in progress, and closed after Close. changed holds a token after each change of
 	// them to true.
 	reading, closed atomic.Bool
@@ -31,26 +46,32 @@
 }
 
 func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
-	return &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+	c := &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+	c.writes.Store(&writeState{})
+	return c
 }
 
-// beginExchange resets the state for the next exchange on the connection. It waits until net/http waits for data on the
-// connection or has closed it. If instead bytes came with the previous answer, net/http closes the connection, but if
-// an exchange began before that, it would take them for the answer to the new request.
-func (c *writeTrackingConn) beginExchange(ctx context.Context) {
-	c.state.Store(nothingWritten)
+// beginExchange begins the next exchange on the connection and returns the state of its writes. It waits until net/http
+// waits for data on the connection or has closed it. If instead bytes came with the previous answer, net/http closes the
+// connection, but if an exchange began before that, it would take them for the answer to the new request.
+func (c *writeTrackingConn) beginExchange(ctx context.Context) *writeState {
+	writes := &writeState{}
+	c.writes.Store(writes)
 	for !c.reading.Load() && !c.closed.Load() {
 		select {
 		case <-c.changed:
 		case <-ctx.Done():
-			return
+			return writes
 		}
 	}
+	return writes
 }
 
-// abort makes all further writes of the exchange fail. It reports whether a write had started.
-func (c *writeTrackingConn) abort() bool {
-	return c.state.Swap(aborted) == writeStarted
+// rejectWrites makes all writes of the exchange that begins on the connection fail.
+func (c *writeTrackingConn) rejectWrites() {
+	writes := &writeState{}
+	writes.abort()
+	c.writes.Store(writes)
 }
 
 // signalChange wakes beginExchange.
@@ -78,7 +99,7 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	if !c.state.CompareAndSwap(nothingWritten, writeStarted) && c.state.Load() == aborted {
+	if !c.writes.Load().startWrite() {
 		return 0, errAborted
 	}
 	return c.Conn.Write(p)
--- a/internal/httpwire/transport_test.go
+++ b/internal/httpwire/transport_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -216,3 +217,28 @@
 		t.Errorf("error %v, want too_large", err)
 	}
 }
+
+// Guards against running a request twice: net/http lets the next exchange take the connection of an answer without a
+// body before it returns that answer.
+func TestAnswerWithoutBodyIsNotTakenForUnsent(t *testing.T) {
+	const callers, requestsPerCaller = 8, 300
+	s := newRawServer(t, func(_ int, c net.Conn) bool {
+		_, err := c.Write([]byte("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"))
+		return err == nil
+	})
+	transport := newTestTransport(t)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range requestsPerCaller {
+				if _, err := transport.Do(t.Context(), newCall("POST", s.address(), []byte("x"))); err != nil {
+					t.Errorf("exchange: %v", err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if got := s.requests.Load(); got != callers*requestsPerCaller {
+		t.Errorf("the server received %d requests, want %d", got, callers*requestsPerCaller)
+	}
+}
