Read large answers in the client for callers

What callers saw: a caller that uses internal/caller.Client got "outcome unknown" for each answer of more than 64 KiB, although the request had run and the answer arrived.

The client for callers states no bound, and zero means that there is no room at all. The clients of backend servers state theirs. Ruled out: the node, which sends the whole answer.

Change: the client states a bound with room for one answer of its largest size.

TestLargeAnswerArrives reads an answer of 15 MiB. Before: "outcome unknown with 0 bytes, error too_large: the answers being read are over 0 bytes". It passes with the change.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -308,6 +308,21 @@
 	<-s.canceled
 }
 
+// Guards against a client that refuses the answer to a request because it is larger than the part that needs no shared
+// buffers.
+func TestLargeAnswerArrives(t *testing.T) {
+	body := make([]byte, 15<<20)
+	address := startServer(t, &stubHandler{answer: request.Answer{Outcome: request.Done, Status: 200, Body: body}})
+	client := NewClient(1)
+	defer client.Close()
+	answer, err := client.Do(t.Context(), address, request.Request{
+		Service: "s", Tenant: "t", Key: "k", Method: "GET", Idempotent: true, Deadline: time.Now().Add(5 * time.Second),
+	})
+	if err != nil || answer.Outcome != request.Done || len(answer.Body) != len(body) {
+		t.Errorf("outcome %v with %d bytes, error %v", answer.Outcome, len(answer.Body), err)
+	}
+}
+
 // Guards against accepting a response that does not come from a node and so has no outcome header.
 func TestAnswerWithoutOutcomeIsUnknown(t *testing.T) {
 	answer, err := decodeAnswer(httpwire.Response{Status: 200, Header: http.Header{}})
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -20,6 +20,9 @@
 	clientDialTimeout = time.Second
 	clientIdleTimeout = 30 * time.Second
 	maxResponseBytes  = 64 << 20
+	// maxBufferedBytes bounds the memory of all answers that are being read, in bytes. It has room for one of the largest,
+	// of which a copy is made.
+	maxBufferedBytes = 2*maxResponseBytes + 1<<20
 )
 
 // Client sends the requests of a caller to nodes. It is safe for concurrent use.
@@ -30,9 +33,10 @@
 // NewClient returns a client that opens at most maxConnections connections to each node.
 func NewClient(maxConnections int) *Client {
 	return &Client{transport: httpwire.NewTransport(httpwire.Options{
-		MaxConnections: maxConnections,
-		DialTimeout:    clientDialTimeout,
-		IdleTimeout:    clientIdleTimeout,
+		MaxConnections:   maxConnections,
+		DialTimeout:      clientDialTimeout,
+		IdleTimeout:      clientIdleTimeout,
+		MaxBufferedBytes: maxBufferedBytes,
 	})}
 }
 
