Await the answers to other nodes at the end of a node

What callers saw: an answer of several megabytes, or any answer on a congested link, could be cut when its owner stopped in an orderly way: the ingress node lost the connection and answered "outcome unknown", or sent an idempotent request again.

Cause: a node of the project's own interface ended 500 ms after it had left. drpc writes an answer after the engine has counted its request as finished, and nothing waited for these writes. The 500 ms were also counted from the leave, not from the last request of a node that had not read the leave record yet.

Ruled out: callers' own answers, for which http.Server.Shutdown waits; answers to Release, as a node leaves only when the log shows that it is the source of no slice.

Change: the wait of the gateway moves to requestServers, which both processes use: callers' requests, no request of another node for 500 ms, no unwritten answer. Operators' requests no longer count as requests that the node ran.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,9 +33,11 @@
 )
 
 const (
-	// lingerTime is how long a node that has left still answers callers and nodes that have not read its leave record
-	// yet. A gateway lingers until no request of another node has arrived for that time.
+	// lingerTime is the time without a request of another node after which a process that refuses requests may end.
+	// Nodes that have not read yet that it stopped may send requests until then.
 	lingerTime = 500 * time.Millisecond
+	// finalAnswersTime is the part of the shutdown time in which the requests that are still in progress are answered.
+	finalAnswersTime = 200 * time.Millisecond
 	// flushInterval is the interval at which the counts of suppressed events are written.
 	flushInterval = 10 * time.Second
 )
@@ -52,8 +54,9 @@
 	leases   *node.LeaseSocket
 	engine   *engine.Engine
 
-	nodesListener net.Listener
-	servers       []*http.Server
+	requestServers requestServers
+	// otherServers receive announcements and operators' requests.
+	otherServers []*http.Server
 	// serveLoops waits for the accept loops and the datagram reader.
 	serveLoops sync.WaitGroup
 }
@@ -135,21 +138,23 @@
 // listen opens the TCP listeners and starts to serve callers, the backend server, operators and other nodes. Other
 // nodes are served until ctx ends.
 func (d *daemon) listen(ctx context.Context) error {
-	server, err := node.NewServer(d.engine)
-	if err != nil {
+	var err error
+	if d.requestServers.nodes, err = node.NewServer(d.engine); err != nil {
 		return err
 	}
-	if d.nodesListener, err = d.listenTCP("nodes", d.settings.NodesAddress); err != nil {
+	nodesListener, err := d.listenTCP("nodes", d.settings.NodesAddress)
+	if err != nil {
 		return err
 	}
-	d.goServe(func() { _ = server.Serve(ctx, d.nodesListener) })
+	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, nodesListener) })
 	d.goServe(func() { d.leases.Receive(d.engine.LeaseMessage, d.reportMalformedDatagram) })
+	d.requestServers.callers = caller.NewServer(caller.NewHandler(d.engine))
 	for _, h := range []struct {
 		name    string
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{"callers", d.settings.CallersAddress, caller.NewServer(caller.NewHandler(d.engine))},
+		{"callers", d.settings.CallersAddress, d.requestServers.callers},
 		{"backend", d.settings.BackendAddress, caller.NewServer(backendserver.NewHandler(d.engine))},
 		{"operators", d.settings.OperatorsAddress, operator.NewServer(d.engine, d.engine.ControlPool(), d.metrics.Handler())},
 	} {
@@ -157,7 +162,9 @@
 		if err != nil {
 			return err
 		}
-		d.servers = append(d.servers, h.server)
+		if h.server != d.requestServers.callers {
+			d.otherServers = append(d.otherServers, h.server)
+		}
 		d.goServe(func() { _ = h.server.Serve(listener) })
 	}
 	return nil
@@ -212,25 +219,23 @@
 func (d *daemon) drain() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout)
 	defer cancel()
-	drained := d.engine.Drain(ctx)
-	if drained {
-		linger := time.NewTimer(lingerTime)
-		defer linger.Stop()
-		select {
-		case <-linger.C:
-		case <-ctx.Done():
-		}
+	if !d.engine.Drain(ctx) {
+		return false
 	}
-	for _, s := range d.servers {
-		// Shutdown waits until the requests in progress have finished.
-		drained = s.Shutdown(ctx) == nil && drained
+	if !d.requestServers.finish(ctx, time.Now()) {
+		d.events.Emit(eventlog.ShutdownTimedOut)
+		return false
 	}
-	return drained
+	return true
 }
 
 // close closes all parts, the engine before the clients that it uses.
 func (d *daemon) close(stopServing func()) {
-	for _, s := range d.servers {
+	// The listeners may not have been opened.
+	if d.requestServers.callers != nil {
+		_ = d.requestServers.callers.Close()
+	}
+	for _, s := range d.otherServers {
 		_ = s.Close()
 	}
 	stopServing()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -48,8 +48,6 @@
 	drainMargin = 500 * time.Millisecond
 	// shutdownMargin is the part of the shutdown time that is left when the process ends although requests run.
 	shutdownMargin = 500 * time.Millisecond
-	// finalAnswersTime is the time before that in which these requests are answered.
-	finalAnswersTime = 200 * time.Millisecond
 	// gcPercent is the growth of the heap in percent between two garbage collections. A low value saves memory, which
 	// costs money on each instance; as the heap is only a few megabytes, a collection takes little time.
 	gcPercent = 40
@@ -61,18 +59,18 @@
 
 // gatewayDaemon is a running gateway: a node that serves routes.
 type gatewayDaemon struct {
-	settings     settings.Gateway
-	events       *eventlog.Logger
-	metrics      *telemetry.Metrics
-	tracing      *telemetry.Tracing
-	gateway      *gateway.Gateway
-	store        *store.Client
-	peers        *node.Client
-	backend      *backend.Client
-	callerServer *http.Server
-	nodeServer   *node.Server
-	servers      []*http.Server
-	serveLoops   sync.WaitGroup
+	settings settings.Gateway
+	events   *eventlog.Logger
+	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
+	gateway  *gateway.Gateway
+	store    *store.Client
+	peers    *node.Client
+	backend  *backend.Client
+
+	requestServers requestServers
+	servers        []*http.Server
+	serveLoops     sync.WaitGroup
 }
 
 // settingsPollInterval is the interval at which the settings file is read again, as it may change without a signal.
@@ -212,14 +210,14 @@
 // nodes are served until ctx ends.
 func (d *gatewayDaemon) listen(ctx context.Context) error {
 	var err error
-	if d.nodeServer, err = node.NewRouterServer(d.gateway); err != nil {
+	if d.requestServers.nodes, err = node.NewRouterServer(d.gateway); err != nil {
 		return err
 	}
 	listener, err := d.listenTCP("nodes", d.settings.NodesAddress)
 	if err != nil {
 		return err
 	}
-	d.goServe(func() { _ = d.nodeServer.Serve(ctx, listener) })
+	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, listener) })
 	for _, h := range []struct {
 		name, address string
 		handler       http.Handler
@@ -234,8 +232,8 @@
 			return err
 		}
 		server := caller.NewServer(h.handler)
-		if d.callerServer == nil {
-			d.callerServer = server
+		if d.requestServers.callers == nil {
+			d.requestServers.callers = server
 		}
 		d.servers = append(d.servers, server)
 		d.goServe(func() { _ = server.Serve(listener) })
@@ -273,32 +271,18 @@
 	requestsCtx, cancelRequests := context.WithTimeout(ctx, limit-min(finalAnswersTime, limit/2))
 	defer cancelRequests()
 	d.gateway.PrepareStop(requestsCtx)
-	if d.finishRequests(requestsCtx, time.Now()) {
+	// Heartbeats are still answered until the process exits, so that the backend server keeps its keys while the node
+	// restarts.
+	if d.requestServers.finish(requestsCtx, time.Now()) {
 		return true
 	}
 	d.events.Emit(eventlog.ShutdownTimedOut)
 	d.gateway.EndRequests()
-	// Without an error the answers are written; with one, their time is over.
-	_ = d.callerServer.Shutdown(ctx)
-	d.nodeServer.AwaitIdle(ctx)
+	d.requestServers.writeAnswers(ctx)
 	d.events.Flush()
 	return false
 }
 
-// finishRequests waits until no request is in progress or on its way from another node. The gateway has accepted none
-// since closedAt. finishRequests returns false if ctx ends first.
-func (d *gatewayDaemon) finishRequests(ctx context.Context, closedAt time.Time) bool {
-	// Shutdown closes idle connections at once and waits until the requests in progress have finished. Heartbeats are
-	// still answered until the process exits, so that the backend server keeps its keys while the node restarts.
-	if d.callerServer.Shutdown(ctx) != nil {
-		return false
-	}
-	// A request that met the end of the process could not be sent to another node, because its sender could not know
-	// whether it ran.
-	d.nodeServer.AwaitQuiet(ctx, closedAt, lingerTime)
-	return d.nodeServer.AwaitIdle(ctx)
-}
-
 // close closes all parts, the gateway before the clients that it uses.
 func (d *gatewayDaemon) close(stopServing func()) {
 	for _, s := range d.servers {
--- /dev/null
+++ b/internal/daemon/request_servers.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"heatherreel/internal/node"
+)
+
+// requestServers are the servers through which a process receives requests: those for callers and for other nodes.
+type requestServers struct {
+	callers *http.Server
+	nodes   *node.Server
+}
+
+// finish waits until no request is in progress or on its way from another node, and all answers are written. The process
+// refuses requests since closedAt. finish returns false if ctx ends first.
+func (s requestServers) finish(ctx context.Context, closedAt time.Time) bool {
+	// Shutdown closes idle connections at once and waits until the requests in progress have finished.
+	if s.callers.Shutdown(ctx) != nil {
+		return false
+	}
+	// A request that met the end of the process could not be sent to another node, because its sender could not know
+	// whether it ran.
+	s.nodes.AwaitQuiet(ctx, closedAt, lingerTime)
+	return s.nodes.AwaitIdle(ctx)
+}
+
+// writeAnswers waits until the answers to all requests are written, or ctx ends. The requests have been ended.
+func (s requestServers) writeAnswers(ctx context.Context) {
+	// Without an error the answers are written; with one, their time is over.
+	_ = s.callers.Shutdown(ctx)
+	s.nodes.AwaitIdle(ctx)
+}
