Answer all requests before the shutdown time of a node ends

What callers saw: a request that ran or waited when the shutdown timeout of a node passed got no answer; its connection was closed. The last node of a service cannot move its slices, so that each of its planned stops did that to the callers of that moment. A request that another node had forwarded ended with a lost connection.

Cause: the whole shutdown timeout was spent on the moves, and http.Server.Shutdown with the rest of it, which was nothing, returned at once.

"Not run" is said only if the request was neither sent nor waits for another one with its id, which one atomic state decides between the sender and the end; otherwise the outcome is unknown. A write that waits for a slot of the backend server counts as unknown, since its id has been admitted by then.

Tests: - TestCallersAreAnsweredBeforeShutdownTimeout, over sockets, with a running write, a waiting write and a waiting read. Before: "running request: got unknown connection_lost, error unavailable: lost after sending: EOF", the same for a waiting write.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,18 +215,29 @@
 }
 
 // drain shuts the node down gracefully within the shutdown timeout and reports whether no work was left. Requests that
-// still arrive meanwhile are served or forwarded.
+// still arrive meanwhile are served or forwarded. Those that have not finished by then are answered before it returns.
 func (d *daemon) drain() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout)
+	limit := d.settings.ShutdownTimeout
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if !d.engine.Drain(ctx) {
-		return false
-	}
-	if !d.requestServers.finish(ctx, time.Now()) {
+	requestsCtx, cancelRequests := context.WithTimeout(ctx, limit-min(finalAnswersTime, limit/2))
+	defer cancelRequests()
+	left := d.engine.Drain(requestsCtx)
+	drained := left && d.requestServers.finish(requestsCtx, time.Now())
+	if left && !drained {
 		d.events.Emit(eventlog.ShutdownTimedOut)
-		return false
 	}
-	return true
+	if !drained {
+		d.engine.EndRequests()
+		d.requestServers.writeAnswers(ctx)
+	}
+	for _, s := range d.otherServers {
+		// Shutdown waits until the requests in progress have finished.
+		if err := s.Shutdown(ctx); err != nil {
+			d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
+		}
+	}
+	return drained
 }
 
 // close closes all parts, the engine before the clients that it uses.
--- a/internal/daemon/node_stop_test.go
+++ b/internal/daemon/node_stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"heatherreel/internal/caller"
 	"heatherreel/internal/fake"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/node"
@@ -39,12 +40,13 @@
   max_body: 16MiB
 `
 
-// ownerNode is a running node that owns slices, with its backend server.
+// ownerNode is a running node that owns slices, with its backend server and a caller.
 type ownerNode struct {
 	*daemon
 	stopServing context.CancelFunc
 	log         *logBuffer
 	backend     *fake.BackendServer
+	client      *caller.Client
 }
 
 // unusedAddress returns a loopback address on which nothing listens.
@@ -78,7 +80,8 @@
 // startOwnerNode starts a node with a backend server and waits until it owns slices.
 func startOwnerNode(t *testing.T, instance string, logURL *url.URL, shutdownTimeout time.Duration, o fake.BackendOptions) *ownerNode {
 	t.Helper()
-	n := &ownerNode{log: &logBuffer{}}
+	n := &ownerNode{log: &logBuffer{}, client: caller.NewClient(4)}
+	t.Cleanup(n.client.Close)
 	var err error
 	n.daemon, err = build(settings.Settings{
 		Instance: instance, DataCentre: "west-a", Region: "emea-west", Address: netip.MustParseAddr("127.0.0.1"),
@@ -140,6 +143,54 @@
 	err    error
 }
 
+// send sends a request of a caller, idempotent for the method GET, and returns its result later.
+func (n *ownerNode) send(method, key string, timeout time.Duration) <-chan callerResult {
+	results := make(chan callerResult, 1)
+	go func() {
+		answer, err := n.client.Do(context.Background(), n.settings.CallersAddress.String(), request.Request{
+			Service: "orders", Tenant: "t", Key: key, ID: uuid.Must(uuid.NewV7()).String(), Method: method,
+			Idempotent: method == "GET", Deadline: time.Now().Add(timeout),
+		})
+		results <- callerResult{answer, err}
+	}()
+	return results
+}
+
+// awaitRunning waits until the backend server works on a request.
+func (n *ownerNode) awaitRunning(t *testing.T) {
+	t.Helper()
+	await(t, "a request to reach the backend server", func() bool { return n.backend.Running() > 0 })
+}
+
+// Guards against a caller whose connection is closed without an answer because the shutdown timeout of the node ends
+// while its request runs or waits.
+func TestCallersAreAnsweredBeforeShutdownTimeout(t *testing.T) {
+	t.Parallel()
+	const shutdownTimeout = 1500 * time.Millisecond
+	n := startOwnerNode(t, "i-1", startLog(t), shutdownTimeout, fake.BackendOptions{ServiceTime: 10 * time.Second})
+	running := n.send("PUT", "a", 8*time.Second)
+	n.awaitRunning(t)
+	// The concurrency limit is 1, so that these requests wait.
+	waitingWrite, waitingRead := n.send("PUT", "b", 25*time.Second), n.send("GET", "c", 25*time.Second)
+	began := time.Now()
+	if n.drain() {
+		t.Error("the node reports that no request was in progress")
+	}
+	if took := time.Since(began); took > shutdownTimeout+200*time.Millisecond {
+		t.Errorf("the stop took %v, want at most %v", took, shutdownTimeout)
+	}
+	n.close(n.stopServing)
+	if got := <-running; got.err != nil || got.answer.Outcome != request.Unknown {
+		t.Errorf("running request: got %v %q, error %v; want an answer with an unknown outcome", got.answer.Outcome, got.answer.Reason, got.err)
+	}
+	if got := <-waitingWrite; got.err != nil {
+		t.Errorf("waiting write: got %v %q, error %v; want an answer", got.answer.Outcome, got.answer.Reason, got.err)
+	}
+	if got := <-waitingRead; got.err != nil || got.answer.Outcome != request.NotRun {
+		t.Errorf("waiting read: got %v %q, error %v; want a refusal", got.answer.Outcome, got.answer.Reason, got.err)
+	}
+}
+
 // Guards against an answer to another node that is lost because it takes longer to write than a node that has left waits
 // for requests.
 func TestStopAwaitsAnswerToAnotherNode(t *testing.T) {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/config"
@@ -30,6 +31,8 @@
 	// lastAnswer is returned to the caller if no further attempt is made.
 	lastAnswer request.Answer
 	result     chan request.Answer
+	// sends is shared with the call that executes the request on this node.
+	sends *sendState
 
 	// target is where the request is executed on this node.
 	target target
@@ -59,9 +62,37 @@
 		req:        req,
 		lastAnswer: request.Refuse(request.DeadlineTooClose, "allow more time"),
 		result:     make(chan request.Answer, 1),
+		sends:      new(sendState),
 	}
 }
 
+// sendState decides between the first send of a request, after which it may run, and the end of the request before that.
+// It is safe for concurrent use.
+type sendState struct{ state atomic.Uint32 }
+
+// Values of sendState.
+const (
+	unsent uint32 = iota
+	sent
+	endedUnsent
+)
+
+// beginSend is called before the request is sent or waits for another one with its id. It returns false if the request
+// was ended before.
+func (s *sendState) beginSend() bool {
+	return s.state.CompareAndSwap(unsent, sent) || s.state.Load() == sent
+}
+
+// endUnsent ends the request unless it may have been sent, and reports whether it did.
+func (s *sendState) endUnsent() bool {
+	return s.state.CompareAndSwap(unsent, endedUnsent) || s.state.Load() == endedUnsent
+}
+
+// stoppedAnswer returns the answer to a request that a stopping node does not send.
+func stoppedAnswer() request.Answer {
+	return request.Refuse(request.Draining, "repeat the request with the same id at another node")
+}
+
 // finish passes the answer to the waiting handler; only the first answer counts. If an earlier attempt may have run, a
 // "not run" answer becomes "unknown": "not run" requires proof for all attempts, not only for the last one.
 func (c *call) finish(a request.Answer) {
@@ -75,17 +106,19 @@
 }
 
 // await blocks the handler until the call is finished. It also waits if the caller has disconnected, because the jobs
-// of the call observe the context and finish the call themselves. The exception is an engine that is being closed: its
-// jobs may end without finishing the call. The channel closed is closed then, and the outcome of the request is
-// unknown. p reports progress to the node that forwarded the request, if any.
-func (c *call) await(closed <-chan struct{}, p node.Progress) request.Answer {
-	if answer, ok := p.Await(c.result, closed); ok {
+// of the call observe the context and finish the call themselves. The exception is a node that ends: the channel ended is
+// closed before its jobs have finished the call. p reports progress to the node that forwarded the request, if any.
+func (c *call) await(ended <-chan struct{}, p node.Progress) request.Answer {
+	if answer, ok := p.Await(c.result, ended); ok {
 		return answer
 	}
 	select {
 	case answer := <-c.result:
 		return answer
 	default:
+		if c.sends.endUnsent() {
+			return stoppedAnswer()
+		}
 		return request.Uncertain(request.ConnectionLost, "repeat the request with the same id at another node")
 	}
 }
--- a/internal/engine/call_test.go
+++ b/internal/engine/call_test.go
@@ -25,3 +25,22 @@
 		}
 	}
 }
+
+// Guards against the answer "not run" to a request that was sent before the node ended it, or is sent afterwards.
+func TestEndedRequestIsNotRunOnlyIfUnsent(t *testing.T) {
+	ended := make(chan struct{})
+	close(ended)
+	unsent, sent := newCall(context.Background(), request.Request{}), newCall(context.Background(), request.Request{})
+	if !sent.sends.beginSend() {
+		t.Error("a request that was not ended may not be sent")
+	}
+	if a := sent.await(ended, node.Progress{}); a.Outcome != request.Unknown {
+		t.Errorf("sent request: got %v, want an unknown outcome", a.Outcome)
+	}
+	if a := unsent.await(ended, node.Progress{}); a.Outcome != request.NotRun {
+		t.Errorf("unsent request: got %v, want a refusal", a.Outcome)
+	}
+	if unsent.sends.beginSend() {
+		t.Error("a request that was answered as not run may still be sent")
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -66,6 +66,9 @@
 	readers        sync.WaitGroup
 	logUnreachable atomic.Bool
 	stopping       atomic.Bool
+	// requestsEnded is closed when all requests in progress are to be answered at once.
+	requestsEnded   chan struct{}
+	endRequestsOnce sync.Once
 }
 
 var (
@@ -100,6 +103,7 @@
 		pendingPlans:         newPendingPlans(),
 		forwardLimiter:       newForwardLimiter(max(1, o.Ingress.Workers/forwardShareDivisor)),
 		checkpointSchedule:   newCheckpointSchedule(o.LogRetention),
+		requestsEnded:        make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.waitingJobs = newWaitingJobs(e.ingressPool)
@@ -234,9 +238,16 @@
 	}
 }
 
+// EndRequests answers all requests in progress at once, as the process is about to end: as not run where that is certain,
+// otherwise with an unknown outcome. Later requests are answered in the same way.
+func (e *Engine) EndRequests() {
+	e.endRequestsOnce.Do(func() { close(e.requestsEnded) })
+}
+
 // Close stops all work immediately. Running requests are canceled. It returns when all workers have ended.
 func (e *Engine) Close() {
 	e.stopping.Store(true)
+	e.EndRequests()
 	e.cancel()
 	for _, t := range []*worker.Trigger{
 		e.ownershipTrigger, e.grantTrigger, e.releaseTrigger, e.membershipTrigger, e.planningTrigger,
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -85,7 +85,7 @@
 	if e.ingressPool.Submit(func() { e.firstAttempt(c) }) != nil {
 		c.finish(e.queueFull(e.ingressPool.Name()))
 	}
-	answer := c.await(e.ctx.Done(), node.Progress{})
+	answer := c.await(e.requestsEnded, node.Progress{})
 	span.Result(answer.Outcome, answer.Reason)
 	e.reportAnswer(answer)
 	e.deps.Metrics.RecordRequest(telemetry.Ingress, r.Service, answer.Outcome, answer.Reason, time.Since(started))
@@ -204,6 +204,7 @@
 func (e *Engine) executeLocally(c *call) {
 	// The owner's jobs work on a separate call, so that its answer may lead to another attempt of this one.
 	local := newCall(c.ctx, c.req)
+	local.sends = c.sends
 	job := func() {
 		e.execute(local, func(answer request.Answer) {
 			e.resumeRoute(c, routing.Attempt{Delivery: routing.Answered, Answer: answer})
@@ -223,6 +224,10 @@
 
 // forward sends the request to its owner and processes the answer.
 func (e *Engine) forward(c *call, d routing.Decision) {
+	if !c.sends.beginSend() {
+		c.finish(stoppedAnswer())
+		return
+	}
 	if !e.forwardLimiter.begin(d.Owner) {
 		c.finish(request.Refuse(request.QueueFull, "repeat the request after a pause; its owner answers slowly"))
 		return
--- a/internal/engine/owner.go
+++ b/internal/engine/owner.go
@@ -33,7 +33,7 @@
 	if e.ownerPool.Submit(func() { e.execute(c, c.finish) }) != nil {
 		c.finish(e.queueFull(e.ownerPool.Name()))
 	}
-	answer := c.await(e.ctx.Done(), f.Progress)
+	answer := c.await(e.requestsEnded, f.Progress)
 	answer.LedgerOffset = uint64(e.ledger.offset())
 	span.Result(answer.Outcome, answer.Reason)
 	e.deps.Metrics.RecordRequest(telemetry.Owner, f.Request.Service, answer.Outcome, answer.Reason, time.Since(started))
@@ -94,6 +94,11 @@
 		done(request.Refuse(request.Malformed, "send a UUIDv7 as request id"))
 		return
 	}
+	if !c.sends.beginSend() {
+		// Another request with this id may be running, so that the decision must precede the admission.
+		done(stoppedAnswer())
+		return
+	}
 	c.ref = outcome.Ref{Slice: c.target.slice, Tenant: c.req.Tenant, ID: id}
 	decision := e.outcomes.admit(time.Now(), c.ref, outcome.NewFingerprint(c.req), c.servedElsewhereUntil, done)
 	switch decision.Verdict {
@@ -128,6 +133,9 @@
 	if bound := c.target.settings.InFlightBound; !c.target.settings.ChecksGrants && req.Deadline.After(until.Add(bound)) {
 		req.Deadline = until.Add(bound)
 	}
+	if !c.sends.beginSend() {
+		return stoppedAnswer()
+	}
 	answer := e.deps.Backend.Execute(ctx, address, c.target.slice, c.target.fence, req)
 	if answer.Reason == request.BackendRefused {
 		e.deps.Events.Emit(eventlog.BackendRefusedFence, eventlog.Slice(c.target.slice), eventlog.Fence(c.target.fence))
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -16,7 +16,7 @@
 	Stopped = define(Event{Number: 105, Name: "stopped", Level: zerolog.InfoLevel,
 		Text: "the node stopped and runs no more requests"})
 	ShutdownTimedOut = define(Event{Number: 106, Name: "shutdown_timed_out", Level: zerolog.ErrorLevel,
-		Text:   "the shutdown timeout expired while slices were still owned or requests still running; these requests were aborted",
+		Text:   "the shutdown timeout expired while slices were still owned or requests still running; these requests were answered as not run where that is certain, otherwise with an unknown outcome",
 		Remedy: "check that other nodes of the service have capacity; if requests need more time, raise --shutdown-timeout or shutdown_s"})
 	QueueFull = define(Event{Number: 107, Name: "queue_full", Level: zerolog.WarnLevel, PerSecond: bulkRate,
 		Text:   "the queue of a worker pool was full and a job was rejected; if the job was a request, it did not run",
