Release the slices without requests when one has a long request

What callers saw: while a node stopped, or slices moved for another reason, requests for all keys on their way were refused as moving for 3 s, if a single request ran for longer than that at the node that gave the slices away. With a deadline of 2 s all of them failed.

Cause: a source answered the request to release slices when none of them had a request running, or when the new owner gave up after 2 s. By then nobody read the answer, so that the same slices were requested again, until the source recorded them in the log after 3 s, without the retained outcomes. It is a whole transfer that is bounded and begun again, while part of it could have been had.

Ruled out: the wait for running requests itself, without which a key would have two owners.

Change: a source answers after 250 ms with the slices that it can release, and the new owner asks again for the others.

TestLongRequestDelaysOnlyItsSlice, in virtual time: 8 slices move while a request of 8 s runs for one of them. Before: "the next owner serves 8 of 15 slices without a request 1s after the stop began", that is, none of those that moved. With the change it serves 15 within 1 s, and the last one after the long request, which is answered.

--- a/internal/engine/ownership.go
+++ b/internal/engine/ownership.go
@@ -28,6 +28,9 @@
 	releaseTimeout = 2 * time.Second
 	// releaseRetryDelay is the delay before a source that has not released all slices is asked again.
 	releaseRetryDelay = 50 * time.Millisecond
+	// maxReleaseWait is how long a source waits for running requests before it answers with the slices that it can release
+	// already. It is above the usual duration of a request, and well below releaseTimeout, after which the answer is lost.
+	maxReleaseWait = 250 * time.Millisecond
 	// logReleaseDelay is how long a source waits for the new owner to ask before it records the release in the log. A
 	// release through the log loses the retained outcomes, so it is the last resort if the nodes cannot reach each
 	// other.
@@ -253,7 +256,8 @@
 		"release is asked of incarnation %d, this node is %d", asked, self)
 }
 
-// Release implements node.Service. It waits until this node serves none of the slices or ctx ends. For a request
+// Release implements node.Service. It waits until this node serves none of the slices, but not longer than
+// maxReleaseWait: the new owner asks again for those for which requests still run. For a request
 // without slices it returns, as offset, the configuration revision that this node confirms: it runs no requests under
 // an earlier one. The offset is zero if there is no such revision.
 func (e *Engine) Release(ctx context.Context, r node.ReleaseRequest) (node.ReleaseResult, error) {
@@ -266,8 +270,11 @@
 	w := e.releaseWaiters.add(r.Slices)
 	defer e.releaseWaiters.remove(w)
 	e.releaseTrigger.Fire()
+	wait := time.NewTimer(maxReleaseWait)
+	defer wait.Stop()
 	select {
 	case <-w.ready:
+	case <-wait.C:
 	case <-ctx.Done():
 	case <-e.ctx.Done():
 	}
--- /dev/null
+++ b/internal/engine/stop_fleet_test.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/keyspace"
+	"heatherreel/internal/ledger"
+	"heatherreel/internal/request"
+	"heatherreel/internal/scenario"
+)
+
+// stopDocument is the configuration of the fleets in this file.
+const stopDocument = `regions:
+  emea-west: {data_centres: [west-a, west-b]}
+  emea-central: {data_centres: [central-a, central-b]}
+services: [orders]
+tenants: [t]
+defaults:
+  home_regions: any
+  deadline: 2s
+  max_deadline: 30s
+  slices: 16
+  checks_grants: true
+  concurrency_limit: 10
+`
+
+// startPair starts two nodes in one data centre, each with half of the slices.
+func (f *fleet) startPair(t *testing.T) (a, b *fleetNode) {
+	t.Helper()
+	f.must(t, f.Publish([]byte(stopDocument)))
+	for _, name := range []string{"a1", "a2"} {
+		f.must(t, f.Start(scenario.Node{Name: name, DataCentre: "west-a", Service: "orders"}))
+	}
+	f.Advance(20 * time.Second)
+	a, err := f.node("a1")
+	f.must(t, err)
+	b, err = f.node("a2")
+	f.must(t, err)
+	if na, nb := len(a.servableSlices()), len(b.servableSlices()); na == 0 || nb == 0 || na+nb != 16 {
+		t.Fatalf("the nodes serve %d and %d slices", na, nb)
+	}
+	return a, b
+}
+
+// longRequests is a Backend that works for a long time on requests for one key.
+type longRequests struct {
+	Backend
+	key string
+	// duration is the time for which the request runs.
+	duration time.Duration
+}
+
+func (l longRequests) Execute(ctx context.Context, address string, slice keyspace.SliceID, fence ledger.Offset, r request.Request) request.Answer {
+	answer := l.Backend.Execute(ctx, address, slice, fence, r)
+	if r.Key == l.key {
+		sleep(ctx, l.duration)
+	}
+	return answer
+}
+
+// Guards against keys that are not served for seconds while a node stops, because a long request runs for another key of
+// the node.
+func TestLongRequestDelaysOnlyItsSlice(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		const longKey = "long"
+		f.wrapBackend = func(_ *fleetNode, b Backend) Backend {
+			return longRequests{Backend: b, key: longKey, duration: 8 * time.Second}
+		}
+		a, b := f.startPair(t)
+		stopping, next := a, b
+		if b.wouldServe("orders", longKey) {
+			stopping, next = b, a
+		}
+		long := make(chan request.Answer, 1)
+		go func() { long <- f.send(next, newReadRequest("orders", longKey, 12*time.Second)) }()
+		f.Advance(100 * time.Millisecond)
+		f.must(t, f.Stop(stopping.Name))
+		stoppedAt := time.Now()
+		const maxUnserved = time.Second
+		for time.Since(stoppedAt) < maxUnserved && len(next.servableSlices()) < 15 {
+			f.Advance(20 * time.Millisecond)
+		}
+		if n := len(next.servableSlices()); n != 15 {
+			t.Errorf("the next owner serves %d of 15 slices without a request %v after the stop began", n, maxUnserved)
+		}
+		if answer := <-long; answer.Outcome != request.Done {
+			t.Errorf("the long request: %v %q", answer.Outcome, answer.Reason)
+		}
+		f.Advance(2 * time.Second)
+		if n := len(next.servableSlices()); n != 16 {
+			t.Errorf("the next owner serves %d of 16 slices after the long request", n)
+		}
+	})
+}
