Do not await a silent backend server for the whole stop of a node

What callers saw: a node whose backend server hung did not leave when it was stopped. Its slices moved, but it ended only after its shutdown timeout, without a leave record and with exit code 1.

Cause: the drain command to the backend server had the whole shutdown timeout, and the check whether the node could leave came after it. An error of the command was dropped without a log line. The peer was trusted to answer.

Change: the backend server has 1 s to confirm, as for grants. Event 614 names one that does not.

TestSilentBackendServerDoesNotKeepNodeFromLeaving, in virtual time. Before: "the node did not leave before its shutdown timeout", "the stop took 30s". It leaves with the change.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -173,10 +173,7 @@
 	e.stopping.Store(true)
 	e.membershipTrigger.Fire()
 	e.planningTrigger.Fire()
-	if address, ok := e.backend.address(); ok {
-		// A backend server that does not answer is drained all the same, because this node sends it no more requests.
-		_ = e.deps.Backend.Drain(ctx, address)
-	}
+	e.drainBackend(ctx)
 	for !e.idle() {
 		if !sleep(ctx, stopCheckInterval) {
 			e.deps.Events.Emit(eventlog.ShutdownTimedOut)
@@ -186,6 +183,23 @@
 	return e.leave(ctx)
 }
 
+// drainTimeout is the time that the backend server has to confirm that this node stops. It runs on the same instance.
+const drainTimeout = time.Second
+
+// drainBackend tells the backend server that this node stops. One that does not answer is drained all the same, because
+// this node sends it no more requests.
+func (e *Engine) drainBackend(ctx context.Context) {
+	address, ok := e.backend.address()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := e.deps.Backend.Drain(ctx, address); err != nil {
+		e.deps.Events.Emit(eventlog.BackendDrainUnanswered, eventlog.Cause(err))
+	}
+}
+
 // idle reports whether this node owns no slice, is not a source of any slice, and runs no request.
 func (e *Engine) idle() bool {
 	running := 0
--- a/internal/engine/stop_fleet_test.go
+++ b/internal/engine/stop_fleet_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/fake"
 	"heatherreel/internal/keyspace"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/request"
@@ -97,3 +98,29 @@
 		}
 	})
 }
+
+// Guards against a node that does not leave, so that its keys wait for the end of its lease, because its backend server
+// does not answer the drain command.
+func TestSilentBackendServerDoesNotKeepNodeFromLeaving(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		stopping, next := f.startPair(t)
+		stopping.backend.SetFaults(fake.BackendFaults{Frozen: true})
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		stoppedAt := time.Now()
+		left := make(chan bool, 1)
+		go func() { left <- stopping.engine.Drain(ctx) }()
+		if !<-left {
+			t.Error("the node did not leave before its shutdown timeout")
+		}
+		if took := time.Since(stoppedAt); took > 10*time.Second {
+			t.Errorf("the stop took %v", took)
+		}
+		f.Advance(time.Second)
+		if n := len(next.servableSlices()); n != 16 {
+			t.Errorf("the next owner serves %d of 16 slices", n)
+		}
+	})
+}
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -145,6 +145,9 @@
 		PerSecond: bulkRate,
 		Text:      "the backend server became slow or shed load; the node lowered the number of concurrent requests to it",
 		Remedy:    "if this repeats, check this instance for a cold cache, a noisy neighbour or an overload"})
+	BackendDrainUnanswered = define(Event{Number: 614, Name: "backend_drain_unanswered", Level: zerolog.WarnLevel,
+		Text:   "the backend server did not confirm that this node stops; the node goes on stopping and sends it no more requests",
+		Remedy: "check the backend server on this instance"})
 )
 
 // Events of the configuration.
