Await the owner of a key on a slow path instead of asking it again

What callers saw: when the path to the owner of a key was slow for more than 400 ms, or the owner paused, each idempotent request on it was given up and sent to the same owner again. The retry budget and the deadline allow this for a part of them; the others were answered "outcome unknown", although their answers would have arrived.

Cause: "Decide by a fresh connection whether a silent one is dead" gives an idempotent request up at the limit because another instance could run it. That is true of routes without a key; what Forward carries has a key, and only its owner can run it.

Ruled out: the rule for writes, which wait already. Waiting until the deadline in all cases: while a machine is lost, its reads would wait although their key has a new owner after less than a second.

Change: Forward gives up a silent connection only if the peer answers or refuses another one. When the log says that an owner was ended, the engine cancels the idempotent requests to it, which then go to the next owner.

Tests: - TestSlowPathDoesNotLoseForwardedAnswer, with a delay of 1.5 s and a deadline of 4 s.

--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -228,11 +228,23 @@
 		c.finish(stoppedAnswer())
 		return
 	}
-	if !e.forwardLimiter.begin(d.Owner) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	started := &forwarding{owner: d.Owner}
+	if c.req.Idempotent {
+		started.cancel = cancel
+	}
+	if !e.forwardLimiter.begin(started) {
 		c.finish(request.Refuse(request.QueueFull, "repeat the request after a pause; its owner answers slowly"))
 		return
 	}
-	ctx, span := e.deps.Tracing.StartHop(c.ctx, "", telemetry.HopForward)
+	if e.ledger.member(d.Owner) == nil {
+		// Its end was read after the request was routed, and has not canceled this forward.
+		e.forwardLimiter.end(started)
+		e.afterAttempt(c, routing.Attempt{Delivery: routing.NotSent}, false)
+		return
+	}
+	ctx, span := e.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
 	req := c.req
 	if traceparent := e.deps.Tracing.Traceparent(ctx); traceparent != "" {
 		req.Traceparent = traceparent
@@ -241,7 +253,7 @@
 	answer, err := e.deps.Peers.Forward(ctx, d.Address, node.ForwardedRequest{
 		Request: req, LedgerOffset: e.ledger.offset(), HomesEpoch: e.ledger.homesEpoch(),
 	})
-	e.forwardLimiter.end(d.Owner)
+	e.forwardLimiter.end(started)
 	attempt := deliveryOf(answer, err)
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -123,8 +123,12 @@
 	e.leases.recordReplayed(replayed, now)
 	e.scheduleClaims(replayed, now)
 	e.proposals.completeReplayed(replayed)
-	if replayed.acceptedAs(ledger.KindEnd) && replayed.record.End.Incarnation == e.incarnation() {
-		e.stopIncarnation()
+	if replayed.acceptedAs(ledger.KindEnd) {
+		ended := replayed.record.End.Incarnation
+		e.forwardLimiter.cancelTo(func(owner ledger.Incarnation) bool { return owner == ended })
+		if ended == e.incarnation() {
+			e.stopIncarnation()
+		}
 	}
 	if replayed.acceptedAs(ledger.KindSettled) && replayed.record.Settled.Incarnation == e.incarnation() {
 		e.serving.markSettled(replayed.record.Settled.Slices)
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -59,6 +59,7 @@
 		self = 0
 	}
 	e.leases.retainMembers(live)
+	e.forwardLimiter.cancelTo(func(owner ledger.Incarnation) bool { return live[owner] == nil })
 	e.observeAllWitnessSets(now)
 	if self != 0 {
 		e.scheduleAllClaims(live, now)
--- a/internal/engine/stop_fleet_test.go
+++ b/internal/engine/stop_fleet_test.go
@@ -124,3 +124,35 @@
 		}
 	})
 }
+
+// Guards against a read that waits for a lost owner until its deadline, although the key has a new owner.
+func TestReadOfLostOwnerGoesToNextOwner(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.must(t, f.Publish([]byte(stopDocument)))
+		for name, dataCentre := range map[string]string{"a1": "west-a", "a2": "west-a", "b1": "west-b", "c1": "central-a", "d1": "central-b"} {
+			f.must(t, f.Start(scenario.Node{Name: name, DataCentre: dataCentre, Service: "orders"}))
+		}
+		f.Advance(30 * time.Second)
+		lost, err := f.node("a1")
+		f.must(t, err)
+		ingress, err := f.node("d1")
+		f.must(t, err)
+		key := ""
+		for _, k := range f.keyPerSlice(ingress, "orders") {
+			if lost.wouldServe("orders", k) {
+				key = k
+			}
+		}
+		// No data of the machine arrives any more, and no connection to it is refused.
+		for _, location := range []string{"a2", "b1", "c1", "d1", fake.LogLocation} {
+			f.must(t, f.Cut("a1", location))
+		}
+		began := time.Now()
+		answer := f.send(ingress, newReadRequest("orders", key, 6*time.Second))
+		if took := time.Since(began); answer.Outcome != request.Done || took > 2*time.Second {
+			t.Errorf("got %v %q after %v, want the answer of the next owner", answer.Outcome, answer.Reason, took)
+		}
+	})
+}
--- a/internal/engine/waiters.go
+++ b/internal/engine/waiters.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"time"
 
 	"heatherreel/internal/keyspace"
@@ -181,38 +182,68 @@
 	delete(p.groups, id)
 }
 
-// forwardLimiter limits the concurrent forwards to each owner.
+// forwardLimiter tracks the forwards in flight and limits those to each owner.
 //
 // mu guards inFlight; it has rank lockorder.Calls.
 type forwardLimiter struct {
 	mu       *lockorder.Mutex
-	inFlight map[ledger.Incarnation]int
+	inFlight map[ledger.Incarnation]map[*forwarding]bool
 	// limit is the maximum number of concurrent forwards to one owner, so that a slow owner cannot block all ingress
 	// workers.
 	limit int
 }
 
+// forwarding is a forward in flight.
+type forwarding struct {
+	owner ledger.Incarnation
+	// cancel ends the forward; nil for a request that would not be repeated.
+	cancel context.CancelFunc
+}
+
 func newForwardLimiter(limit int) *forwardLimiter {
-	return &forwardLimiter{mu: lockorder.New(lockorder.Calls), inFlight: map[ledger.Incarnation]int{}, limit: limit}
+	return &forwardLimiter{mu: lockorder.New(lockorder.Calls), inFlight: map[ledger.Incarnation]map[*forwarding]bool{}, limit: limit}
 }
 
-// begin counts a forward, and returns false if the owner is at the limit.
-func (f *forwardLimiter) begin(owner ledger.Incarnation) bool {
+// begin adds a forward, and returns false if its owner is at the limit.
+func (f *forwardLimiter) begin(started *forwarding) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.inFlight[owner] >= f.limit {
+	if len(f.inFlight[started.owner]) >= f.limit {
 		return false
 	}
-	f.inFlight[owner]++
+	if f.inFlight[started.owner] == nil {
+		f.inFlight[started.owner] = map[*forwarding]bool{}
+	}
+	f.inFlight[started.owner][started] = true
 	return true
 }
 
-func (f *forwardLimiter) end(owner ledger.Incarnation) {
+func (f *forwardLimiter) end(ended *forwarding) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.inFlight[owner]--
-	if f.inFlight[owner] == 0 {
-		delete(f.inFlight, owner)
+	delete(f.inFlight[ended.owner], ended)
+	if len(f.inFlight[ended.owner]) == 0 {
+		delete(f.inFlight, ended.owner)
+	}
+}
+
+// cancelTo cancels the forwards to the owners for which lost returns true, so that the requests go to the next owners.
+func (f *forwardLimiter) cancelTo(lost func(ledger.Incarnation) bool) {
+	var cancels []context.CancelFunc
+	f.mu.Lock()
+	for owner, forwards := range f.inFlight {
+		if !lost(owner) {
+			continue
+		}
+		for f := range forwards {
+			if f.cancel != nil {
+				cancels = append(cancels, f.cancel)
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, cancel := range cancels {
+		cancel()
 	}
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -79,21 +79,13 @@
 	message := encodeForward(f, c.correlation.Add(1), sent)
 	remaining := f.Request.Deadline.Sub(sent)
 	interval := progressInterval(remaining)
-	conn.watchdog.arm(newSilenceRule(silenceLimit, interval, remaining, forwardPatience(f.Request.Idempotent)), sendTime(len(f.Request.Body)))
+	// Only the owner can run the request, so that another send could only go the same way.
+	conn.watchdog.arm(newSilenceRule(silenceLimit, interval, remaining, untilDead), sendTime(len(f.Request.Body)))
 	answer, err := exchangeForward(ctx, conn, message)
 	conn.watchdog.disarm()
 	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, interval, err))
 }
 
-// forwardPatience returns how long a forwarded request waits on a silent connection: an idempotent one is repeated, and
-// the outcome of another one stays unknown if its connection is dead.
-func forwardPatience(idempotent bool) patience {
-	if idempotent {
-		return untilLimit
-	}
-	return untilDead
-}
-
 // explainSilence adds the state of the peer to the error of a call whose connection was silent. The other idle
 // connections to the peer that are silent as well are closed, or suspect if nothing is known about the peer.
 func (c *Client) explainSilence(address string, conn *connection, sent time.Time, interval time.Duration, err error) error {
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -178,6 +178,27 @@
 	}
 }
 
+// Guards against giving up a forwarded request because its path is slow, although only the owner can run it.
+func TestSlowPathDoesNotLoseForwardedAnswer(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		for direction, delays := range map[string][2]time.Duration{"to peer": {pathDelay, 0}, "from peer": {0, pathDelay}} {
+			t.Run(fmt.Sprintf("idempotent %v %s", idempotent, direction), func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t)
+				f.fillPool(t, 1)
+				f.relay.Delay(delays[0], delays[1])
+				answer, took, err := f.send("r", idempotent, dispatchTimeout)
+				if err != nil || string(answer.Body) != "r" {
+					t.Fatalf("answer %q after %v, error %v; want the body", answer.Body, took, err)
+				}
+				if n := f.service.runCount("r"); n != 1 {
+					t.Fatalf("the request ran %d times, want once", n)
+				}
+			})
+		}
+	}
+}
+
 // Guards against waiting for the slow peer when another instance can run the request.
 func TestSlowPathIsGivenUpForOtherInstance(t *testing.T) {
 	f := newRouterFixture(t)
