End calls of the log whose reply does not end

What callers would see: a node whose log, or a device before it, answered "101 Switching Protocols" once read the log no more and could not be stopped in order: configurations, moves and failovers passed it by, until it was restarted. The reply to an append was read without a bound on its size.

Cause: after 101 net/http hands the connection over, and reading its body, also to discard it, does not end with the context. The reply to an append was decoded from the connection, without a limit.

Ruled out: pages, whose size was bounded. One over the bound was reported as "read again", though; it is too_large now.

Change: both calls read the reply as a whole, within a limit for its kind, and only if its status is that of an answer. A body of an error is read only if it is known to be short.

TestReplyWithoutEndEndsCall. With the change the five cases end as too large or unavailable in time.

--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"time"
 
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/problem"
 )
@@ -26,6 +27,8 @@
 	idleTimeout        = time.Minute
 	// maxPageSize bounds the encoded size of one page, in bytes.
 	maxPageSize = 64 << 20
+	// maxAppendReplySize bounds the reply to an append, in bytes.
+	maxAppendReplySize = 64 << 10
 )
 
 // recordJSON is the JSON form of one record in a page.
@@ -93,53 +96,100 @@
 	if err != nil {
 		return 0, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.recordsURL, bytes.NewReader(data))
+	r, err := c.call(ctx, call{operation: "append", method: http.MethodPost, url: c.recordsURL, body: data, maxReplySize: maxAppendReplySize})
 	if err != nil {
-		return 0, problem.New(problem.Invalid, "correct the URL of the log", "append: %w", err)
+		return 0, outcomeUnknown(err)
 	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, transportError("append", err)
-	}
-	defer discardBody(resp)
-	if resp.StatusCode != http.StatusCreated {
-		return 0, statusError("append", resp)
+	if r.status != http.StatusCreated {
+		return 0, statusError("append", r.status)
 	}
 	var decoded appendReplyJSON
-	if err := json.NewDecoder(resp.Body).Decode(&decoded); err != nil {
-		return 0, problem.New(problem.Unavailable, "read the stream to learn the outcome", "append: reply: %w", err)
+	if err := json.Unmarshal(r.body, &decoded); err != nil {
+		return 0, problem.New(problem.Unavailable, remedyRead, "append: reply: %w", err)
 	}
 	return decoded.Offset, nil
 }
 
+// outcomeUnknown returns the error of an append, which is problem.Unavailable unless nothing was sent.
+func outcomeUnknown(err error) error {
+	if problem.KindOf(err) != problem.TooLarge {
+		return err
+	}
+	return problem.New(problem.Unavailable, remedyRead, "%w", err)
+}
+
 // Read returns records; see Log.
 func (c *Client) Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+replyMargin)
 	defer cancel()
 	requestURL := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", c.recordsURL, from, max, wait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, requestURL, nil)
-	if err != nil {
-		return Page{}, problem.New(problem.Invalid, "correct the URL of the log", "read: %w", err)
-	}
-	resp, err := c.http.Do(req)
+	r, err := c.call(ctx, call{operation: "read", method: http.MethodGet, url: requestURL, maxReplySize: maxPageSize})
 	if err != nil {
-		return Page{}, transportError("read", err)
+		return Page{}, err
 	}
-	defer discardBody(resp)
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
-		return Page{}, statusError("read", resp)
+	if r.status != http.StatusOK && r.status != http.StatusGone {
+		return Page{}, statusError("read", r.status)
 	}
 	var decoded pageJSON
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageSize)).Decode(&decoded); err != nil {
+	if err := json.Unmarshal(r.body, &decoded); err != nil {
 		return Page{}, problem.New(problem.Unavailable, "read again", "read: reply: %w", err)
 	}
-	if resp.StatusCode == http.StatusGone {
+	if r.status == http.StatusGone {
 		return Page{Earliest: decoded.Earliest}, retentionError(from, decoded.Earliest)
 	}
 	return decodePage(decoded), nil
 }
 
+// call is one HTTP request to the log.
+type call struct {
+	operation, method, url string
+	body                   []byte
+	// maxReplySize bounds the reply, in bytes.
+	maxReplySize int64
+}
+
+// reply is a complete reply of the log. The body is set only for statuses below 300 and StatusGone.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// call sends one HTTP request and reads the reply. Errors are problem.NotSent, problem.Unavailable, and problem.TooLarge
+// for a reply over the size limit.
+func (c *Client) call(ctx context.Context, l call) (reply, error) {
+	req, err := http.NewRequestWithContext(ctx, l.method, l.url, bytes.NewReader(l.body))
+	if err != nil {
+		return reply{}, problem.New(problem.Invalid, "correct the URL of the log", "%s: %w", l.operation, err)
+	}
+	if len(l.body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, transportError(l.operation, err)
+	}
+	defer resp.Body.Close()
+	if !httpwire.IsFinalStatus(resp.StatusCode) {
+		// After 101 net/http hands the connection over, and a read of the body would not end with the context.
+		return reply{}, statusError(l.operation, resp.StatusCode)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusGone {
+		discardBody(resp)
+		return reply{status: resp.StatusCode}, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, l.maxReplySize+1))
+	if err != nil {
+		return reply{}, problem.New(problem.Unavailable, remedyRead, "%s: reply: %w", l.operation, err)
+	}
+	if int64(len(body)) > l.maxReplySize {
+		return reply{}, problem.New(problem.TooLarge, "read fewer records at once", "%s: the reply is over %d bytes", l.operation, l.maxReplySize)
+	}
+	return reply{status: resp.StatusCode, body: body}, nil
+}
+
+// remedyRead is the remedy after a call with an unknown outcome.
+const remedyRead = "read the stream to learn the outcome"
+
 // retentionError returns the error for a read at an offset that the log no longer retains.
 func retentionError(from, earliest ledger.Offset) error {
 	return problem.New(problem.PastRetention, "start from a checkpoint or a snapshot of another node",
@@ -166,22 +216,23 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return problem.New(problem.NotSent, "check the address and health of the log", "%s: %w", operation, err)
 	}
-	return problem.New(problem.Unavailable, "read the stream to learn the outcome", "%s: %w", operation, err)
+	return problem.New(problem.Unavailable, remedyRead, "%s: %w", operation, err)
 }
 
 // statusError returns the error for an unexpected HTTP status. A 4xx status proves that nothing was stored.
-func statusError(operation string, resp *http.Response) error {
-	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+func statusError(operation string, status int) error {
+	if status >= 400 && status < 500 {
 		return problem.New(problem.Malformed, "check the stream name and the versions of log and node",
-			"%s: the log answered %s", operation, resp.Status)
+			"%s: the log answered with status %d", operation, status)
 	}
-	return problem.New(problem.Unavailable, "read the stream to learn the outcome", "%s: the log answered %s", operation,
-		resp.Status)
+	return problem.New(problem.Unavailable, remedyRead, "%s: the log answered with status %d", operation, status)
 }
 
-// discardBody reads the rest of a small body, so that the connection can be reused, and closes the body.
+// discardBody reads a small body, so that the connection can be used again.
 func discardBody(resp *http.Response) {
 	const maxDiscarded = 64 << 10
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscarded)
-	_ = resp.Body.Close()
+	if resp.ContentLength <= maxDiscarded {
+		// An error only ends the use of the connection.
+		_, _ = io.CopyN(io.Discard, resp.Body, max(resp.ContentLength, 0))
+	}
 }
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"heatherreel/internal/fake"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/platformlog"
@@ -125,3 +130,82 @@
 		t.Fatalf("a read left the count at %d bytes", now)
 	}
 }
+
+// startServer serves the handler on the loopback interface and returns a client of it.
+func startServer(t *testing.T, handler http.HandlerFunc) *platformlog.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := platformlog.NewClient(server.URL, "heatherreel")
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client
+}
+
+// Guards against a call that never ends, or reads without bound, because the log sends bytes without end or has switched
+// protocols.
+func TestReplyWithoutEndEndsCall(t *testing.T) {
+	t.Parallel()
+	chunk := strings.Repeat(" ", 64<<10)
+	endless := func(status int) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) {
+			w.WriteHeader(status)
+			for {
+				if _, err := io.WriteString(w, chunk); err != nil {
+					return
+				}
+			}
+		}
+	}
+	switched := func(w http.ResponseWriter) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	read := func(ctx context.Context, c *platformlog.Client) error {
+		_, err := c.Read(ctx, 1, 10, 0)
+		return err
+	}
+	appendRecord := func(ctx context.Context, c *platformlog.Client) error {
+		_, err := c.Append(ctx, leaveRecord("a"))
+		return err
+	}
+	for name, test := range map[string]struct {
+		reply func(http.ResponseWriter)
+		call  func(context.Context, *platformlog.Client) error
+		// within is when the call must have ended; its context ends after 5 s.
+		within time.Duration
+		kind   errs.Tag
+	}{
+		"read, body without end":    {endless(http.StatusOK), read, 4 * time.Second, problem.TooLarge},
+		"read, error without end":   {endless(http.StatusBadGateway), read, time.Second, problem.Unavailable},
+		"read, switched protocol":   {switched, read, time.Second, problem.Unavailable},
+		"append, body without end":  {endless(http.StatusCreated), appendRecord, time.Second, problem.Unavailable},
+		"append, switched protocol": {switched, appendRecord, time.Second, problem.Unavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := startServer(t, func(w http.ResponseWriter, _ *http.Request) { test.reply(w) })
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			ended := make(chan error, 1)
+			started := time.Now()
+			go func() { ended <- test.call(ctx, client) }()
+			select {
+			case err := <-ended:
+				if took := time.Since(started); took > test.within || problem.KindOf(err) != test.kind {
+					t.Errorf("the call ended after %v: %v", took, err)
+				}
+			case <-time.After(8 * time.Second):
+				t.Error("the call has not ended 3 s after its deadline")
+			}
+		})
+	}
+}
