End calls of the log on silence, not because they are slow

A checkpoint or configuration that took longer than 2 s to send was sent again while the first copy was still on the link, and all nodes read each copy. Until the read completes, a node serves by an outdated configuration, or refuses all requests.

Change: a call of the log ends when no data has arrived for 2 s, counted from when the record is expected to be sent completely; a call whose reply keeps arriving has 30 s. It uses the bound of the store's client.

Tests: - TestSlowPageIsNotRestarted, a page that arrives within 3 s.

--- a/internal/engine/proposals.go
+++ b/internal/engine/proposals.go
@@ -18,8 +18,9 @@
 
 // Timing of appends.
 const (
-	// appendTimeout is the time after which an unanswered append is considered lost.
-	appendTimeout = 2 * time.Second
+	// appendTimeout bounds one append. Its client ends it earlier if the log is silent. A record that is sent slowly is not
+	// sent again meanwhile: each copy would load the same link, and all nodes read it.
+	appendTimeout = 15 * time.Second
 	// minAppendRetry and maxAppendRetry bound the jittered delay before the same record is appended again.
 	minAppendRetry = 200 * time.Millisecond
 	maxAppendRetry = time.Second
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -359,9 +359,12 @@
 	return l.host.AwaitRunning() && reachable() && sleepContext(ctx, l.latency()) == nil && reachable()
 }
 
-// Append implements platformlog.Log.
+// Append implements platformlog.Log. If a cut separates the host from the log, it fails when the log has been silent for
+// too long.
 func (l *hostLog) Append(ctx context.Context, r *ledger.Record) (ledger.Offset, error) {
 	l.host.network.notifyObserver(l.host, nil, r)
+	ctx, cancel := context.WithTimeout(ctx, platformlog.SilenceTimeout)
+	defer cancel()
 	if !l.transmit(ctx) {
 		<-ctx.Done()
 		return 0, errNoResponse()
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -20,8 +20,14 @@
 // Limits of the HTTP client.
 const (
 	dialTimeout = time.Second
-	// replyMargin is how long the client waits for the reply after the wait time of a long poll has passed.
-	replyMargin = 2 * time.Second
+	// SilenceTimeout is the longest time without data from the log while a reply is due or arrives.
+	SilenceTimeout = 2 * time.Second
+	// transferTimeout bounds a call whose reply keeps arriving. A page of the largest size takes 17 s over a link of 30
+	// Mbit/s.
+	transferTimeout = 30 * time.Second
+	// minUploadRate, in bytes per second, is about a quarter of the cross-region link. The time to send a record is
+	// estimated with it, because the log replies only after the whole record has arrived.
+	minUploadRate = 1 << 20
 	// maxIdleConnections allows one connection for the long poll and one for appends.
 	maxIdleConnections = 2
 	idleTimeout        = time.Minute
@@ -62,7 +68,7 @@
 func NewClient(baseURL, stream string) *Client {
 	c := &Client{recordsURL: fmt.Sprintf("%s/v1/streams/%s/records", baseURL, url.PathEscape(stream))}
 	transport := &http.Transport{
-		DialContext:         c.dial,
+		DialContext:         httpwire.DialSilenceLimited(c.dial),
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -120,10 +126,8 @@
 
 // Read returns records; see Log.
 func (c *Client) Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+replyMargin)
-	defer cancel()
 	requestURL := fmt.Sprintf("%s?from=%d&max=%d&wait_ms=%d", c.recordsURL, from, max, wait.Milliseconds())
-	r, err := c.call(ctx, call{operation: "read", method: http.MethodGet, url: requestURL, maxReplySize: maxPageSize})
+	r, err := c.call(ctx, call{operation: "read", method: http.MethodGet, url: requestURL, wait: wait, maxReplySize: maxPageSize})
 	if err != nil {
 		return Page{}, err
 	}
@@ -144,6 +148,8 @@
 type call struct {
 	operation, method, url string
 	body                   []byte
+	// wait is how long the log may wait for records before it replies.
+	wait time.Duration
 	// maxReplySize bounds the reply, in bytes.
 	maxReplySize int64
 }
@@ -157,6 +163,11 @@
 // call sends one HTTP request and reads the reply. Errors are problem.NotSent, problem.Unavailable, and problem.TooLarge
 // for a reply over the size limit.
 func (c *Client) call(ctx context.Context, l call) (reply, error) {
+	due := l.wait + time.Duration(len(l.body))*time.Second/minUploadRate
+	ctx, cancel := context.WithTimeout(ctx, due+transferTimeout)
+	defer cancel()
+	ctx, end := httpwire.LimitSilence(ctx, httpwire.SilenceLimits{First: due + SilenceTimeout, Next: SilenceTimeout})
+	defer end()
 	req, err := http.NewRequestWithContext(ctx, l.method, l.url, bytes.NewReader(l.body))
 	if err != nil {
 		return reply{}, problem.New(problem.Invalid, "correct the URL of the log", "%s: %w", l.operation, err)
@@ -166,7 +177,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return reply{}, transportError(l.operation, err)
+		return reply{}, transportError(ctx, l.operation, err)
 	}
 	defer resp.Body.Close()
 	if !httpwire.IsFinalStatus(resp.StatusCode) {
@@ -179,7 +190,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, l.maxReplySize+1))
 	if err != nil {
-		return reply{}, problem.New(problem.Unavailable, remedyRead, "%s: reply: %w", l.operation, err)
+		return reply{}, problem.New(problem.Unavailable, remedyRead, "%s: reply: %w", l.operation, httpwire.CallError(ctx, err))
 	}
 	if int64(len(body)) > l.maxReplySize {
 		return reply{}, problem.New(problem.TooLarge, "read fewer records at once", "%s: the reply is over %d bytes", l.operation, l.maxReplySize)
@@ -211,12 +222,12 @@
 
 // transportError maps an error of the transport to problem.NotSent if no connection could be opened, and to
 // problem.Unavailable otherwise, as the outcome of the call is unknown then.
-func transportError(operation string, err error) error {
+func transportError(ctx context.Context, operation string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return problem.New(problem.NotSent, "check the address and health of the log", "%s: %w", operation, err)
 	}
-	return problem.New(problem.Unavailable, remedyRead, "%s: %w", operation, err)
+	return problem.New(problem.Unavailable, remedyRead, "%s: %w", operation, httpwire.CallError(ctx, err))
 }
 
 // statusError returns the error for an unexpected HTTP status. A 4xx status proves that nothing was stored.
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -144,6 +147,59 @@
 	return client
 }
 
+// Guards against a read that is given up and begun again while its page arrives slowly: all nodes of a region read a new
+// record at once over one link, and reads that are repeated keep the link full.
+func TestSlowPageIsNotRestarted(t *testing.T) {
+	t.Parallel()
+	const chunks, interval = 15, 200 * time.Millisecond
+	record, err := json.Marshal(leaveRecord("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	requests := 0
+	client := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		requests++
+		page, err := json.Marshal(map[string]any{"records": []map[string]any{{"offset": 1, "data": record}}, "next": 2, "earliest": 1})
+		if err != nil {
+			t.Error(err)
+		}
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for i := range chunks {
+			_, _ = w.Write(page[i*len(page)/chunks : (i+1)*len(page)/chunks])
+			_ = http.NewResponseController(w).Flush()
+			<-ticker.C
+		}
+	})
+	started := time.Now()
+	page, err := client.Read(t.Context(), 1, 10, 0)
+	if took := time.Since(started); err != nil || len(page.Entries) != 1 || requests != 1 {
+		t.Errorf("the read ended after %v and %d requests with %d records: %v", took, requests, len(page.Entries), err)
+	}
+}
+
+// Guards against a call that waits for a log that has become silent, before or in the middle of its reply.
+func TestSilentLogEndsCall(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{"no reply": "", "part of a reply": "{"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if head != "" {
+					_, _ = io.WriteString(w, head)
+					_ = http.NewResponseController(w).Flush()
+				}
+				<-r.Context().Done()
+			})
+			started := time.Now()
+			_, err := client.Read(t.Context(), 1, 10, 0)
+			if took := time.Since(started); took > platformlog.SilenceTimeout+time.Second || !errors.Is(err, os.ErrDeadlineExceeded) || problem.KindOf(err) != problem.Unavailable {
+				t.Errorf("the read ended after %v: %v", took, err)
+			}
+		})
+	}
+}
+
 // Guards against a call that never ends, or reads without bound, because the log sends bytes without end or has switched
 // protocols.
 func TestReplyWithoutEndEndsCall(t *testing.T) {
