--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,9 +33,11 @@
 )
 
 const (
-	// lingerTime is how long a node that has left still answers callers and nodes that have not read its leave record
-	// yet. A gateway lingers until no request of another node has arrived for that time.
+	// lingerTime is the time without a request of another node after which a process that refuses requests may end.
+	// Nodes that have not read yet that it stopped may send requests until then.
 	lingerTime = 500 * time.Millisecond
+	// finalAnswersTime is the part of the shutdown time in which the requests that are still in progress are answered.
+	finalAnswersTime = 200 * time.Millisecond
 	// flushInterval is the interval at which the counts of suppressed events are written.
 	flushInterval = 10 * time.Second
 )
@@ -52,8 +54,9 @@
 	leases   *node.LeaseSocket
 	engine   *engine.Engine
 
-	nodesListener net.Listener
-	servers       []*http.Server
+	requestServers requestServers
+	// otherServers receive announcements and operators' requests.
+	otherServers []*http.Server
 	// serveLoops waits for the accept loops and the datagram reader.
 	serveLoops sync.WaitGroup
 }
@@ -135,21 +138,23 @@
 // listen opens the TCP listeners and starts to serve callers, the backend server, operators and other nodes. Other
 // nodes are served until ctx ends.
 func (d *daemon) listen(ctx context.Context) error {
-	server, err := node.NewServer(d.engine)
-	if err != nil {
+	var err error
+	if d.requestServers.nodes, err = node.NewServer(d.engine); err != nil {
 		return err
 	}
-	if d.nodesListener, err = d.listenTCP("nodes", d.settings.NodesAddress); err != nil {
+	nodesListener, err := d.listenTCP("nodes", d.settings.NodesAddress)
+	if err != nil {
 		return err
 	}
-	d.goServe(func() { _ = server.Serve(ctx, d.nodesListener) })
+	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, nodesListener) })
 	d.goServe(func() { d.leases.Receive(d.engine.LeaseMessage, d.reportMalformedDatagram) })
+	d.requestServers.callers = caller.NewServer(caller.NewHandler(d.engine))
 	for _, h := range []struct {
 		name    string
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{"callers", d.settings.CallersAddress, caller.NewServer(caller.NewHandler(d.engine))},
+		{"callers", d.settings.CallersAddress, d.requestServers.callers},
 		{"backend", d.settings.BackendAddress, caller.NewServer(backendserver.NewHandler(d.engine))},
 		{"operators", d.settings.OperatorsAddress, operator.NewServer(d.engine, d.engine.ControlPool(), d.metrics.Handler())},
 	} {
@@ -157,7 +162,9 @@
 		if err != nil {
 			return err
 		}
-		d.servers = append(d.servers, h.server)
+		if h.server != d.requestServers.callers {
+			d.otherServers = append(d.otherServers, h.server)
+		}
 		d.goServe(func() { _ = h.server.Serve(listener) })
 	}
 	return nil
@@ -208,29 +215,38 @@
 }
 
 // drain shuts the node down gracefully within the shutdown timeout and reports whether no work was left. Requests that
-// still arrive meanwhile are served or forwarded.
+// still arrive meanwhile are served or forwarded. Those that have not finished by then are answered before it returns.
 func (d *daemon) drain() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout)
+	limit := d.settings.ShutdownTimeout
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	drained := d.engine.Drain(ctx)
-	if drained {
-		linger := time.NewTimer(lingerTime)
-		defer linger.Stop()
-		select {
-		case <-linger.C:
-		case <-ctx.Done():
-		}
+	requestsCtx, cancelRequests := context.WithTimeout(ctx, limit-min(finalAnswersTime, limit/2))
+	defer cancelRequests()
+	left := d.engine.Drain(requestsCtx)
+	drained := left && d.requestServers.finish(requestsCtx, time.Now())
+	if left && !drained {
+		d.events.Emit(eventlog.ShutdownTimedOut)
+	}
+	if !drained {
+		d.engine.EndRequests()
+		d.requestServers.writeAnswers(ctx)
 	}
-	for _, s := range d.servers {
+	for _, s := range d.otherServers {
 		// Shutdown waits until the requests in progress have finished.
-		drained = s.Shutdown(ctx) == nil && drained
+		if err := s.Shutdown(ctx); err != nil {
+			d.events.Emit(eventlog.CloseFailed, eventlog.Cause(err))
+		}
 	}
 	return drained
 }
 
 // close closes all parts, the engine before the clients that it uses.
 func (d *daemon) close(stopServing func()) {
-	for _, s := range d.servers {
+	// The listeners may not have been opened.
+	if d.requestServers.callers != nil {
+		_ = d.requestServers.callers.Close()
+	}
+	for _, s := range d.otherServers {
 		_ = s.Close()
 	}
 	stopServing()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -66,6 +66,9 @@
 	readers        sync.WaitGroup
 	logUnreachable atomic.Bool
 	stopping       atomic.Bool
+	// requestsEnded is closed when all requests in progress are to be answered at once.
+	requestsEnded   chan struct{}
+	endRequestsOnce sync.Once
 }
 
 var (
@@ -100,6 +103,7 @@
 		pendingPlans:         newPendingPlans(),
 		forwardLimiter:       newForwardLimiter(max(1, o.Ingress.Workers/forwardShareDivisor)),
 		checkpointSchedule:   newCheckpointSchedule(o.LogRetention),
+		requestsEnded:        make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.waitingJobs = newWaitingJobs(e.ingressPool)
@@ -169,10 +173,7 @@
 	e.stopping.Store(true)
 	e.membershipTrigger.Fire()
 	e.planningTrigger.Fire()
-	if address, ok := e.backend.address(); ok {
-		// A backend server that does not answer is drained all the same, because this node sends it no more requests.
-		_ = e.deps.Backend.Drain(ctx, address)
-	}
+	e.drainBackend(ctx)
 	for !e.idle() {
 		if !sleep(ctx, stopCheckInterval) {
 			e.deps.Events.Emit(eventlog.ShutdownTimedOut)
@@ -182,6 +183,23 @@
 	return e.leave(ctx)
 }
 
+// drainTimeout is the time that the backend server has to confirm that this node stops. It runs on the same instance.
+const drainTimeout = time.Second
+
+// drainBackend tells the backend server that this node stops. One that does not answer is drained all the same, because
+// this node sends it no more requests.
+func (e *Engine) drainBackend(ctx context.Context) {
+	address, ok := e.backend.address()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := e.deps.Backend.Drain(ctx, address); err != nil {
+		e.deps.Events.Emit(eventlog.BackendDrainUnanswered, eventlog.Cause(err))
+	}
+}
+
 // idle reports whether this node owns no slice, is not a source of any slice, and runs no request.
 func (e *Engine) idle() bool {
 	running := 0
@@ -234,9 +252,16 @@
 	}
 }
 
+// EndRequests answers all requests in progress at once, as the process is about to end: as not run where that is certain,
+// otherwise with an unknown outcome. Later requests are answered in the same way.
+func (e *Engine) EndRequests() {
+	e.endRequestsOnce.Do(func() { close(e.requestsEnded) })
+}
+
 // Close stops all work immediately. Running requests are canceled. It returns when all workers have ended.
 func (e *Engine) Close() {
 	e.stopping.Store(true)
+	e.EndRequests()
 	e.cancel()
 	for _, t := range []*worker.Trigger{
 		e.ownershipTrigger, e.grantTrigger, e.releaseTrigger, e.membershipTrigger, e.planningTrigger,
--- a/internal/engine/ingress.go
+++ b/internal/engine/ingress.go
@@ -85,7 +85,7 @@
 	if e.ingressPool.Submit(func() { e.firstAttempt(c) }) != nil {
 		c.finish(e.queueFull(e.ingressPool.Name()))
 	}
-	answer := c.await(e.ctx.Done(), node.Progress{})
+	answer := c.await(e.requestsEnded, node.Progress{})
 	span.Result(answer.Outcome, answer.Reason)
 	e.reportAnswer(answer)
 	e.deps.Metrics.RecordRequest(telemetry.Ingress, r.Service, answer.Outcome, answer.Reason, time.Since(started))
@@ -204,6 +204,7 @@
 func (e *Engine) executeLocally(c *call) {
 	// The owner's jobs work on a separate call, so that its answer may lead to another attempt of this one.
 	local := newCall(c.ctx, c.req)
+	local.sends = c.sends
 	job := func() {
 		e.execute(local, func(answer request.Answer) {
 			e.resumeRoute(c, routing.Attempt{Delivery: routing.Answered, Answer: answer})
@@ -223,11 +224,27 @@
 
 // forward sends the request to its owner and processes the answer.
 func (e *Engine) forward(c *call, d routing.Decision) {
-	if !e.forwardLimiter.begin(d.Owner) {
+	if !c.sends.beginSend() {
+		c.finish(stoppedAnswer())
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	started := &forwarding{owner: d.Owner}
+	if c.req.Idempotent {
+		started.cancel = cancel
+	}
+	if !e.forwardLimiter.begin(started) {
 		c.finish(request.Refuse(request.QueueFull, "repeat the request after a pause; its owner answers slowly"))
 		return
 	}
-	ctx, span := e.deps.Tracing.StartHop(c.ctx, "", telemetry.HopForward)
+	if e.ledger.member(d.Owner) == nil {
+		// Its end was read after the request was routed, and has not canceled this forward.
+		e.forwardLimiter.end(started)
+		e.afterAttempt(c, routing.Attempt{Delivery: routing.NotSent}, false)
+		return
+	}
+	ctx, span := e.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
 	req := c.req
 	if traceparent := e.deps.Tracing.Traceparent(ctx); traceparent != "" {
 		req.Traceparent = traceparent
@@ -236,7 +253,7 @@
 	answer, err := e.deps.Peers.Forward(ctx, d.Address, node.ForwardedRequest{
 		Request: req, LedgerOffset: e.ledger.offset(), HomesEpoch: e.ledger.homesEpoch(),
 	})
-	e.forwardLimiter.end(d.Owner)
+	e.forwardLimiter.end(started)
 	attempt := deliveryOf(answer, err)
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
