Deliver large answers to callers' clients

What callers saw: the client of package caller, which the demonstration and the measurements use, reported every answer over 64 KiB as too_large, although it allows 64 MiB.

Ruled out: the limit of one answer, which is 64 MiB here.

Zero now means no bound besides that of each answer.

Evidence: TestLargeAnswerReachesClient failed before with "0 bytes of 1048576 arrived, error too_large: the answers being read are over 0 bytes" and passes now, with -race.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -245,6 +246,18 @@
 	})
 }
 
+// Guards against a client that reports a large answer as one over its size limit.
+func TestLargeAnswerReachesClient(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	address := startServer(t, &stubHandler{answer: request.Answer{Outcome: request.Done, Status: 200, Body: body}})
+	client := NewClient(1)
+	defer client.Close()
+	answer, err := client.Do(t.Context(), address, request.Request{Service: "s", Tenant: "t", Key: "k", Method: "GET", ID: testID, Deadline: time.Now().Add(5 * time.Second)})
+	if err != nil || !bytes.Equal(answer.Body, body) {
+		t.Errorf("%d bytes of %d arrived, error %v", len(answer.Body), len(body), err)
+	}
+}
+
 // Guards against an HTTP status that does not match the outcome, and against fields of the answer that are lost between
 // the handler and the client.
 func TestAnswerRoundTrip(t *testing.T) {
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -23,7 +23,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is the time after which an idle connection is closed.
 	IdleTimeout time.Duration
-	// MaxBufferedBytes bounds the memory of all large response bodies that are being read, in bytes.
+	// MaxBufferedBytes bounds the memory of all large response bodies that are being read, in bytes. Zero means no bound
+	// besides that of each body.
 	MaxBufferedBytes int64
 }
 
@@ -297,7 +298,7 @@
 	defer func() { t.shared.Add(-reserved) }()
 	reserve := func(size int64) error {
 		reserved += size
-		if t.shared.Add(size) > t.maxShared {
+		if total := t.shared.Add(size); t.maxShared > 0 && total > t.maxShared {
 			return problem.New(problem.TooLarge, "ask for less data at once", "the answers being read are over %d bytes", t.maxShared)
 		}
 		return nil
