Keep answers without end below half of the memory on a busy machine

What callers would see: a node whose backend server sends answers without end on all workers at once could use more than half of the memory of the smallest instance. TestAnswersWithoutEndFitInMemory/all_workers_until_close failed in one run with -race beside other work: "98.8 MB for 64 answers, want under 92.0 MB".

Cause: each answer left its buffers as garbage, and on a busy machine the collection of the garbage lags behind the exchanges that follow at once. The first 64 KiB of each answer were read into a buffer that grows, which leaves about four times its size.

Ruled out: answers that are kept (all but the whole ones are dropped), the stand-in of the backend server (stacks and other memory were 8 MB at the peak; heap objects were 81 of 89 MB).

The reading of bodies is a type of its own now, so that the requests of callers can use it.

--- a/internal/httpwire/body_test.go
+++ b/internal/httpwire/body_test.go
@@ -60,7 +60,7 @@
 			case err != nil || !bytes.Equal(r.Body, body):
 				t.Errorf("%d bytes, %s: %d bytes arrived, error %v", size, c.kind, len(r.Body), err)
 			}
-			if shared := transport.shared.Load(); shared != 0 {
+			if shared := transport.bodies.total.Load(); shared != 0 {
 				t.Fatalf("%d bytes, %s: %d bytes still count as being read", size, c.kind, shared)
 			}
 		}
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -39,16 +39,14 @@
 // Transport makes HTTP/1.1 exchanges over persistent connections, one at a time on each. It follows no redirects, uses
 // no proxy and no compression, and sends each request at most once.
 type Transport struct {
-	rt        *http.Transport
-	maxShared int64
-	// shared is the memory of the large response bodies that are being read, in bytes.
-	shared atomic.Int64
+	rt     *http.Transport
+	bodies *BodyReader
 }
 
 // NewTransport returns a transport without open connections. Call Close when it is no longer used.
 func NewTransport(o Options) *Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	return &Transport{maxShared: o.MaxBufferedBytes, rt: &http.Transport{
+	return &Transport{bodies: NewBodyReader(o.MaxBufferedBytes), rt: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -267,74 +265,19 @@
 	return problem.New(problem.TooLarge, "ask for less data at once", "the answer is over %d bytes", c.MaxResponseBytes)
 }
 
-// Sizes of the buffers of a response body, in bytes.
-const (
-	// unsharedBytes is the part of each body that does not count towards Options.MaxBufferedBytes, so that usual answers
-	// arrive whatever else is being read.
-	unsharedBytes = 64 << 10
-	// chunkBytes is the size of the buffers for the rest. One buffer that doubles would take three times the memory while
-	// it is copied.
-	chunkBytes = 64 << 10
-)
-
 // readBody reads a response body and checks that it is complete.
 func (t *Transport) readBody(c Call, r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, min(unsharedBytes, c.MaxResponseBytes)+1))
-	if err != nil {
-		return nil, errCutShort(err)
-	}
-	if int64(len(body)) > c.MaxResponseBytes {
+	body, err := t.bodies.Read(r, c.MaxResponseBytes)
+	switch problem.KindOf(err) {
+	case problem.TooLarge:
 		return nil, errTooLarge(c)
+	case problem.Overloaded:
+		return nil, problem.New(problem.TooLarge, "ask for less data at once", "the answer is too large at the moment: %w", err)
 	}
-	if len(body) <= unsharedBytes {
-		return body, nil
-	}
-	return t.readLargeBody(c, r, body)
-}
-
-// readLargeBody reads the rest of a body that begins with begin, and returns the whole.
-func (t *Transport) readLargeBody(c Call, r io.Reader, begin []byte) ([]byte, error) {
-	var reserved int64
-	defer func() { t.shared.Add(-reserved) }()
-	reserve := func(size int64) error {
-		reserved += size
-		if total := t.shared.Add(size); t.maxShared > 0 && total > t.maxShared {
-			return problem.New(problem.TooLarge, "ask for less data at once", "the answers being read are over %d bytes", t.maxShared)
-		}
-		return nil
-	}
-	chunks, size := [][]byte{begin}, int64(len(begin))
-	for {
-		if err := reserve(chunkBytes); err != nil {
-			return nil, err
-		}
-		chunk := make([]byte, chunkBytes)
-		n, err := readFull(r, chunk)
-		chunks = append(chunks, chunk[:n])
-		size += int64(n)
-		switch {
-		case size > c.MaxResponseBytes:
-			return nil, errTooLarge(c)
-		case err == io.EOF:
-			if err := reserve(size); err != nil {
-				return nil, err
-			}
-			return bytes.Join(chunks, nil), nil
-		case err != nil:
-			return nil, errCutShort(err)
-		}
-	}
-}
-
-// readFull reads until buffer is full or an error occurs. Unlike io.ReadFull it returns the error of r, which is
-// io.ErrUnexpectedEOF for a truncated body and io.EOF for a complete one.
-func readFull(r io.Reader, buffer []byte) (n int, err error) {
-	for n < len(buffer) && err == nil {
-		var read int
-		read, err = r.Read(buffer[n:])
-		n += read
+	if err != nil {
+		return nil, errCutShort(err)
 	}
-	return n, err
+	return body, nil
 }
 
 // errCutShort returns the error for an answer whose body ended with err.
