Measure from the silence in the test of a silent connection

Seen in an earlier run: TestConnectionSilentWhileRequestRuns failed with 501.6 ms against its bound of 500 ms.

Cause: the time counted from the send. The bound is that of the silence, 400 ms and the time to report the failure; opening the connection, sending and starting the request, which come first, were counted too.

The bound is the same and counts from when the relay withholds the data. That is as strict: the last data arrives before that moment, so that the time from the silence as the client sees it is not shorter.

--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -96,21 +96,22 @@
 	unblock := make(chan struct{})
 	f.service.unblock.Store(&unblock)
 	type result struct {
-		took time.Duration
-		err  error
+		ended time.Time
+		err   error
 	}
 	done := make(chan result, 1)
 	go func() {
-		_, took, err := f.send("affected", false, callTimeout)
-		done <- result{took, err}
+		_, _, err := f.send("affected", false, callTimeout)
+		done <- result{time.Now(), err}
 	}()
 	<-f.service.started
+	silent := time.Now()
 	f.relay.Silence(false, true)
 	f.service.unblock.Store(nil)
 	requireAnswered(t, f, "other", false, unaffectedBound)
 	close(unblock)
 	affected := <-done
-	requireOutcomeUnknown(t, affected.took, affected.err, affectedBound)
+	requireOutcomeUnknown(t, affected.ended.Sub(silent), affected.err, affectedBound)
 	f.relay.Resume()
 	for i := range pooledConnections {
 		requireAnswered(t, f, fmt.Sprint("later-", i), false, unaffectedBound)
