--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -10,16 +10,17 @@
 // errAborted is returned by writes on an aborted connection.
 var errAborted = errors.New("exchange aborted before sending")
 
-// States of a writeTrackingConn during one exchange.
+// States of a Conn during one exchange.
 const (
 	nothingWritten uint32 = iota
 	writeStarted
 	aborted
 )
 
-// writeTrackingConn records whether a write has started since beginExchange, and rejects all writes after abort. Only
-// if the connection was aborted in state nothingWritten is it certain that the request of the exchange was not sent.
-type writeTrackingConn struct {
+// Conn is a connection for the exchanges of an http.Transport. It records whether a write has started since BeginExchange,
+// and rejects all writes after abort. Only if the connection was aborted in state nothingWritten is it certain that the
+// request of the exchange was not sent.
+type Conn struct {
 	net.Conn
 	state atomic.Uint32
 	// reading is true while a read is in progress, and closed after Close. changed holds a token after each change of
@@ -30,14 +31,15 @@
 	readFailed atomic.Bool
 }
 
-func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
-	return &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+// NewConn returns a Conn that uses conn.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{Conn: conn, changed: make(chan struct{}, 1)}
 }
 
-// beginExchange resets the state for the next exchange on the connection. It waits until net/http waits for data on the
+// BeginExchange resets the state for the next exchange on the connection. It waits until net/http waits for data on the
 // connection or has closed it. If instead bytes came with the previous answer, net/http closes the connection, but if
 // an exchange began before that, it would take them for the answer to the new request.
-func (c *writeTrackingConn) beginExchange(ctx context.Context) {
+func (c *Conn) BeginExchange(ctx context.Context) {
 	c.state.Store(nothingWritten)
 	for !c.reading.Load() && !c.closed.Load() {
 		select {
@@ -49,12 +51,12 @@
 }
 
 // abort makes all further writes of the exchange fail. It reports whether a write had started.
-func (c *writeTrackingConn) abort() bool {
+func (c *Conn) abort() bool {
 	return c.state.Swap(aborted) == writeStarted
 }
 
-// signalChange wakes beginExchange.
-func (c *writeTrackingConn) signalChange() {
+// signalChange wakes BeginExchange.
+func (c *Conn) signalChange() {
 	select {
 	case c.changed <- struct{}{}:
 	default:
@@ -62,7 +64,7 @@
 }
 
 // Read implements net.Conn.
-func (c *writeTrackingConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	c.reading.Store(true)
 	c.signalChange()
 	n, err := c.Conn.Read(p)
@@ -74,7 +76,7 @@
 }
 
 // Write implements net.Conn.
-func (c *writeTrackingConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
@@ -85,7 +87,7 @@
 }
 
 // Close implements net.Conn.
-func (c *writeTrackingConn) Close() error {
+func (c *Conn) Close() error {
 	c.closed.Store(true)
 	c.signalChange()
 	return c.Conn.Close()
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -52,7 +52,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return newWriteTrackingConn(conn), nil
+			return NewConn(conn), nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     o.MaxConnections,
@@ -183,7 +183,7 @@
 // configuration declares non-idempotent. Its connection is therefore aborted before anything is written to it.
 type exchange struct {
 	ctx        context.Context
-	connection atomic.Pointer[writeTrackingConn]
+	connection atomic.Pointer[Conn]
 	// sent is true if a connection before the present one was written to.
 	sent atomic.Bool
 	// reused is true if the connection had been used before. It is written before the round trip ends.
@@ -192,7 +192,7 @@
 
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
-	conn := info.Conn.(*writeTrackingConn)
+	conn := info.Conn.(*Conn)
 	if previous := e.connection.Load(); previous != nil && previous.abort() {
 		e.sent.Store(true)
 	}
@@ -200,7 +200,7 @@
 		conn.abort()
 		return
 	}
-	conn.beginExchange(e.ctx)
+	conn.BeginExchange(e.ctx)
 	e.reused = info.Reused
 	e.connection.Store(conn)
 }
