--- a/internal/gateway/ingress_test.go
+++ b/internal/gateway/ingress_test.go
@@ -10,6 +10,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/request"
+	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
 )
 
@@ -76,3 +77,42 @@
 		}
 	})
 }
+
+// Guards against a node that gives up a request which nobody repeats because its connection is silent, or that waits until
+// the deadline for one which another instance could run: the ingress node states what it would do next.
+func TestSendStatesWhereItIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		got := map[string]routed.Repetition{}
+		sim.mu.Lock()
+		sim.onDispatch = func(_ string, r routed.Request) { got[r.ID] = r.Repetition }
+		sim.mu.Unlock()
+		sim.sendRequest("k0", "not idempotent", "/home/", -1, time.Second)
+		sim.sendRequest("k0", "keyed", "/keyed/", sim.ownedKey("k1", "k0"), time.Second)
+		sim.sendRequest("k0", "free", "/free/", -1, time.Second)
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		for id, want := range map[string]routed.Repetition{
+			"not idempotent": routed.NotRepeated, "keyed": routed.RepeatedAtOwner, "free": routed.RepeatedElsewhere,
+		} {
+			if r, sent := got[id]; !sent || r != want {
+				t.Errorf("%s: sent %v with repetition %v, want %v", id, sent, r, want)
+			}
+		}
+	})
+	for name, c := range map[string]struct {
+		a    *activeRequest
+		want routed.Repetition
+	}{
+		"last attempt":      {&activeRequest{request: routed.Request{Idempotent: true}, serverAttempts: 1}, routed.NotRepeated},
+		"last keyed":        {&activeRequest{request: routed.Request{Idempotent: true}, serverAttempts: 1, keyed: true}, routed.NotRepeated},
+		"last node":         {&activeRequest{request: routed.Request{Idempotent: true}, sends: maxSends}, routed.NotRepeated},
+		"keyed, many sends": {&activeRequest{request: routed.Request{Idempotent: true}, sends: maxSends, keyed: true}, routed.RepeatedAtOwner},
+	} {
+		c.a.route = &route.Route{MaxAttempts: 2}
+		if got := c.a.repetition(); got != c.want {
+			t.Errorf("%s: repetition %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -339,3 +339,35 @@
 		})
 	}
 }
+
+// Guards against requests that are withheld from the next process of an instance because a refusal of the process before
+// arrives late.
+func TestLateRefusalDoesNotStopNextProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemberTable(Self{Instance: "k0"}, RetryLimits{})
+		table.put(registry.Member{Instance: "k1", Incarnation: 1})
+		asked, _ := table.get("k1")
+		table.put(registry.Member{Instance: "k1", Incarnation: 2})
+		table.recordStop(asked, time.Now())
+		if wait := table.nextProcessWait("k1", time.Now()); wait > 0 {
+			t.Errorf("requests are withheld for %v", wait)
+		}
+	})
+}
+
+// Guards against an unknown outcome of a request that arrives after the end of the requests, although it has not run.
+func TestRequestAfterEndOfStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.instances["k0"].gateway.EndRequests()
+		for _, c := range []struct {
+			path string
+			key  int
+		}{{"/free/", -1}, {"/home/", -1}, {"/keyed/", sim.ownedKey("k1", "k0")}} {
+			if a := sim.sendRequest("k0", "late"+c.path, c.path, c.key, time.Second); a.Outcome != request.NotRun || a.Reason != request.Stopping || a.RetryAfter == 0 {
+				t.Errorf("%s: got %v %q, retry after %v; want a refusal as stopping", c.path, a.Outcome, a.Reason, a.RetryAfter)
+			}
+		}
+	})
+}
--- a/internal/httpwire/body_test.go
+++ b/internal/httpwire/body_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +68,34 @@
 		}
 	}
 }
+
+// Guards against memory over the limit while the parts of a large body are joined, and against a limit that holds for one
+// body but not for several.
+func TestBodiesBeingReadShareOneLimit(t *testing.T) {
+	const size, limit = 1 << 20, 5 << 19
+	read := func(b *BodyReader, r io.Reader) error {
+		_, err := b.Read(r, limit)
+		return err
+	}
+	body := strings.Repeat("x", size)
+	if err := read(NewBodyReader(2*size-chunkBytes), strings.NewReader(body)); problem.KindOf(err) != problem.Overloaded {
+		t.Errorf("a body that needs twice its size to be joined: %v", err)
+	}
+	b := NewBodyReader(limit)
+	reader, writer := io.Pipe()
+	first := make(chan error, 1)
+	go func() { first <- read(b, reader) }()
+	if _, err := io.WriteString(writer, body+"x"); err != nil {
+		t.Fatal(err)
+	}
+	if err := read(b, strings.NewReader(body)); problem.KindOf(err) != problem.Overloaded {
+		t.Errorf("a second body beside one that is being read: %v", err)
+	}
+	writer.Close()
+	if err := <-first; err != nil {
+		t.Errorf("the first body: %v", err)
+	}
+	if err := read(b, strings.NewReader(body)); err != nil {
+		t.Errorf("a body after the others: %v", err)
+	}
+}
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,34 @@
 	}
 }
 
+// Guards against a ping timeout for each of several writes when all idle connections went silent: the first one shows that
+// the others are dead.
+func TestFailedPingClosesSilentConnections(t *testing.T) {
+	const writes, pingTimeout = 8, 150 * time.Millisecond
+	f := newFixture(t)
+	f.fillPool(t, pooledConnections)
+	<-time.After(idleBeforePing)
+	f.relay.Silence(true, true)
+	// The writes hold their connections, so that each needs a further one.
+	unblock := make(chan struct{})
+	f.service.unblock.Store(&unblock)
+	var calls sync.WaitGroup
+	began := time.Now()
+	for i := range writes {
+		calls.Go(func() {
+			if _, _, err := f.send(fmt.Sprint("write-", i), false, 10*time.Second); err != nil {
+				t.Errorf("write %d: %v", i, err)
+			}
+		})
+		<-f.service.started
+	}
+	if took := time.Since(began); took > writes/2*pingTimeout {
+		t.Errorf("%d writes were sent within %v, want at most %v", writes, took, writes/2*pingTimeout)
+	}
+	close(unblock)
+	calls.Wait()
+}
+
 // Guards against reads that wait for their deadline on one silent pooled connection after another.
 func TestSilentConnectionsFailOneRead(t *testing.T) {
 	f := newFixture(t)
