--- a/internal/httpwire/silence.go
+++ b/internal/httpwire/silence.go
@@ -27,7 +27,7 @@
 // for too long. The connections must be opened by a function of DialSilenceLimited. stop is to be called after the call.
 func LimitSilence(ctx context.Context, limits SilenceLimits) (callCtx context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &answer{limits: limits, cancel: cancel}
+	a := &answer{ctx: ctx, limits: limits, cancel: cancel}
 	stop = func() {
 		a.end()
 		cancel(nil)
@@ -53,12 +53,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return &answerConn{Conn: conn}, nil
+		return &answerConn{writeTrackingConn: newWriteTrackingConn(conn)}, nil
 	}
 }
 
 // answer follows the answer to one call on the connection that the call uses.
 type answer struct {
+	// ctx is the context of the call.
+	ctx    context.Context
 	limits SilenceLimits
 	// cancel ends the call.
 	cancel context.CancelCauseFunc
@@ -76,6 +78,8 @@
 	a.mu.Lock()
 	a.conn = conn
 	a.mu.Unlock()
+	// Bytes that came after the previous answer must not be taken for this one.
+	conn.beginExchange(a.ctx)
 	conn.expect(a)
 }
 
@@ -94,7 +98,7 @@
 //
 // mu guards current and serializes changes of the read deadline.
 type answerConn struct {
-	net.Conn
+	*writeTrackingConn
 
 	mu sync.Mutex
 	// current is the answer that is expected; nil while no call uses the connection.
@@ -121,7 +125,7 @@
 
 // Read implements net.Conn.
 func (c *answerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.writeTrackingConn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == nil {
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,34 @@
 	}
 }
 
+// Guards against a ping timeout for each of several writes when all idle connections went silent: the first one shows that
+// the others are dead.
+func TestFailedPingClosesSilentConnections(t *testing.T) {
+	const writes, pingTimeout = 8, 150 * time.Millisecond
+	f := newFixture(t)
+	f.fillPool(t, pooledConnections)
+	<-time.After(idleBeforePing)
+	f.relay.Silence(true, true)
+	// The writes hold their connections, so that each needs a further one.
+	unblock := make(chan struct{})
+	f.service.unblock.Store(&unblock)
+	var calls sync.WaitGroup
+	began := time.Now()
+	for i := range writes {
+		calls.Go(func() {
+			if _, _, err := f.send(fmt.Sprint("write-", i), false, 10*time.Second); err != nil {
+				t.Errorf("write %d: %v", i, err)
+			}
+		})
+		<-f.service.started
+	}
+	if took := time.Since(began); took > writes/2*pingTimeout {
+		t.Errorf("%d writes were sent within %v, want at most %v", writes, took, writes/2*pingTimeout)
+	}
+	close(unblock)
+	calls.Wait()
+}
+
 // Guards against reads that wait for their deadline on one silent pooled connection after another.
 func TestSilentConnectionsFailOneRead(t *testing.T) {
 	f := newFixture(t)
@@ -96,21 +125,22 @@
 	unblock := make(chan struct{})
 	f.service.unblock.Store(&unblock)
 	type result struct {
-		took time.Duration
-		err  error
+		ended time.Time
+		err   error
 	}
 	done := make(chan result, 1)
 	go func() {
-		_, took, err := f.send("affected", false, callTimeout)
-		done <- result{took, err}
+		_, _, err := f.send("affected", false, callTimeout)
+		done <- result{time.Now(), err}
 	}()
 	<-f.service.started
+	silent := time.Now()
 	f.relay.Silence(false, true)
 	f.service.unblock.Store(nil)
 	requireAnswered(t, f, "other", false, unaffectedBound)
 	close(unblock)
 	affected := <-done
-	requireOutcomeUnknown(t, affected.took, affected.err, affectedBound)
+	requireOutcomeUnknown(t, affected.ended.Sub(silent), affected.err, affectedBound)
 	f.relay.Resume()
 	for i := range pooledConnections {
 		requireAnswered(t, f, fmt.Sprint("later-", i), false, unaffectedBound)
