--- a/internal/engine/ownership.go
+++ b/internal/engine/ownership.go
@@ -24,12 +24,14 @@
 	grantTimeout = time.Second
 	// grantRetryDelay is the delay after a grant that the backend server did not confirm.
 	grantRetryDelay = 100 * time.Millisecond
-	// releaseTimeout is the time that a source has to answer before it is asked again.
-	releaseTimeout = 2 * time.Second
+	// releaseTimeout bounds one request. Its client ends it earlier if the source is silent. The retained outcomes of a
+	// source have up to 16 MB, which take 4 s over an idle link between regions.
+	releaseTimeout = 15 * time.Second
 	// releaseRetryDelay is the delay before a source that has not released all slices is asked again.
 	releaseRetryDelay = 50 * time.Millisecond
 	// maxReleaseWait is how long a source waits for running requests before it answers with the slices that it can release
-	// already. It is above the usual duration of a request, and well below releaseTimeout, after which the answer is lost.
+	// already. It is above the usual duration of a request, and well below node.ControlSilenceTimeout, after which the answer
+	// is lost.
 	maxReleaseWait = 250 * time.Millisecond
 	// logReleaseDelay is how long a source waits for the new owner to ask before it records the release in the log. A
 	// release through the log loses the retained outcomes, so it is the last resort if the nodes cannot reach each
--- a/internal/engine/snapshots.go
+++ b/internal/engine/snapshots.go
@@ -12,8 +12,10 @@
 
 // Limits on snapshot requests.
 const (
-	// snapshotTimeout bounds one request. A snapshot of 0.7 MB takes 0.2 s over the shared link between regions.
-	snapshotTimeout = 3 * time.Second
+	// snapshotTimeout bounds one request. Its client ends it earlier if the peer is silent. A snapshot of 0.7 MB takes 0.2 s
+	// over an idle link between regions; a snapshot that arrives slowly is not requested from another node, over the same
+	// link.
+	snapshotTimeout = 15 * time.Second
 	// snapshotInterval is the minimum time between two rounds of requests.
 	snapshotInterval = time.Second
 	// maxSnapshotPeers is the maximum number of nodes that are asked in one round.
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -307,11 +307,15 @@
 
 // Release implements node.Peers.
 func (h *Host) Release(ctx context.Context, address string, r node.ReleaseRequest) (node.ReleaseResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, node.ControlSilenceTimeout)
+	defer cancel()
 	return roundTrip(ctx, h, address, r, func(to Handler) (node.ReleaseResult, error) { return to.Release(ctx, r) })
 }
 
 // Snapshot implements node.Peers.
 func (h *Host) Snapshot(ctx context.Context, address string) (node.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, node.ControlSilenceTimeout)
+	defer cancel()
 	return roundTrip(ctx, h, address, nil, func(to Handler) (node.Snapshot, error) { return to.Snapshot(ctx) })
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -31,6 +31,10 @@
 	// pingTimeout covers several round trips between regions, of 16 ms each. If a slow peer exceeds it, a new
 	// connection is opened.
 	pingTimeout = 150 * time.Millisecond
+	// ControlSilenceTimeout is the longest time without data while the answer to a Release or Snapshot is due or arrives. A
+	// source waits up to 250 ms before it answers a Release, and a node on a slow processor needs some 100 ms to encode its
+	// state.
+	ControlSilenceTimeout = 2 * time.Second
 )
 
 // Client calls other nodes over drpc. It is safe for concurrent use.
@@ -48,13 +52,16 @@
 func (c *Client) Close() error { return c.connPool.close() }
 
 // callControl makes a call that is not a caller's request. As control calls are rare, an idle connection is verified
-// first. Only the deadline of ctx limits the time until the answer.
+// first. The call ends when the peer is silent for ControlSilenceTimeout, and goes on while its answer arrives.
 func (c *Client) callControl(ctx context.Context, address string, call func(nodepb.DRPCNodeClient) error) error {
 	conn, err := c.connPool.take(ctx, address, true)
 	if err != nil {
 		return err
 	}
-	return c.finishCall(address, conn, call(nodepb.NewDRPCNodeClient(conn)))
+	conn.watchdog.arm(silenceRule{limit: ControlSilenceTimeout}, 0)
+	err = call(nodepb.NewDRPCNodeClient(conn))
+	conn.watchdog.disarm()
+	return c.finishCall(address, conn, err)
 }
 
 // finishCall returns a connection to the pool after a call, or closes it if the call failed.
