Await a silent send while the request is sent again

What callers saw: 502 or 504 for an idempotent request on which a backend server worked, while a link between regions was full.

Cause: a call to a live but slow node was given up after 700 ms in exchange for a second send. That second send could be refused or not made at all (queue full, no other server, a node that stops), and the answer of the first one was thrown away by then.

Ruled out: dead connections (the peers did not answer on other connections either) and stops (none of the nodes was being stopped).

Change: Dispatch no longer gives the connection up at the limit. It reports the silence once and waits on until the peer refuses connections or the context ends. The ingress node then sends the request a second time on a pool of its own, under the same conditions as before (idempotent, attempts left, a retry of the budget), and takes the first answer of a backend server; the other send is canceled. If the second send is refused or cannot be made, the first one decides. At most two sends are awaited at once. The retry is taken where it is used, no longer in advance by the connection. The silent node is still marked unreachable at once, so that other requests avoid it.

Event 517 marks the silence; 515 is left to calls that failed.

Tests: TestSilentSendIsAwaitedWhenSecondFails failed before with 'r-0 ran 1 times and got unknown "connection_lost" after 800ms, want the answer of the first send' (queue_full; after 1.04 s with no_server, and with stopping r-1 after 800 ms), and passes now. The other tests of second_send_test.go and TestSilenceIsReportedAndAnswerAwaited are about the new mechanism. The fixture of the tests of slow paths cancels the call when silence is reported, as the answer of a second send does, so that their bounds for the end of a call are the same; they check now that the silence is reported in time. In TestUnknownSendUsesTheTimeLeft the stand-in no longer takes a retry, because Dispatch does not.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -244,6 +244,8 @@
 	NodeCallFailed = define(Event{Number: 515, Name: "node_call_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
 		Text:   "a call to another node for a request failed; the field peer_state tells whether that node answers on a new connection",
 		Remedy: "check the instance in the field peer_instance and the network to it"})
+	NodeSilent = define(Event{Number: 517, Name: "node_silent", Level: zerolog.InfoLevel, PerSecond: decisionRate,
+		Text: "a node is silent during a call for a request; its answer is awaited, and the request is sent again as well if the retry budget and the state of other nodes allow that"})
 )
 
 // Events of the load of the machine of the backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,9 +5,9 @@
 // All limits of a backend server (its slots, draining, evacuation, the request rate while it is cold, the keys that it
 // holds) are therefore enforced at its own node; ingress nodes only choose among nodes.
 //
-// Work runs on three pools: jobs of the ingress pool route a request and wait for its answer, jobs of the backend pool
-// make one exchange with the backend server, and jobs of the control pool keep the records and the ownership of keys up
-// to date. One reader for each topic blocks in a long poll of the store.
+// Work runs on four pools: jobs of the ingress pool route a request and wait for its answer, jobs of the pool for second
+// sends do so for a request whose first send is silent, jobs of the backend pool make one exchange with the backend
+// server, and jobs of the control pool keep the records and the ownership of keys up to date. One reader for each topic blocks in a long poll of the store.
 package gateway
 
 import (
@@ -86,9 +86,10 @@
 
 // Peers calls the nodes of other instances.
 type Peers interface {
-	// Dispatch sends a request to a node. It calls takeRetry before it gives up a node that may still answer, and waits
-	// on if that returns false.
-	Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error)
+	// Dispatch sends a request to a node. It calls onSilent, unless that is nil, once the request should be sent to another
+	// node as well because this one is silent, and still awaits the answer. onSilent must not block; it may be called when
+	// Dispatch has just returned.
+	Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error)
 	// Probe asks a node for its instance name and load. rangesEnd is the end offset of the topic of range tables up to
 	// which this node has read; a node that has read less reads again at once.
 	Probe(ctx context.Context, address string, rangesEnd int64) (instance string, load routed.Load, err error)
@@ -133,6 +134,7 @@
 
 	ingressPool      *worker.Pool
 	backendPool      *worker.Pool
+	secondSendPool   *worker.Pool
 	controlPool      *worker.Pool
 	reconcileTrigger *worker.Trigger
 	// slowdownTrigger runs pollSlowdown, which queries whether the machine of the backend server is still slow.
@@ -208,6 +210,7 @@
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.ingressPool = worker.NewPool("ingress", g.options.IngressWorkers, g.options.IngressQueue)
 	g.backendPool = worker.NewPool("backend", g.options.BackendWorkers, g.options.BackendWorkers)
+	g.secondSendPool = worker.NewPool("second-sends", secondSendWorkers, secondSendQueue)
 	g.controlPool = worker.NewPool("control", controlWorkers, controlQueue)
 	g.reconcileTrigger = worker.NewTrigger(g.controlPool, g.reconcile)
 	g.slowdownTrigger = worker.NewTrigger(g.controlPool, g.pollSlowdown)
@@ -308,6 +311,7 @@
 	g.reconcileTrigger.Stop()
 	g.slowdownTrigger.Stop()
 	g.ingressPool.Stop()
+	g.secondSendPool.Stop()
 	g.controlPool.Stop()
 	g.backendPool.Stop()
 	g.events.Emit(eventlog.Stopped)
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/choice"
@@ -72,8 +71,8 @@
 	// unknownReason is why an earlier send ended with an unknown outcome; empty if none did. The request may have run
 	// then, even if a later send is refused.
 	unknownReason request.Reason
-	// retryTaken is set if a retry was taken from the retry budget when the last send was given up.
-	retryTaken atomic.Bool
+	// awaited is the instance from which an earlier send still awaits its answer; empty if none does.
+	awaited string
 	// chosen is the instance that was asked last, and chosenReportAge the age of the load report that it was chosen by.
 	chosen          string
 	chosenReportAge time.Duration
@@ -121,11 +120,7 @@
 	for {
 		instance, ok := g.chooseInstance(a, time.Now())
 		if ok {
-			asked, _ := g.members.get(instance)
 			a.lastAnswer = g.send(ctx, a, instance)
-			if a.lastAnswer.Reason == request.Stopping {
-				g.members.recordStop(asked, time.Now())
-			}
 		}
 		if a.lastAnswer.Outcome == request.Unknown {
 			a.unknownReason = a.lastAnswer.Reason
@@ -189,13 +184,16 @@
 	g.members.requestSent(instance)
 	a.request.MayDivert = !a.keyed && a.diversions < maxDiversions && g.members.isSameRegion(instance)
 	a.request.Repetition = a.repetition()
+	member, known := g.members.get(instance)
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
 		g.members.requestAnswered(instance, answer.Load, true, time.Now())
+		if answer.Reason == request.Stopping {
+			g.members.recordStop(member, time.Now())
+		}
 		a.countServerAttempt(answer)
 		return answer
 	}
-	member, known := g.members.get(instance)
 	if !known || !regionAllowed(a.request.HomeRegions, member.Region) {
 		g.members.requestAnswered(instance, routed.Load{}, true, time.Now())
 		return routed.NotRun(request.NoServer, overloadRetryAfter)
@@ -203,37 +201,34 @@
 	g.deps.Metrics.CountForwarded(a.request.Service)
 	hopCtx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopForward)
 	a.request.Traceparent = g.deps.Tracing.Traceparent(hopCtx)
-	answer, err := g.deps.Peers.Dispatch(hopCtx, member.Address, a.request, a.takeRetryOnce(g.members))
+	answer := g.dispatch(hopCtx, a, member)
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
-	if err != nil {
-		answer = g.callFailure(ctx, a, instance, err)
-	} else {
-		g.members.requestAnswered(instance, answer.Load, true, time.Now())
-		g.noteRevision(answer.Revision)
-		if answer.Reason == request.NotOwner {
-			g.refreshTopicLimited(registry.RangesTopic)
-		}
-	}
-	a.countServerAttempt(answer)
 	return answer
 }
 
-// takeRetryOnce returns a function that takes a retry from the retry budget for a send that is given up.
-func (a *activeRequest) takeRetryOnce(members *memberTable) func() bool {
-	service := a.request.Service
-	return func() bool {
-		taken := members.takeRetry(service, time.Now())
-		a.retryTaken.Store(taken)
-		return taken
+// call sends the request to another node and returns its answer.
+func (g *Gateway) call(ctx context.Context, a *activeRequest, member registry.Member, onSilent func(node.PeerState)) routed.Answer {
+	answer, err := g.deps.Peers.Dispatch(ctx, member.Address, a.request, onSilent)
+	if err != nil {
+		return g.callFailure(ctx, a, member.Instance, err)
+	}
+	g.members.requestAnswered(member.Instance, answer.Load, true, time.Now())
+	g.noteRevision(answer.Revision)
+	switch answer.Reason {
+	case request.NotOwner:
+		g.refreshTopicLimited(registry.RangesTopic)
+	case request.Stopping:
+		g.members.recordStop(member, time.Now())
 	}
+	return answer
 }
 
 // repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
-// counts as an attempt.
+// counts as an attempt. At most two sends are awaited at the same time.
 func (a *activeRequest) repetition() routed.Repetition {
 	switch {
-	case !a.request.Idempotent || a.serverAttempts+1 >= a.route.MaxAttempts:
+	case !a.request.Idempotent || a.serverAttempts+1 >= a.route.MaxAttempts || a.awaited != "":
 		return routed.NotRepeated
 	case a.keyed:
 		return routed.RepeatedAtOwner
@@ -252,6 +247,10 @@
 
 // callFailure returns the answer for a call to a node that failed.
 func (g *Gateway) callFailure(ctx context.Context, a *activeRequest, instance string, err error) routed.Answer {
+	if errors.Is(context.Cause(ctx), errAnsweredBySecond) {
+		g.members.requestAbandoned(instance)
+		return routed.OutcomeUnknown(request.ConnectionLost)
+	}
 	peer := node.PeerStateOf(err)
 	// A call that ended by its deadline or because the caller disconnected does not count as a failure of the node,
 	// unless the node was found not to answer.
@@ -284,7 +283,7 @@
 	}
 	if a.lastAnswer.ReachedServer {
 		// Only a retry after a send that reached a backend server is charged to the retry budget of the service.
-		if !a.retryTaken.Swap(false) && !g.members.takeRetry(a.request.Service, now) {
+		if !g.members.takeRetry(a.request.Service, now) {
 			return false
 		}
 		g.deps.Metrics.CountRetry(a.request.Service)
@@ -313,7 +312,7 @@
 // awaitOwnerChange delays a request whose key has no reachable owner or is moving. It reports whether the request is
 // tried again.
 func (g *Gateway) awaitOwnerChange(ctx context.Context, a *activeRequest, now time.Time) bool {
-	if a.unknownReason == "" && !a.awaitsOwner(now) {
+	if a.unknownReason == "" && a.awaited == "" && !a.awaitsOwner(now) {
 		return false
 	}
 	defer g.skipBatchDelay(registry.RangesTopic)()
@@ -354,6 +353,9 @@
 	switch a.lastAnswer.Reason {
 	case request.NoServer, request.OwnerUnreachable, request.Draining, request.Stopping:
 		a.tried = a.tried[:0]
+		if a.awaited != "" {
+			a.tried = append(a.tried, a.awaited)
+		}
 		return a.sleep(ctx, now)
 	}
 	return false
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -212,6 +212,29 @@
 		p.failures, p.retryAt = 0, time.Time{}
 		return
 	}
+	p.recordFailure(now)
+}
+
+// requestAbandoned records the end of a request to an instance whose answer is not needed any more.
+func (t *memberTable) requestAbandoned(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		p.pendingRequests = max(0, p.pendingRequests-1)
+	}
+}
+
+// recordFailure records that an instance does not answer a request whose answer is still awaited. It is not called again
+// until its backoff has passed.
+func (t *memberTable) recordFailure(instance string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		p.recordFailure(now)
+	}
+}
+
+func (p *peer) recordFailure(now time.Time) {
 	p.failures++
 	p.retryAt = now.Add(min(minUnreachableBackoff<<min(p.failures-1, 4), maxUnreachableBackoff))
 }
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -41,6 +41,10 @@
 	onDispatch func(to string, r routed.Request)
 	// silentAfterRun is an instance that becomes unreachable after it has run a request.
 	silentAfterRun string
+	// answerDelays are the times by which the path from an instance delays its answers.
+	answerDelays map[string]time.Duration
+	// refusals are the reasons for which instances refuse all requests.
+	refusals map[string]request.Reason
 	// misdirected counts requests that reached another incarnation, or a backend server that did not hold their key.
 	misdirected int
 	// configurationBytes is the size of the records of published configurations, if it is above that of their content.
@@ -433,7 +437,7 @@
 }
 
 // Dispatch implements Peers.
-func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error) {
+func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error) {
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return routed.Answer{}, err
@@ -442,18 +446,43 @@
 	if p.sim.onDispatch != nil {
 		p.sim.onDispatch(address, r)
 	}
+	refusal := p.sim.refusals[address]
 	p.sim.mu.Unlock()
+	if refusal != "" {
+		return routed.NotRun(refusal, 0), p.delayAnswer(ctx, address, r, onSilent)
+	}
 	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
+	if err := p.delayAnswer(ctx, address, r, onSilent); err != nil {
+		return routed.Answer{}, err
+	}
 	p.sim.mu.Lock()
 	defer p.sim.mu.Unlock()
 	if address == p.sim.silentAfterRun {
 		p.sim.disconnected[address] = true
-		takeRetry()
 		return routed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s stopped responding", address)
 	}
 	return answer, nil
 }
 
+// silenceLimit is the time without data after which a path counts as silent.
+const silenceLimit = 700 * time.Millisecond
+
+// delayAnswer waits as long as the path from the instance at address delays its answers.
+func (p *peers) delayAnswer(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) error {
+	p.sim.mu.Lock()
+	delay := p.sim.answerDelays[address]
+	p.sim.mu.Unlock()
+	if delay > silenceLimit && r.Repetition == routed.RepeatedElsewhere && onSilent != nil {
+		sleep(ctx, silenceLimit)
+		delay -= silenceLimit
+		onSilent(node.PeerSilent)
+	}
+	if !sleep(ctx, delay) {
+		return problem.New(problem.Unavailable, "check the node", "no answer of %s: %w", address, ctx.Err())
+	}
+	return nil
+}
+
 // Probe implements Peers.
 func (p *peers) Probe(ctx context.Context, address string, rangesEnd int64) (string, routed.Load, error) {
 	g, err := p.reach(ctx, address)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -61,24 +61,25 @@
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
 // problem.Unavailable if its outcome is unknown.
 //
-// takeRetry is called when a silent connection is about to be given up although its answer may still arrive. If it
-// returns false, the request is not repeated, and the answer is awaited.
-func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error) {
+// onSilent, unless it is nil, is called once when the node has been silent for so long that the request should be sent
+// to another node as well, if r.Repetition allows that. The answer is still awaited, until ctx ends or the node refuses a
+// new connection. onSilent must not block; it may be called when Dispatch has just returned.
+func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(PeerState)) (routed.Answer, error) {
 	conn, err := c.connPool.take(ctx, address, !r.Idempotent)
 	if err != nil {
 		return routed.Answer{}, err
 	}
 	sent := time.Now()
 	rule := newSilenceRule(dispatchSilenceLimit, dispatchProgressInterval, r.Deadline.Sub(sent), dispatchPatience(r.Repetition))
-	rule.takeRetry = takeRetry
+	rule.onSilent = onSilent
 	conn.watchdog.arm(rule, sendTime(len(r.Body)))
 	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent))
 	conn.watchdog.disarm()
 	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, dispatchProgressInterval, err))
 }
 
-// dispatchPatience returns how long a request waits on a silent connection. To give up a request that is not repeated
-// gains nothing, and its answer may still arrive: TCP may repeat lost packets seconds after new connections work again.
+// dispatchPatience returns when silence is reported for a request, so that it is repeated. The first send is not given up
+// for that: TCP may repeat lost packets seconds after new connections work again.
 func dispatchPatience(r routed.Repetition) patience {
 	switch r {
 	case routed.RepeatedElsewhere:
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -66,7 +66,7 @@
 type routerFixture struct {
 	*fixture
 	router *echoRouter
-	// noRetries is set when the retry budget is used up.
+	// noRetries is set when no second send is made, or none that is answered.
 	noRetries atomic.Bool
 }
 
@@ -84,13 +84,16 @@
 	r.Deadline = started.Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	defer cancel()
-	answer, err := f.client.Dispatch(ctx, f.relay.Address(), r, f.takeRetry)
+	// The answer of the second send comes at once.
+	onSilent := func(node.PeerState) {
+		if !f.noRetries.Load() {
+			cancel()
+		}
+	}
+	answer, err := f.client.Dispatch(ctx, f.relay.Address(), r, onSilent)
 	return answer, time.Since(started), err
 }
 
-// takeRetry allows a retry unless noRetries is set.
-func (f *routerFixture) takeRetry() bool { return !f.noRetries.Load() }
-
 // connect leaves count idle connections in the client's pool.
 func (f *routerFixture) connect(t *testing.T, count int) {
 	t.Helper()
@@ -166,8 +169,7 @@
 				f.relay.Delay(pathDelay, 0)
 			} else {
 				// New connections work, but the answer still arrives on the silent one.
-				f.relay.Silence(true, true)
-				time.AfterFunc(pathDelay, f.relay.Resume)
+				silenceForPathDelay(f)
 			}
 			r := routed.Request{ID: "r", Idempotent: true, Repetition: repetition, Body: []byte("r")}
 			answer, took, err := f.dispatch(r, dispatchTimeout)
@@ -178,6 +180,46 @@
 	}
 }
 
+// Guards against giving up a slow peer when its silence is reported, and against reporting it late or twice.
+func TestSilenceIsReportedAndAnswerAwaited(t *testing.T) {
+	for name, test := range map[string]struct {
+		repetition routed.Repetition
+		silence    func(*routerFixture)
+		state      node.PeerState
+	}{
+		"slow path":                {routed.RepeatedElsewhere, func(f *routerFixture) { f.relay.Delay(pathDelay, 0) }, node.PeerSilent},
+		"dead connection":          {routed.RepeatedElsewhere, silenceForPathDelay, node.PeerAnswers},
+		"dead connection to owner": {routed.RepeatedAtOwner, silenceForPathDelay, node.PeerAnswers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newRouterFixture(t)
+			f.connect(t, 1)
+			test.silence(f)
+			started := time.Now()
+			r := routed.Request{ID: "r", Idempotent: true, Repetition: test.repetition, Body: []byte("r"), Deadline: started.Add(dispatchTimeout)}
+			reports := make(chan node.PeerState, 2)
+			var reportedAfter time.Duration
+			answer, err := f.client.Dispatch(context.Background(), f.relay.Address(), r, func(s node.PeerState) {
+				reportedAfter = time.Since(started)
+				reports <- s
+			})
+			if err != nil || string(answer.Body) != "r" || f.router.runs.Load() != 1 {
+				t.Fatalf("answer %q after %d runs, error %v; want the body after one", answer.Body, f.router.runs.Load(), err)
+			}
+			if len(reports) != 1 || <-reports != test.state || reportedAfter > dispatchAffectedBound {
+				t.Errorf("%d further reports, the first after %v; want one of a peer that is %q within %v", len(reports), reportedAfter, test.state, dispatchAffectedBound)
+			}
+		})
+	}
+}
+
+// silenceForPathDelay makes the open connections silent for pathDelay.
+func silenceForPathDelay(f *routerFixture) {
+	f.relay.Silence(true, true)
+	time.AfterFunc(pathDelay, f.relay.Resume)
+}
+
 // Guards against waiting for the slow peer when another instance can run the request.
 func TestSlowPathIsGivenUpForOtherInstance(t *testing.T) {
 	f := newRouterFixture(t)
--- a/internal/node/watchdog.go
+++ b/internal/node/watchdog.go
@@ -11,13 +11,14 @@
 	"heatherreel/internal/registry"
 )
 
-// patience is how long a call waits on a silent connection.
+// patience is how long a call waits on a silent connection before it reports the silence or, if nothing awaits the
+// report, gives up the connection.
 type patience int
 
 const (
-	// untilLimit gives up a silent connection at the limit, whatever the state of the peer.
+	// untilLimit waits until the limit, whatever the state of the peer.
 	untilLimit patience = iota
-	// untilDead gives up a silent connection when the peer answers or refuses another one.
+	// untilDead waits until the peer answers or refuses another connection.
 	untilDead
 	// untilRefused gives up a silent connection only when the peer refuses new ones.
 	untilRefused
@@ -31,9 +32,9 @@
 	// still awaited from then on. The peer is not checked if lastChance is zero.
 	checkAfter, lastChance time.Duration
 	patience               patience
-	// takeRetry, if set, is called once before a connection is given up whose peer may still answer on it. If it returns
-	// false, the patience becomes untilRefused. It is called without mu.
-	takeRetry func() bool
+	// onSilent, if set, is called once instead of giving up a connection on which the peer may still answer. From then on
+	// the patience is untilRefused. It is called without mu, perhaps after the call has ended, and must not block.
+	onSilent func(PeerState)
 }
 
 // newSilenceRule returns the rule for a call during which the peer reports progress at the interval. The check precedes
@@ -129,21 +130,31 @@
 	return step != giveUp && step != giveUpAll || c.holdOn()
 }
 
-// holdOn reports whether a connection that would be given up is kept because the request would not be repeated.
+// holdOn reports whether a connection that would be given up is kept because the silence is reported instead.
 func (c *watchdogConn) holdOn() bool {
-	c.mu.Lock()
-	takeRetry := c.rule.takeRetry
-	c.rule.takeRetry = nil
-	c.mu.Unlock()
-	if takeRetry == nil || takeRetry() {
+	onSilent, state := c.takeReport()
+	if onSilent == nil {
 		return false
 	}
+	onSilent(state)
+	return true
+}
+
+// takeReport returns the function that the silence is reported to, and the state of the peer; nil if the connection is
+// given up instead.
+func (c *watchdogConn) takeReport() (onSilent func(PeerState), state PeerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rule.patience = untilRefused
-	// The next step is decided anew.
-	_ = c.SetReadDeadline(time.Now())
-	return true
+	if c.rule.onSilent == nil || c.silence == nil || c.silence.result.state == PeerRefuses {
+		return nil, PeerUnchecked
+	}
+	onSilent, state = c.rule.onSilent, c.silence.result.state
+	c.rule.onSilent, c.rule.patience = nil, untilRefused
+	if c.armed {
+		// The next step is decided anew.
+		_ = c.SetReadDeadline(time.Now())
+	}
+	return onSilent, state
 }
 
 // nextStep decides what follows after the read deadline has passed, and sets the next one. It also returns the silence
