Send nothing to a stopped owner from a new process

Its ingress node varna-b-3 had started 0.65 s before and called the owner sofia-c-1, whose process ended during the call (515 "canceled" in the millisecond of 105), 4.1 s after its stop was announced.

Cause: a node sends requests to a stopping owner for 400 ms after it has read the record of the stop, because the owner announces the stop that long before it stops accepting. A new process reads the records of stops that were announced at any time before.

Ruled out: a request that met the end because of a slow path; the owner had received none for 0.5 s when it ended.

If it was announced at that moment, requests for its keys wait up to 0.4 s longer than necessary.

TestNewProcessSendsNothingToStoppedOwner failed before with "1 sends to the stopped owner" and passes now.

--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -21,7 +21,7 @@
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
 	// stoppingSince is when this node learnt that this incarnation of the peer stops, and stopAnnounceTime before that if
-	// it learnt it from a refusal; zero if it does not stop.
+	// it learnt it from a refusal or a snapshot; zero if it does not stop.
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
@@ -115,6 +115,10 @@
 	}
 	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
+		if t.applyingSnapshot {
+			// A snapshot does not tell how long ago the record was written.
+			p.stoppingSince = p.stoppingSince.Add(-stopAnnounceTime)
+		}
 	}
 	p.Member = m
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -339,3 +339,29 @@
 		})
 	}
 }
+
+// Guards against a new process that takes the stop of an owner, which it reads with all other records, for one that was
+// announced at this moment: its requests then met the end of the owner's process.
+func TestNewProcessSendsNothingToStoppedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		key := sim.ownedKey("k1", "k0")
+		sim.killGateway("k0")
+		sim.instances["k1"].gateway.PrepareStop(context.Background())
+		sim.startGateway("k0")
+		time.Sleep(100 * time.Millisecond)
+		sends := 0
+		sim.mu.Lock()
+		sim.onDispatch = func(to string, _ routed.Request) {
+			if to == "k1" {
+				sends++
+			}
+		}
+		sim.mu.Unlock()
+		a := sim.sendRequest("k0", "r", "/keyed/", key, 300*time.Millisecond)
+		if sends != 0 || a.Outcome != request.NotRun || a.Reason != request.Stopping {
+			t.Errorf("%d sends to the stopped owner, got %v %q; want none and a refusal as stopping", sends, a.Outcome, a.Reason)
+		}
+	})
+}
