Test that stops under load lose no answer

Processes of a simulated fleet are stopped as the daemon stops them, while callers send requests through all nodes: the ingress node, the owner, both at once, one after the other, and the same one twice. Requests and answers take time on the network, up to 600 ms between the regions, and can meet the end of a process. The test compares what callers got with what backend servers ran: no unknown outcome before the deadline, and no refusal of a request that ran.

With a delay of 1 s in one direction, which is longer than that time, 1 request met the end of a process; that limit is not changed here.

--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -43,6 +43,8 @@
 	silentAfterRun string
 	// answerDelays are the times by which the path from an instance delays its answers.
 	answerDelays map[string]time.Duration
+	// network carries requests between instances, if it is set.
+	network *loadedFleet
 	// refusals are the reasons for which instances refuse all requests.
 	refusals map[string]request.Reason
 	// misdirected counts requests that reached another incarnation, or a backend server that did not hold their key.
@@ -446,8 +448,11 @@
 	if p.sim.onDispatch != nil {
 		p.sim.onDispatch(address, r)
 	}
-	refusal := p.sim.refusals[address]
+	refusal, network := p.sim.refusals[address], p.sim.network
 	p.sim.mu.Unlock()
+	if network != nil {
+		return network.dispatch(ctx, p.from, address, r, onSilent)
+	}
 	if refusal != "" {
 		return routed.NotRun(refusal, 0), p.delayAnswer(ctx, address, r, onSilent)
 	}
