Tell callers that disconnected from lost connections in logs

What the logs showed: 512 with reason connection_lost and no 515 or 514 for requests whose caller had disconnected, most of them at its own deadline.

Change: the reason of an unknown outcome is canceled if the caller disconnected before the answer, or, at the node of the backend server, if the node that sent the request did. A request that a planned stop ends keeps connection_lost, since its caller waits and gets 502.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -321,15 +321,15 @@
 func (g *Gateway) Route(ctx context.Context, r routed.Request) routed.Answer {
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopIngress)
 	defer span.End()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	result := make(chan routed.Answer, 1)
 	answer := routed.NotRun(request.QueueFull, overloadRetryAfter)
 	if err := g.ingressPool.Submit(func() { result <- g.route(ctx, r) }); err == nil {
 		select {
 		case answer = <-result:
 		case <-g.requestsEnded.happened:
-			cancel()
+			cancel(errRequestsEnded)
 			answer = <-result
 		}
 	}
@@ -337,6 +337,9 @@
 	return answer
 }
 
+// errRequestsEnded is why a request ends at the end of a planned stop.
+var errRequestsEnded = problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
+
 // overloadRetryAfter is when a caller may retry after the queue of the ingress pool was full or no node could be asked.
 // It also stands for the service time of a backend server that has not run a request yet.
 const overloadRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -188,8 +188,11 @@
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
 		g.members.requestAnswered(instance, answer.Load, true, time.Now())
-		if answer.Reason == request.Stopping {
+		switch answer.Reason {
+		case request.Stopping:
 			g.members.recordStop(member, time.Now())
+		case request.Canceled:
+			answer.Reason = cancelReason(ctx)
 		}
 		a.countServerAttempt(answer)
 		return answer
@@ -249,7 +252,7 @@
 func (g *Gateway) callFailure(ctx context.Context, a *activeRequest, instance string, err error) routed.Answer {
 	if errors.Is(context.Cause(ctx), errAnsweredBySecond) {
 		g.members.requestAbandoned(instance)
-		return routed.OutcomeUnknown(request.ConnectionLost)
+		return routed.OutcomeUnknown(request.Canceled)
 	}
 	peer := node.PeerStateOf(err)
 	// A call that ended by its deadline or because the caller disconnected does not count as a failure of the node,
@@ -257,8 +260,7 @@
 	reached := peer == node.PeerAnswers || ctx.Err() != nil && peer != node.PeerSilent
 	g.members.requestAnswered(instance, routed.Load{}, reached, time.Now())
 	if errors.Is(ctx.Err(), context.Canceled) {
-		// The caller has disconnected; nobody reads the answer.
-		return routed.OutcomeUnknown(request.ConnectionLost)
+		return routed.OutcomeUnknown(cancelReason(ctx))
 	}
 	g.events.Emit(eventlog.NodeCallFailed, eventlog.RequestID(a.request.ID), eventlog.Name("peer_instance", instance),
 		eventlog.Name("peer_state", string(peer)), eventlog.Cause(err))
@@ -272,6 +274,15 @@
 	}
 }
 
+// cancelReason returns the reason of an unknown outcome after ctx was canceled.
+func cancelReason(ctx context.Context) request.Reason {
+	if errors.Is(context.Cause(ctx), errRequestsEnded) {
+		return request.ConnectionLost
+	}
+	// The caller has disconnected; nobody reads the answer.
+	return request.Canceled
+}
+
 // prepareRetry reports whether the request is sent once more. It waits first if no other node can be asked at once.
 func (g *Gateway) prepareRetry(ctx context.Context, a *activeRequest, asked bool) bool {
 	now := time.Now()
--- a/internal/gateway/ingress_test.go
+++ b/internal/gateway/ingress_test.go
@@ -76,3 +76,33 @@
 		}
 	})
 }
+
+// Guards against logs in which a caller that disconnected looks like a lost connection, and one that a stop left without
+// its answer like a caller that disconnected.
+func TestDisconnectIsToldFromEndOfStop(t *testing.T) {
+	for _, through := range []string{"f0", "k0"} {
+		for reason, end := range map[request.Reason]func(g *Gateway, disconnect func()){
+			request.Canceled:       func(_ *Gateway, disconnect func()) { disconnect() },
+			request.ConnectionLost: func(g *Gateway, _ func()) { g.EndRequests() },
+		} {
+			t.Run(through+" "+string(reason), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					sim := startFleet(t)
+					defer sim.close()
+					sim.mu.Lock()
+					sim.instances["f0"].server.serviceTime = 5 * time.Second
+					g := sim.instances[through].gateway
+					sim.mu.Unlock()
+					sim.stopServer("f1")
+					ctx, disconnect := context.WithCancel(context.Background())
+					defer disconnect()
+					time.AfterFunc(time.Second, func() { end(g, disconnect) })
+					a := g.Route(ctx, routed.Request{ID: "r", Host: "h", Path: "/free/", Method: "GET", Deadline: time.Now().Add(4 * time.Second)})
+					if a.Outcome != request.Unknown || a.Reason != reason {
+						t.Errorf("got %v %q, want an unknown outcome and %q", a.Outcome, a.Reason, reason)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -376,6 +377,9 @@
 		}
 		return routed.Answer{Outcome: request.Done, Status: 200, Body: []byte(inst.self.Instance), ReachedServer: true, WorkFigure: inst.sim.workFigure(s)}
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return routed.OutcomeUnknown(request.Canceled)
+		}
 		return routed.OutcomeUnknown(request.DeadlineExceeded)
 	}
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -116,6 +116,8 @@
 	OwnerUnreachable Reason = "owner_unreachable"
 	// ConnectionLost means that the connection failed after the request was sent.
 	ConnectionLost Reason = "connection_lost"
+	// Canceled means that the answer is not needed any more: the caller has disconnected, or another node answered first.
+	Canceled Reason = "canceled"
 	// DeadlineExceeded means that no answer came before the deadline.
 	DeadlineExceeded Reason = "deadline_exceeded"
 	// MayHaveRun means that an earlier attempt with the same request id may have run at an owner that was lost.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -48,7 +48,7 @@
 var reasons = []request.Reason{"", request.NoOwner, request.NotOwner, request.LeaseLapsed, request.Moving,
 	request.NoHomeOwner, request.WrongRegion, request.QueueFull, request.DeadlineTooClose, request.Draining,
 	request.NotConfigured, request.BackendRefused, request.BackendUnreachable, request.OwnerUnreachable,
-	request.ConnectionLost, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
+	request.ConnectionLost, request.Canceled, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
 	request.MachineSlow, request.Stopping}
