Do not refuse a request that its second send may still run

What callers saw: 503 (queue_full, "not run") at the deadline for an idempotent request that a backend server worked on.

Cause: in the change that awaits both sends, the answer of the first one, a refusal, was returned when the deadline passed while the second send was in progress.

Change: the outcome is unknown then.

TestRunningSecondSendIsNotRefused failed before with 'r-6 ran 1 times and got not-run "queue_full" after 4.1s, want an unknown outcome' and passes now.

--- a/internal/gateway/second_send.go
+++ b/internal/gateway/second_send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -69,7 +70,11 @@
 	case second := <-s.result:
 		return a.merge(answer, second)
 	case <-ctx.Done():
-		return answer
+		// The second send may still run.
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return routed.OutcomeUnknown(cancelReason(ctx))
+		}
+		return routed.OutcomeUnknown(request.DeadlineExceeded)
 	}
 }
 
--- a/internal/gateway/second_send_test.go
+++ b/internal/gateway/second_send_test.go
@@ -151,3 +151,22 @@
 		}
 	})
 }
+
+// Guards against a refusal of a request that the second send still runs at the deadline.
+func TestRunningSecondSendIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startSilentFleet(t, slowPath)
+		defer sim.close()
+		sim.mu.Lock()
+		sim.refusals = map[string]request.Reason{"f0": request.QueueFull}
+		sim.answerDelays["f1"] = secondSendTimeout
+		sim.mu.Unlock()
+		for i := range 20 {
+			time.Sleep(maxUnreachableBackoff)
+			id := fmt.Sprintf("r-%d", i)
+			if a, took := sim.sendTimed(id); sim.runs[id] > 0 && a.Outcome != request.Unknown || took > secondSendTimeout+answerGrace {
+				t.Errorf("%s ran %d times and got %v %q after %v, want an unknown outcome", id, sim.runs[id], a.Outcome, a.Reason, took)
+			}
+		}
+	})
+}
