--- a/internal/gateway/second_send_test.go
+++ b/internal/gateway/second_send_test.go
@@ -170,3 +170,36 @@
 		}
 	})
 }
+
+// Guards against a request for a key that waits on a dead connection until its deadline, although its owner answers on
+// another one, or is unknown because the owner has no room for the second send at first.
+func TestRequestForKeyIsSentAgainToOwner(t *testing.T) {
+	for name, refusedFor := range map[string]time.Duration{"at once": 0, "after refusals": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := startFleet(t)
+				defer sim.close()
+				key := sim.ownedKey("k1", "k0")
+				sim.mu.Lock()
+				sim.deadConnections = map[string]int{"k1": 1}
+				sim.mu.Unlock()
+				refuse := func(reasons map[string]request.Reason) func() {
+					return func() {
+						sim.mu.Lock()
+						defer sim.mu.Unlock()
+						sim.refusals = reasons
+					}
+				}
+				if refusedFor > 0 {
+					time.AfterFunc(silenceLimit/2, refuse(map[string]request.Reason{"k1": request.QueueFull}))
+					time.AfterFunc(silenceLimit+refusedFor, refuse(nil))
+				}
+				started := time.Now()
+				a := sim.sendRequest("k0", "r", "/keyed/", key, secondSendTimeout)
+				if took, limit := time.Since(started), silenceLimit+refusedFor+2*ownerRetryInterval; a.Outcome != request.Done || took > limit {
+					t.Errorf("got %v %q after %v, want an answer within %v", a.Outcome, a.Reason, took, limit)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -44,6 +44,9 @@
 	silentAfterRun string
 	// answerDelays are the times by which the path from an instance delays its answers.
 	answerDelays map[string]time.Duration
+	// deadConnections is the number of open connections to each instance that have lost their path. Each carries one
+	// request, and no answer.
+	deadConnections map[string]int
 	// network carries requests between instances, if it is set.
 	network *loadedFleet
 	// refusals are the reasons for which instances refuse all requests.
@@ -479,12 +482,17 @@
 // delayAnswer waits as long as the path from the instance at address delays its answers.
 func (p *peers) delayAnswer(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) error {
 	p.sim.mu.Lock()
-	delay := p.sim.answerDelays[address]
+	delay, state := p.sim.answerDelays[address], node.PeerSilent
+	if p.sim.deadConnections[address] > 0 {
+		p.sim.deadConnections[address]--
+		delay, state = time.Hour, node.PeerAnswers
+	}
 	p.sim.mu.Unlock()
-	if delay > silenceLimit && r.Repetition == routed.RepeatedElsewhere && onSilent != nil {
+	repeated := r.Repetition == routed.RepeatedElsewhere || r.Repetition == routed.RepeatedAtOwner && state == node.PeerAnswers
+	if delay > silenceLimit && repeated && onSilent != nil {
 		sleep(ctx, silenceLimit)
 		delay -= silenceLimit
-		onSilent(node.PeerSilent)
+		onSilent(state)
 	}
 	if !sleep(ctx, delay) {
 		return problem.New(problem.Unavailable, "check the node", "no answer of %s: %w", address, ctx.Err())
