--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -21,7 +21,7 @@
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
 	// stoppingSince is when this node learnt that this incarnation of the peer stops, and stopAnnounceTime before that if
-	// it learnt it from a refusal; zero if it does not stop.
+	// it learnt it from a refusal or a snapshot; zero if it does not stop.
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
@@ -115,6 +115,10 @@
 	}
 	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
+		if t.applyingSnapshot {
+			// A snapshot does not tell how long ago the record was written.
+			p.stoppingSince = p.stoppingSince.Add(-stopAnnounceTime)
+		}
 	}
 	p.Member = m
 }
@@ -212,6 +216,29 @@
 		p.failures, p.retryAt = 0, time.Time{}
 		return
 	}
+	p.recordFailure(now)
+}
+
+// requestAbandoned records the end of a request to an instance whose answer is not needed any more.
+func (t *memberTable) requestAbandoned(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		p.pendingRequests = max(0, p.pendingRequests-1)
+	}
+}
+
+// recordFailure records that an instance does not answer a request whose answer is still awaited. It is not called again
+// until its backoff has passed.
+func (t *memberTable) recordFailure(instance string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		p.recordFailure(now)
+	}
+}
+
+func (p *peer) recordFailure(now time.Time) {
 	p.failures++
 	p.retryAt = now.Add(min(minUnreachableBackoff<<min(p.failures-1, 4), maxUnreachableBackoff))
 }
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -41,6 +42,15 @@
 	onDispatch func(to string, r routed.Request)
 	// silentAfterRun is an instance that becomes unreachable after it has run a request.
 	silentAfterRun string
+	// answerDelays are the times by which the path from an instance delays its answers.
+	answerDelays map[string]time.Duration
+	// deadConnections is the number of open connections to each instance that have lost their path. Each carries one
+	// request, and no answer.
+	deadConnections map[string]int
+	// network carries requests between instances, if it is set.
+	network *loadedFleet
+	// refusals are the reasons for which instances refuse all requests.
+	refusals map[string]request.Reason
 	// misdirected counts requests that reached another incarnation, or a backend server that did not hold their key.
 	misdirected int
 	// configurationBytes is the size of the records of published configurations, if it is above that of their content.
@@ -370,6 +380,9 @@
 		}
 		return routed.Answer{Outcome: request.Done, Status: 200, Body: []byte(inst.self.Instance), ReachedServer: true, WorkFigure: inst.sim.workFigure(s)}
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return routed.OutcomeUnknown(request.Canceled)
+		}
 		return routed.OutcomeUnknown(request.DeadlineExceeded)
 	}
 }
@@ -433,7 +446,7 @@
 }
 
 // Dispatch implements Peers.
-func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, takeRetry func() bool) (routed.Answer, error) {
+func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error) {
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return routed.Answer{}, err
@@ -442,18 +455,51 @@
 	if p.sim.onDispatch != nil {
 		p.sim.onDispatch(address, r)
 	}
+	refusal, network := p.sim.refusals[address], p.sim.network
 	p.sim.mu.Unlock()
+	if network != nil {
+		return network.dispatch(ctx, p.from, address, r, onSilent)
+	}
+	if refusal != "" {
+		return routed.NotRun(refusal, 0), p.delayAnswer(ctx, address, r, onSilent)
+	}
 	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
+	if err := p.delayAnswer(ctx, address, r, onSilent); err != nil {
+		return routed.Answer{}, err
+	}
 	p.sim.mu.Lock()
 	defer p.sim.mu.Unlock()
 	if address == p.sim.silentAfterRun {
 		p.sim.disconnected[address] = true
-		takeRetry()
 		return routed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s stopped responding", address)
 	}
 	return answer, nil
 }
 
+// silenceLimit is the time without data after which a path counts as silent.
+const silenceLimit = 700 * time.Millisecond
+
+// delayAnswer waits as long as the path from the instance at address delays its answers.
+func (p *peers) delayAnswer(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) error {
+	p.sim.mu.Lock()
+	delay, state := p.sim.answerDelays[address], node.PeerSilent
+	if p.sim.deadConnections[address] > 0 {
+		p.sim.deadConnections[address]--
+		delay, state = time.Hour, node.PeerAnswers
+	}
+	p.sim.mu.Unlock()
+	repeated := r.Repetition == routed.RepeatedElsewhere || r.Repetition == routed.RepeatedAtOwner && state == node.PeerAnswers
+	if delay > silenceLimit && repeated && onSilent != nil {
+		sleep(ctx, silenceLimit)
+		delay -= silenceLimit
+		onSilent(state)
+	}
+	if !sleep(ctx, delay) {
+		return problem.New(problem.Unavailable, "check the node", "no answer of %s: %w", address, ctx.Err())
+	}
+	return nil
+}
+
 // Probe implements Peers.
 func (p *peers) Probe(ctx context.Context, address string, rangesEnd int64) (string, routed.Load, error) {
 	g, err := p.reach(ctx, address)
