End announcements and operators' requests whose body does not arrive

What would be seen: a backend server in trouble, or an operator's client, that sends the beginning of a request and keeps its connection open occupied a connection and a goroutine of the node for good, one a second for a backend server that announces itself each second. They count towards the memory of the node until it ends with every request on it.

Cause: the node served announcements by the server of callers, whose handler bounds the body by the deadline of the request; the handler of announcements does not. The server with the timeout for announcements existed and was not used. The server of operators bounded only the head of a request.

Ruled out: callers' requests, whose bodies are bounded by their deadline (TestSlowBodyIsCutOff).

Change: the node uses the server of backendserver, and the server of operators has a read timeout of 5 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,7 +155,7 @@
 		server  *http.Server
 	}{
 		{"callers", d.settings.CallersAddress, d.requestServers.callers},
-		{"backend", d.settings.BackendAddress, caller.NewServer(backendserver.NewHandler(d.engine))},
+		{"backend", d.settings.BackendAddress, backendserver.NewServer(backendserver.NewHandler(d.engine))},
 		{"operators", d.settings.OperatorsAddress, operator.NewServer(d.engine, d.engine.ControlPool(), d.metrics.Handler())},
 	} {
 		listener, err := d.listenTCP(h.name, h.address)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -29,9 +29,11 @@
 
 // Timeouts of the server. The status of a large fleet is a few hundred kilobytes.
 const (
-	readHeaderTimeout = 5 * time.Second
-	writeTimeout      = 30 * time.Second
-	idleTimeout       = time.Minute
+	// readTimeout bounds the arrival of a whole request. Requests need no body, but net/http reads one to its end before the
+	// connection can be used again.
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = time.Minute
 )
 
 // handler serves the interface. It reads source in jobs of pool.
@@ -44,10 +46,10 @@
 // serves /metrics; if it is nil, the path does not exist.
 func NewServer(source Source, pool *worker.Pool, metrics http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           newHandler(source, pool, metrics),
-		ReadHeaderTimeout: readHeaderTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
+		Handler:      newHandler(source, pool, metrics),
+		ReadTimeout:  readTimeout,
+		WriteTimeout: writeTimeout,
+		IdleTimeout:  idleTimeout,
 	}
 }
 
