End the read of a command when the server switches protocols

Cause: after 101 net/http hands the connection over, and reading its body does not end with the context. The transports for callers and backend servers refuse such a status; the client for operators did not.

Change: the client reads no body after a status that is not that of an answer.

TestSwitchedProtocolEndsRead. Before: "the read has not ended 2 s after its timeout". It passes with the change.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/zeebo/errs/v2"
 
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/problem"
 )
 
@@ -59,6 +60,10 @@
 		return out, c.unavailableError(err)
 	}
 	defer response.Body.Close()
+	if !httpwire.IsFinalStatus(response.StatusCode) {
+		// After 101 net/http hands the connection over, and a read of the body would not end with the context.
+		return out, decodeProblem(response, nil)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return out, c.unavailableError(err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -137,3 +139,35 @@
 		t.Errorf("post: %d", got)
 	}
 }
+
+// Guards against a command that does not end with its timeout because the address is that of a server that switches
+// protocols.
+func TestSwitchedProtocolEndsRead(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := operator.NewClient(server.URL).Status(ctx)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if problem.KindOf(err) != problem.Malformed {
+			t.Errorf("got error %v, want a malformed one", err)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the read has not ended 2 s after its timeout")
+		server.CloseClientConnections()
+	}
+}
