Refuse a page of the log that does not continue where the read began

What callers would see: a node whose log address was answered by another server, for example a device that answers {} with status 200, read without a pause with all of a processor, then from the start again, while it took the log for reachable and its configuration for current. After a 410 without an offset it passed by one record with each reply, so that moves and configurations were missing until a checkpoint.

Cause: the offsets of a reply were followed without a look at what was asked. The log was trusted.

Change: the client refuses a page whose records or next offset are before what was read, and a 410 for an offset that the log keeps.

TestPageThatDoesNotContinueIsRefused: all seven replies were accepted before, for example "got page {Entries:[] Next:0 Earliest:0}, error <nil>". With the change they are refused.

--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -50,6 +50,22 @@
 	Earliest ledger.Offset `json:"earliest"`
 }
 
+// continues reports whether the page is a reply to a read at the offset from: a reader that followed another one would read
+// records twice, pass some by, or read again without a pause.
+func (p *pageJSON) continues(from ledger.Offset, status int) bool {
+	if status == http.StatusGone {
+		return p.Earliest > from
+	}
+	next := from
+	for _, r := range p.Records {
+		if r.Offset < next {
+			return false
+		}
+		next = r.Offset + 1
+	}
+	return p.Next >= next
+}
+
 // appendReplyJSON is the JSON form of the reply to an append.
 type appendReplyJSON struct {
 	Offset ledger.Offset `json:"offset"`
@@ -138,6 +154,10 @@
 	if err := json.Unmarshal(r.body, &decoded); err != nil {
 		return Page{}, problem.New(problem.Unavailable, "read again", "read: reply: %w", err)
 	}
+	if !decoded.continues(from, r.status) {
+		return Page{}, problem.New(problem.Unavailable, "check that the address is that of the log",
+			"read: the reply with status %d does not continue at offset %d", r.status, from)
+	}
 	if r.status == http.StatusGone {
 		return Page{Earliest: decoded.Earliest}, retentionError(from, decoded.Earliest)
 	}
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -265,3 +265,30 @@
 		})
 	}
 }
+
+// Guards against a reader that reads without a pause, passes records by or reads them twice, because a reply is that of
+// another server or does not continue where the read began.
+func TestPageThatDoesNotContinueIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		status int
+		body   string
+	}{
+		"other server":         {http.StatusOK, `{}`},
+		"earlier next":         {http.StatusOK, `{"records":[],"next":3,"earliest":1}`},
+		"earlier record":       {http.StatusOK, `{"records":[{"offset":4,"data":""}],"next":6,"earliest":1}`},
+		"next before record":   {http.StatusOK, `{"records":[{"offset":5,"data":""}],"next":5,"earliest":1}`},
+		"records out of order": {http.StatusOK, `{"records":[{"offset":6,"data":""},{"offset":5,"data":""}],"next":7,"earliest":1}`},
+		"kept record is gone":  {http.StatusGone, `{"earliest":5}`},
+		"gone without offset":  {http.StatusGone, `{}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			})
+			if page, err := client.Read(t.Context(), 5, 10, 0); problem.KindOf(err) != problem.Unavailable {
+				t.Errorf("got page %+v, error %v; want an unavailable one", page, err)
+			}
+		})
+	}
+}
