Read fewer records at once when a page of the log is too large

Cause: work that is begun again although it ends in the same way.

Change: a page over the limit, or one that has not arrived completely within the transfer timeout of 30 s, is too_large, and the reader asks for half of the records, down to one. A node asks for the usual number once it has reached the end of the log.

Tests: - TestLargePageIsReadInParts in engine, in virtual time, with at most 10 records in a page. Before: "the node has read up to offset 0 of 768 after 5 s". - TestLargePageIsReadInParts in heatherreelctl. Before: "the next offset is 0, error too_large". - TestPageThatDoesNotArriveInTimeIsTooLarge came with the change.

--- a/cmd/heatherreelctl/main_test.go
+++ b/cmd/heatherreelctl/main_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/spf13/cobra"
@@ -21,6 +22,7 @@
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/operator"
 	"heatherreel/internal/platformlog"
+	"heatherreel/internal/problem"
 	"heatherreel/internal/worker"
 )
 
@@ -177,3 +179,28 @@
 	requireSameRows(t, documentedRows(t, "Commands"), commandRows)
 	requireSameRows(t, documentedRows(t, "Flags"), flagRows)
 }
+
+// largeRecordsLog is a log of which a page may have at most two records, as they are large.
+type largeRecordsLog struct{ *fake.Log }
+
+func (l largeRecordsLog) Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (platformlog.Page, error) {
+	page, err := l.Log.Read(ctx, from, max, wait)
+	if err == nil && len(page.Entries) > 2 {
+		return platformlog.Page{}, problem.New(problem.TooLarge, "read fewer records at once", "the page is too large")
+	}
+	return page, err
+}
+
+// Guards against a log that cannot be read, and so no configuration that can be published, because its records are too
+// large for one reply.
+func TestLargePageIsReadInParts(t *testing.T) {
+	log := largeRecordsLog{fake.NewLog()}
+	for range 7 {
+		if _, err := log.Append(t.Context(), &ledger.Record{Kind: ledger.KindLeave, ID: "r", Leave: &ledger.Leave{Incarnation: 7}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, next, err := replayLog(t.Context(), log, 100); err != nil || next != 8 {
+		t.Errorf("the next offset is %d, error %v; want 8", next, err)
+	}
+}
--- a/cmd/heatherreelctl/publish.go
+++ b/cmd/heatherreelctl/publish.go
@@ -18,7 +18,7 @@
 
 // Parameters for reading the log.
 const (
-	// pageSize is the maximum number of records in one read.
+	// pageSize is the maximum number of records in the first read.
 	pageSize = 1000
 	// longPollWait is how long one read waits at the log for new records.
 	longPollWait = 2 * time.Second
@@ -121,9 +121,10 @@
 // always has another record. A newer revision that it misses does no harm: a record whose base is outdated does not
 // take effect.
 func replayLog(ctx context.Context, log platformlog.Log, base ledger.Offset) (*publication.Replay, ledger.Offset, error) {
-	page, err := log.Read(ctx, 1, pageSize, 0)
+	reader := logReader{log: log, pageSize: pageSize}
+	page, err := reader.read(ctx, 1, 0)
 	if errors.Is(err, problem.PastRetention) {
-		page, err = log.Read(ctx, page.Earliest, pageSize, 0)
+		page, err = reader.read(ctx, page.Earliest, 0)
 	}
 	if err != nil {
 		return nil, 0, err
@@ -133,21 +134,40 @@
 		for _, e := range page.Entries {
 			replay.Add(e.Offset, e.Record)
 		}
-		if len(page.Entries) < pageSize && replay.Complete() && replay.State().Revision() >= base {
+		if len(page.Entries) < reader.pageSize && replay.Complete() && replay.State().Revision() >= base {
 			break
 		}
-		if page, err = log.Read(ctx, page.Next, pageSize, 0); err != nil {
+		if page, err = reader.read(ctx, page.Next, 0); err != nil {
 			return nil, 0, err
 		}
 	}
 	return replay, page.Next, nil
 }
 
+// logReader reads pages of a log, with fewer records once a page was too large.
+type logReader struct {
+	log platformlog.Log
+	// pageSize is the maximum number of records in one read.
+	pageSize int
+}
+
+// read returns a page; see platformlog.Log.
+func (r *logReader) read(ctx context.Context, from ledger.Offset, wait time.Duration) (platformlog.Page, error) {
+	for {
+		page, err := r.log.Read(ctx, from, r.pageSize, wait)
+		if !errors.Is(err, problem.TooLarge) || r.pageSize == 1 {
+			return page, err
+		}
+		r.pageSize /= 2
+	}
+}
+
 // awaitVerdict reads the log from the offset until the verdict is known or ctx ends. It retries failed reads, because
 // the record may have taken effect. It returns Pending if the outcome stays unknown.
 func awaitVerdict(ctx context.Context, log platformlog.Log, p *publication.Publication, from ledger.Offset) publication.Verdict {
+	reader := logReader{log: log, pageSize: pageSize}
 	for ctx.Err() == nil {
-		page, err := log.Read(ctx, from, pageSize, longPollWait)
+		page, err := reader.read(ctx, from, longPollWait)
 		if errors.Is(err, problem.PastRetention) {
 			return publication.Pending
 		}
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -35,18 +35,26 @@
 	next := ledger.Offset(1)
 	retryDelay := minReadRetryDelay
 	var limiter snapshotLimiter
+	pageRecords := maxPageRecords
 	for ctx.Err() == nil {
-		page, err := e.deps.Log.Read(ctx, next, maxPageRecords, longPollTimeout)
+		page, err := e.deps.Log.Read(ctx, next, pageRecords, longPollTimeout)
 		switch {
 		case err == nil:
 			retryDelay = minReadRetryDelay
 			next = e.replayOnPool(ctx, page, next)
-			if len(page.Entries) < maxPageRecords && e.ledger.recordsMissing() {
+			atEnd := len(page.Entries) < pageRecords
+			if atEnd {
+				pageRecords = maxPageRecords
+			}
+			if atEnd && e.ledger.recordsMissing() {
 				// These are the last records of the log, and none of them is a checkpoint that this node can use.
 				next = e.fetchSnapshot(ctx, &limiter, next)
 			}
 		case errors.Is(err, problem.PastRetention):
 			next = e.skipToEarliest(next, page.Earliest)
+		case errors.Is(err, problem.TooLarge) && pageRecords > 1:
+			// The same page would not arrive at the next attempt either.
+			pageRecords /= 2
 		default:
 			e.markLogUnreachable(ctx, err)
 			if e.needsPeerSnapshot() {
--- a/internal/engine/slow_log_test.go
+++ b/internal/engine/slow_log_test.go
@@ -10,6 +10,7 @@
 	"heatherreel/internal/fake"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/platformlog"
+	"heatherreel/internal/problem"
 )
 
 // slowUploadLog is a log behind a link on which a record takes uploadTime.
@@ -47,3 +48,39 @@
 		}
 	})
 }
+
+// largeRecordsLog is a log of which a page may have at most maxRecords records, as they are large.
+type largeRecordsLog struct {
+	*fake.Log
+	maxRecords int
+}
+
+func (l largeRecordsLog) Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (platformlog.Page, error) {
+	page, err := l.Log.Read(ctx, from, max, wait)
+	if err == nil && len(page.Entries) > l.maxRecords {
+		return platformlog.Page{}, problem.New(problem.TooLarge, "read fewer records at once", "the page is too large")
+	}
+	return page, err
+}
+
+// Guards against a node that reads the same page again and again and gets no further, because its records are too large
+// for one reply.
+func TestLargePageIsReadInParts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const records = 3 * maxPageRecords
+		log := largeRecordsLog{Log: fake.NewLog(), maxRecords: 10}
+		for range records {
+			if _, err := log.Append(t.Context(), &ledger.Record{Kind: ledger.KindLeave, ID: "r", Leave: &ledger.Leave{Incarnation: 7}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		e := newUnstartedEngine(t, log)
+		e.Start()
+		defer e.Close()
+		<-time.After(5 * time.Second)
+		if offset := e.ledger.offset(); offset != records {
+			t.Errorf("the node has read up to offset %d of %d after 5 s", offset, records)
+		}
+	})
+}
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -76,13 +76,15 @@
 	recordsURL string
 	http       *http.Client
 	traffic    Traffic
+	// transferTimeout is the constant with this name; tests shorten it.
+	transferTimeout time.Duration
 }
 
 var _ Log = (*Client)(nil)
 
 // NewClient returns a client of one stream of the log at baseURL, for example http://127.0.0.1:9000.
 func NewClient(baseURL, stream string) *Client {
-	c := &Client{recordsURL: fmt.Sprintf("%s/v1/streams/%s/records", baseURL, url.PathEscape(stream))}
+	c := &Client{recordsURL: fmt.Sprintf("%s/v1/streams/%s/records", baseURL, url.PathEscape(stream)), transferTimeout: transferTimeout}
 	transport := &http.Transport{
 		DialContext:         httpwire.DialSilenceLimited(c.dial),
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -181,10 +183,11 @@
 }
 
 // call sends one HTTP request and reads the reply. Errors are problem.NotSent, problem.Unavailable, and problem.TooLarge
-// for a reply over the size limit.
+// for a reply over the size limit, or one that has not arrived completely within transferTimeout.
 func (c *Client) call(ctx context.Context, l call) (reply, error) {
+	caller := ctx
 	due := l.wait + time.Duration(len(l.body))*time.Second/minUploadRate
-	ctx, cancel := context.WithTimeout(ctx, due+transferTimeout)
+	ctx, cancel := context.WithTimeout(ctx, due+c.transferTimeout)
 	defer cancel()
 	ctx, end := httpwire.LimitSilence(ctx, httpwire.SilenceLimits{First: due + SilenceTimeout, Next: SilenceTimeout})
 	defer end()
@@ -209,17 +212,24 @@
 		return reply{status: resp.StatusCode}, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, l.maxReplySize+1))
+	if err != nil && caller.Err() == nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return reply{}, problem.New(problem.TooLarge, remedyReadFewer, "%s: %d bytes of the reply arrived in %v", l.operation, len(body), c.transferTimeout)
+	}
 	if err != nil {
 		return reply{}, problem.New(problem.Unavailable, remedyRead, "%s: reply: %w", l.operation, httpwire.CallError(ctx, err))
 	}
 	if int64(len(body)) > l.maxReplySize {
-		return reply{}, problem.New(problem.TooLarge, "read fewer records at once", "%s: the reply is over %d bytes", l.operation, l.maxReplySize)
+		return reply{}, problem.New(problem.TooLarge, remedyReadFewer, "%s: the reply is over %d bytes", l.operation, l.maxReplySize)
 	}
 	return reply{status: resp.StatusCode, body: body}, nil
 }
 
-// remedyRead is the remedy after a call with an unknown outcome.
-const remedyRead = "read the stream to learn the outcome"
+// Remedies of errors.
+const (
+	// remedyRead is that of a call with an unknown outcome.
+	remedyRead      = "read the stream to learn the outcome"
+	remedyReadFewer = "read fewer records at once"
+)
 
 // retentionError returns the error for a read at an offset that the log no longer retains.
 func retentionError(from, earliest ledger.Offset) error {
--- a/internal/platformlog/client_test.go
+++ b/internal/platformlog/client_test.go
@@ -292,3 +292,23 @@
 		})
 	}
 }
+
+// Guards against a reader that reads a page again that is too large for the link, instead of fewer records.
+func TestPageThatDoesNotArriveInTimeIsTooLarge(t *testing.T) {
+	t.Parallel()
+	client := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, " ")
+			_ = http.NewResponseController(w).Flush()
+			<-ticker.C
+		}
+	})
+	client.SetTransferTimeout(time.Second)
+	started := time.Now()
+	_, err := client.Read(t.Context(), 1, 10, 0)
+	if took := time.Since(started); took > 2*time.Second || problem.KindOf(err) != problem.TooLarge {
+		t.Errorf("the read ended after %v: %v", took, err)
+	}
+}
--- a/internal/platformlog/platformlog.go
+++ b/internal/platformlog/platformlog.go
@@ -43,7 +43,8 @@
 	Append(ctx context.Context, record *ledger.Record) (ledger.Offset, error)
 	// Read returns at most max records, starting at offset from. If there is none yet, it waits up to wait, then
 	// returns an empty page. It returns a problem.PastRetention error if from is older than the earliest retained
-	// offset; the page then has only Earliest set.
+	// offset; the page then has only Earliest set. A problem.TooLarge error means that so many records are too large for
+	// one reply; fewer may fit.
 	Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (Page, error)
 }
 
