Do not append a stored record again before it could be read

What callers would see: a node that is behind, because it has just started or its link is slow, sent its record again every 5 s although the log had stored it. A checkpoint has up to 4 MB; all nodes read each copy, over the links that were slow.

Cause: a wait of 5 s that is shorter than the reading that it waits for, and work that is begun again.

Ruled out: a wrong effect of the copies, of which the log accepts one.

TestStoredRecordIsNotRepeated, in virtual time, with pages that take 18 s. Before: "the log holds the record 4 times, want once".

--- a/internal/engine/proposals.go
+++ b/internal/engine/proposals.go
@@ -24,8 +24,9 @@
 	// minAppendRetry and maxAppendRetry bound the jittered delay before the same record is appended again.
 	minAppendRetry = 200 * time.Millisecond
 	maxAppendRetry = time.Second
-	// readBackTimeout is how long an appended record may remain unread before it is appended again.
-	readBackTimeout = 5 * time.Second
+	// readBackInterval is how often a node checks whether it has read the log up to a record that was stored. Then the
+	// outcome is known, unless a checkpoint or snapshot replaced the state; the record is appended again in that case.
+	readBackInterval = 5 * time.Second
 )
 
 // purpose identifies what a proposal is for. At most one proposal per purpose is open at a time.
@@ -46,6 +47,8 @@
 	// done is called once: with the log's decision, or with ledger.StaleBase for an outdated record that was given up.
 	done  func(offset ledger.Offset, rejection ledger.Rejection)
 	retry *worker.Timer
+	// storedAt is the offset at which the log stored the record; zero if that is not known.
+	storedAt ledger.Offset
 }
 
 // proposals are the open proposals.
@@ -107,6 +110,20 @@
 	delete(t.byPurpose, p.purpose)
 }
 
+// setStored records the offset at which the log stored the record of a proposal.
+func (t *proposals) setStored(p *proposal, at ledger.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.storedAt = at
+}
+
+// stored returns the offset at which the log stored the record of a proposal; zero if that is not known.
+func (t *proposals) stored(p *proposal) ledger.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return p.storedAt
+}
+
 // complete passes the outcome to the proposal with the record id, unless its outcome is already known.
 func (t *proposals) complete(id string, offset ledger.Offset, rejection ledger.Rejection) {
 	p := t.remove(id)
@@ -149,12 +166,18 @@
 	if !e.proposals.isOpen(p.purpose) || e.closeIfOutdated(p) {
 		return
 	}
+	if e.proposals.stored(p) > e.ledger.offset() {
+		// The node is still reading the records before it.
+		e.retryAppend(p, readBackInterval)
+		return
+	}
 	ctx, cancel := context.WithTimeout(e.ctx, appendTimeout)
 	defer cancel()
-	_, err := e.deps.Log.Append(ctx, p.record)
+	offset, err := e.deps.Log.Append(ctx, p.record)
 	switch {
 	case err == nil:
-		e.retryAppend(p, readBackTimeout)
+		e.proposals.setStored(p, offset)
+		e.retryAppend(p, readBackInterval)
 		return
 	case problem.KindOf(err) == problem.NotSent:
 		e.deps.Metrics.CountAppend(telemetry.AppendNotSent)
--- a/internal/engine/slow_log_test.go
+++ b/internal/engine/slow_log_test.go
@@ -84,3 +84,38 @@
 		}
 	})
 }
+
+// slowReadLog is a log whose pages take readTime, but at which records arrive at once.
+type slowReadLog struct {
+	*fake.Log
+	readTime time.Duration
+}
+
+func (l slowReadLog) Read(ctx context.Context, from ledger.Offset, max int, wait time.Duration) (platformlog.Page, error) {
+	if !sleep(ctx, l.readTime) {
+		return platformlog.Page{}, ctx.Err()
+	}
+	return l.Log.Read(ctx, from, max, wait)
+}
+
+// Guards against a stored record that is sent again and again because its sender is still reading the records before it,
+// so that all nodes read each copy.
+func TestStoredRecordIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		log := slowReadLog{Log: fake.NewLog(), readTime: 18 * time.Second}
+		e := newUnstartedEngine(t, log)
+		e.Start()
+		defer e.Close()
+		decided := make(chan struct{})
+		e.propose(&proposal{
+			purpose: purposeLeave,
+			record:  &ledger.Record{Kind: ledger.KindLeave, ID: "r", Leave: &ledger.Leave{Incarnation: 7}},
+			done:    func(ledger.Offset, ledger.Rejection) { close(decided) },
+		})
+		<-decided
+		if n := log.Len(); n != 1 {
+			t.Errorf("the log holds the record %d times, want once", n)
+		}
+	})
+}
