Do not let unused connections of callers hold up a stop

What callers saw: if a caller had opened a connection and sent nothing on it, a planned stop took the whole shutdown time (5.5 s instead of 3 s), the node reported that it was stopped while it ran requests, and its keys were not served meanwhile.

Cause: http.Server.Shutdown waits for a new connection, for up to 5 s, as if a request were in progress on it. The wait for requests of other nodes begins only after that.

Ruled out: idle connections after a request, which Shutdown closes at once.

The listener of callers closes the connections on which nothing has arrived when the node has stopped accepting requests. What arrives on one at that moment is not delivered to the server, so that no request can run and lose its answer.

Evidence: TestUnusedConnectionDoesNotDelayStop failed before with "the stop ended as if requests had been running" and "the stop took 5.500476792s, want at most 3.5s", and passes now, with -race. Connections with a part of a header are not closed; ReadHeaderTimeout bounds them.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,6 +70,7 @@
 	peers        *node.Client
 	backend      *backend.Client
 	callerServer *http.Server
+	callers      *caller.Listener
 	nodeServer   *node.Server
 	servers      []*http.Server
 	serveLoops   sync.WaitGroup
@@ -235,7 +236,8 @@
 		}
 		server := caller.NewServer(h.handler)
 		if d.callerServer == nil {
-			d.callerServer = server
+			d.callerServer, d.callers = server, caller.NewListener(listener)
+			listener = d.callers
 		}
 		d.servers = append(d.servers, server)
 		d.goServe(func() { _ = server.Serve(listener) })
@@ -288,6 +290,7 @@
 // finishRequests waits until no request is in progress or on its way from another node. The gateway has accepted none
 // since closedAt. finishRequests returns false if ctx ends first.
 func (d *gatewayDaemon) finishRequests(ctx context.Context, closedAt time.Time) bool {
+	d.callers.CloseUnused()
 	// Shutdown closes idle connections at once and waits until the requests in progress have finished. Heartbeats are
 	// still answered until the process exits, so that the backend server keeps its keys while the node restarts.
 	if d.callerServer.Shutdown(ctx) != nil {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -20,6 +20,12 @@
 
 // startDaemon starts a gateway and returns it and what stops its server for other nodes.
 func startDaemon(t *testing.T, backendAddress string) (d *gatewayDaemon, stopServing func()) {
+	t.Helper()
+	return startDaemonAt(t, "127.0.0.1:0", backendAddress)
+}
+
+// startDaemonAt does the same, with an address for callers.
+func startDaemonAt(t *testing.T, callersAddress, backendAddress string) (d *gatewayDaemon, stopServing func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -29,7 +35,7 @@
 	listener.Close()
 	const anyPort = "127.0.0.1:0"
 	d, err = newGatewayDaemon(settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: backendAddress,
-		CallersAddress: anyPort, NodesAddress: address, HeartbeatsAddress: anyPort, ReadyAddress: anyPort, MetricsAddress: anyPort,
+		CallersAddress: callersAddress, NodesAddress: address, HeartbeatsAddress: anyPort, ReadyAddress: anyPort, MetricsAddress: anyPort,
 		StoreAddress: "127.0.0.1:1", MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62}, &logBuffer{})
 	if err != nil {
 		t.Fatal(err)
@@ -178,3 +184,35 @@
 		t.Errorf("got %v %q, error %v; want the answer of the backend server", got.answer.Outcome, got.answer.Reason, got.err)
 	}
 }
+
+// Guards against a stop that takes the whole shutdown time, and ends as if requests had been running, because a caller
+// opened a connection and sent nothing on it.
+func TestUnusedConnectionDoesNotDelayStop(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	d, stopServing := startDaemonAt(t, address, "127.0.0.1:1")
+	defer d.close(stopServing)
+	began := time.Now()
+	opened := make(chan net.Conn, 1)
+	time.AfterFunc(acceptTime-100*time.Millisecond, func() {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Error(err)
+		}
+		opened <- conn
+	})
+	if !d.drain() {
+		t.Error("the stop ended as if requests had been running")
+	}
+	if took := time.Since(began); took > acceptTime+2*lingerTime {
+		t.Errorf("the stop took %v, want at most %v", took, acceptTime+2*lingerTime)
+	}
+	if conn := <-opened; conn != nil {
+		conn.Close()
+	}
+}
