Test that callers of long requests are answered before a stop ends

TestCallerOfLongRequestIsAnsweredBeforeStopEnds sends 32 requests of callers that the backend server does not answer, and closes all connections as soon as the stop has ended.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -217,3 +221,65 @@
 		conn.Close()
 	}
 }
+
+// Guards against a caller whose connection is closed without an answer because its request runs longer than a stopping
+// node has.
+func TestCallerOfLongRequestIsAnsweredBeforeStopEnds(t *testing.T) {
+	t.Parallel()
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer backend.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := backend.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	const configuration = `{"version":"r1","routes":{"a":{"host":"h.example","path_prefix":"/","route_type":"non_idempotent","timeout_ms":20000,
+"service":"orders","max_attempts":1}},"services":{"orders":{}}}`
+	callers := freeAddress(t)
+	d, stopServing := startDaemonAt(t, callers, backend.Addr().String(), newConfiguredStore(t, configuration))
+	defer d.close(stopServing)
+	if _, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend.Addr().String(), Slots: 8, StartedUnixMS: 1, Sequence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * time.Second); !d.gateway.Ready() && time.Now().Before(deadline); {
+		<-time.After(10 * time.Millisecond)
+	}
+	const requests = 32
+	var answered sync.WaitGroup
+	for i := range requests {
+		answered.Go(func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+callers+"/a", strings.NewReader("body"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			req.Host = "h.example"
+			req.Header.Set("Heatherreel-Request-Id", "r"+strconv.Itoa(i))
+			req.Header.Set("Heatherreel-Deadline-Ms", "20000")
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Do(req)
+			if err != nil {
+				t.Errorf("request %d: no answer: %v", i, err)
+				return
+			}
+			response.Body.Close()
+			if response.StatusCode < 500 {
+				t.Errorf("request %d: status %d", i, response.StatusCode)
+			}
+		})
+	}
+	conn := <-accepted
+	if d.drain() {
+		t.Error("the node reports that no request was in progress")
+	}
+	// The process ends.
+	d.callerServer.Close()
+	answered.Wait()
+	// The exchanges end, also those on connections that were not accepted.
+	conn.Close()
+	backend.Close()
+}
