--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -199,7 +199,7 @@
 	PredecessorKept = define(Event{Number: 219, Name: "predecessor_kept", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "this node could not remove the member record of an earlier instance with the same address yet; it retries"})
 	StoreCallEnded = define(Event{Number: 220, Name: "store_call_ended", Level: zerolog.InfoLevel, PerSecond: peerRate,
-		Text: "a call of the platform store ended without its complete answer; the field ended tells how, and received_bytes how much of the answer had arrived and was discarded"})
+		Text: "a call of the platform store ended without its complete answer; the field ended states how, and received_bytes how much of the answer had arrived and was discarded"})
 )
 
 // Events of the ownership of keys.
@@ -242,7 +242,7 @@
 		Text:   "the backend server gave no usable answer to a request; the field outcome tells whether the request may have run",
 		Remedy: "check the backend server on this instance"})
 	NodeCallFailed = define(Event{Number: 515, Name: "node_call_failed", Level: zerolog.WarnLevel, PerSecond: decisionRate,
-		Text:   "a call to another node for a request failed; the field peer_state tells whether that node answers on a new connection",
+		Text:   "a call to another node for a request failed; the field peer_state states whether that node answers on a new connection",
 		Remedy: "check the instance in the field peer_instance and the network to it"})
 )
 
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -20,8 +20,9 @@
 	failures        int
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
-	// stoppingSince is when this node learnt that this incarnation of the peer stops, and stopAnnounceTime before that if
-	// it learnt it from a refusal; zero if it does not stop.
+	// stoppingSince is when this node read in the record of this incarnation that it stops. If a refusal showed that, it is
+	// stopAnnounceTime before the refusal, because a node refuses requests only that long after its announcement. It is zero
+	// if the incarnation does not stop.
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -294,7 +294,7 @@
 }
 
 // Guards against logs in which a dead connection looks like a peer that does not answer.
-func TestFailureTellsStateOfPeer(t *testing.T) {
+func TestFailureNamesStateOfPeer(t *testing.T) {
 	keyed := routed.Request{ID: "r", Idempotent: true, Keyed: true, Repetition: routed.RepeatedAtOwner}
 	for name, test := range map[string]struct {
 		fault func(*routerFixture)
@@ -317,7 +317,7 @@
 }
 
 // Guards against logs in which a refused connection looks like a peer that does not answer.
-func TestFailureTellsRefusal(t *testing.T) {
+func TestFailureNamesRefusal(t *testing.T) {
 	f := newRouterFixture(t)
 	f.relay.Close()
 	_, _, err := f.dispatch(routed.Request{ID: "r"}, dispatchTimeout)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -46,14 +46,14 @@
 	Revision uint64
 	// MayDivert reports whether the ingress node would try another backend server if this one is temporarily slow.
 	MayDivert bool
-	// Repetition tells what the ingress node would do if the outcome here stayed unknown. It is not sent.
+	// Repetition is what the ingress node does next if the outcome of this send is unknown. It is not sent to other nodes.
 	Repetition Repetition
 	// Traceparent is the W3C trace context of the hop that sent the request; empty without one. The header that the
 	// caller sent is in Header and reaches the backend server unchanged.
 	Traceparent string
 }
 
-// Repetition tells where a request is sent again if the outcome of a send is unknown.
+// Repetition is where a request is sent again if the outcome of a send is unknown.
 type Repetition int
 
 // Repetitions. The zero value is the one with which a node waits longest for an answer.
