--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"heatherreel/internal/caller"
 	"heatherreel/internal/engine"
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/lease"
 	"heatherreel/internal/node"
 	"heatherreel/internal/operator"
@@ -162,7 +163,10 @@
 		if err != nil {
 			return err
 		}
-		if h.server != d.requestServers.callers {
+		if h.server == d.requestServers.callers {
+			d.requestServers.callerListener = httpwire.NewListener(listener)
+			listener = d.requestServers.callerListener
+		} else {
 			d.otherServers = append(d.otherServers, h.server)
 		}
 		d.goServe(func() { _ = h.server.Serve(listener) })
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,6 +20,7 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/gateway"
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/operator"
@@ -233,7 +234,8 @@
 		}
 		server := caller.NewServer(h.handler)
 		if d.requestServers.callers == nil {
-			d.requestServers.callers = server
+			d.requestServers.callers, d.requestServers.callerListener = server, httpwire.NewListener(listener)
+			listener = d.requestServers.callerListener
 		}
 		d.servers = append(d.servers, server)
 		d.goServe(func() { _ = server.Serve(listener) })
--- a/internal/daemon/request_servers.go
+++ b/internal/daemon/request_servers.go
@@ -5,18 +5,22 @@
 	"net/http"
 	"time"
 
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/node"
 )
 
 // requestServers are the servers through which a process receives requests: those for callers and for other nodes.
 type requestServers struct {
 	callers *http.Server
-	nodes   *node.Server
+	// callerListener accepts the connections of callers.
+	callerListener *httpwire.Listener
+	nodes          *node.Server
 }
 
 // finish waits until no request is in progress or on its way from another node, and all answers are written. The process
 // refuses requests since closedAt. finish returns false if ctx ends first.
 func (s requestServers) finish(ctx context.Context, closedAt time.Time) bool {
+	s.callerListener.CloseUnused()
 	// Shutdown closes idle connections at once and waits until the requests in progress have finished.
 	if s.callers.Shutdown(ctx) != nil {
 		return false
--- a/internal/httpwire/silence.go
+++ b/internal/httpwire/silence.go
@@ -123,9 +123,16 @@
 	}
 }
 
+// lastReadTime is the time for which a silent connection is read once more: if the process stood still until the deadline
+// had passed, a reply that has arrived meanwhile is still to be read.
+const lastReadTime = 20 * time.Millisecond
+
 // Read implements net.Conn.
 func (c *answerConn) Read(p []byte) (int, error) {
 	n, err := c.writeTrackingConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
+		n, err = c.writeTrackingConn.Read(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == nil {
@@ -143,3 +150,14 @@
 	}
 	return n, err
 }
+
+// extend gives the answer that is expected lastReadTime more. It reports whether one is expected.
+func (c *answerConn) extend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lastReadTime))
+	return true
+}
