Test the limits of second sends

Attempts are counted, the answer of the first send ends the second one, and a second send is not repeated. A second send ends with the context of its request, so that it needs none of its own.

--- a/internal/gateway/second_send.go
+++ b/internal/gateway/second_send.go
@@ -29,7 +29,7 @@
 	// first is the request as it was when the first send began. It does not change until that send has ended.
 	first      *activeRequest
 	firstAsked registry.Member
-	// ctx is that of the second send.
+	// ctx is that of the request. It ends when the request is answered.
 	ctx         context.Context
 	cancelFirst context.CancelCauseFunc
 	// claimed is set by the first of two events: the silence of the first send or its end.
@@ -52,9 +52,7 @@
 	}
 	firstCtx, cancelFirst := context.WithCancelCause(ctx)
 	defer cancelFirst(nil)
-	secondCtx, cancelSecond := context.WithCancel(ctx)
-	defer cancelSecond()
-	s := &secondSend{gateway: g, first: a, firstAsked: member, ctx: secondCtx, cancelFirst: cancelFirst,
+	s := &secondSend{gateway: g, first: a, firstAsked: member, ctx: ctx, cancelFirst: cancelFirst,
 		begun: make(chan struct{}, 1), result: make(chan *activeRequest, 1)}
 	answer := g.call(firstCtx, a, member, s.begin)
 	if s.claimed.CompareAndSwap(false, true) {
--- a/internal/gateway/second_send_test.go
+++ b/internal/gateway/second_send_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherreel/internal/request"
+	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
 )
 
@@ -203,3 +204,50 @@
 		})
 	}
 }
+
+// Guards against more attempts than the route allows when the second send fails too.
+func TestSecondSendCountsAsAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		key := sim.ownedKey("k1", "k0")
+		sim.mu.Lock()
+		sim.deadConnections = map[string]int{"k1": 1}
+		sim.loseAnswerEvery = 1
+		sim.mu.Unlock()
+		sim.instances["k0"].gateway.SetLimits(Limits{Retry: RetryLimits{Ratio: 5, Window: time.Hour}})
+		if a := sim.sendRequest("k0", "r", "/keyed/", key, secondSendTimeout); a.Outcome != request.Unknown || sim.runs["r"] != 2 {
+			t.Errorf("the request ran %d times and got %v %q, want an unknown outcome after the two attempts of its route", sim.runs["r"], a.Outcome, a.Reason)
+		}
+	})
+}
+
+// Guards against a second send that goes on after the first one was answered.
+func TestAnswerOfFirstSendCancelsSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startSilentFleet(t, slowPath)
+		defer sim.close()
+		sim.mu.Lock()
+		sim.instances["f1"].server.serviceTime = secondSendTimeout
+		sim.mu.Unlock()
+		if a, took := sim.sendTimed("r"); a.Outcome != request.Done || string(a.Body) != "f0" || sim.runs["r"] != 2 {
+			t.Errorf("the request ran %d times and got %v %q of %q after %v, want the answer of f0", sim.runs["r"], a.Outcome, a.Reason, a.Body, took)
+		}
+		synctest.Wait()
+		if load := sim.instances["f1"].gateway.server.load(time.Now()); load.Running != 0 {
+			t.Errorf("f1 still runs %d requests", load.Running)
+		}
+	})
+}
+
+// Guards against a third send beside two that are awaited: its job would wait for another one of its own pool.
+func TestSecondSendIsNotRepeated(t *testing.T) {
+	a := activeRequest{request: routed.Request{Idempotent: true}, route: &route.Route{MaxAttempts: 5}}
+	if got := a.repetition(); got != routed.RepeatedElsewhere {
+		t.Errorf("the first send: %v, want %v", got, routed.RepeatedElsewhere)
+	}
+	a.awaited = "f0"
+	if got := a.repetition(); got != routed.NotRepeated {
+		t.Errorf("the second send: %v, want %v", got, routed.NotRepeated)
+	}
+}
