Count the time on the path between two nodes towards the deadline

Callers saw nothing of it: they had left.

Cause: a node counted the time left of a request of another node from its arrival. A cancellation cannot help: it takes the same path and arrives after the request.

The sender now states a reading of its CLOCK_BOOTTIME. The receiver takes the smallest difference to its own clock in the last 30 to 60 s for a request without delay, and what a request has above it for its delay. It needs no common time of day, covers the time in the buffers of a busy process too, and is 0 for older senders; older receivers ignore the new fields. For the first request on a new connection half of the time to open it counts if longer.

TestTimeOnSlowPathCountsTowardsDeadline failed before with "the deadline at the receiver is 1.500663952s after that of the caller, want the same", with 1.5 s of delay; passes now.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -16,8 +16,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
-	"golang.org/x/sys/unix"
 
+	"heatherreel/internal/bootclock"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/gateway"
 	"heatherreel/internal/keyrange"
@@ -198,15 +198,8 @@
 	return d, nil
 }
 
-// bootClock reads CLOCK_BOOTTIME, which also advances while the machine is suspended.
-func bootClock() keyrange.Instant {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// All Linux versions that Go supports have this clock.
-		panic(problem.New(problem.Invalid, "run the daemon on Linux", "cannot read CLOCK_BOOTTIME: %w", err))
-	}
-	return keyrange.Instant(t.Nano())
-}
+// bootClock reads the clock of package bootclock.
+func bootClock() keyrange.Instant { return keyrange.Instant(bootclock.Now()) }
 
 // listen opens the TCP listeners and starts to serve callers, heartbeats, readiness, metrics and other nodes. Other
 // nodes are served until ctx ends.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -102,7 +102,8 @@
 func (g *Gateway) refuse(r routed.Request, reason request.Reason) routed.Answer {
 	load := g.server.load(time.Now())
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
-		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting))
+		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting),
+		eventlog.Duration("delay", r.Delay))
 	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
@@ -361,7 +362,7 @@
 	}
 	g.events.Emit(eventlog.ExchangeFailed, eventlog.RequestID(r.ID), eventlog.Name("server", e.Server),
 		eventlog.Name("outcome", a.Outcome.String()), eventlog.Name("reason", string(a.Reason)),
-		eventlog.Duration("remaining", max(0, time.Until(r.Deadline))))
+		eventlog.Duration("remaining", max(0, time.Until(r.Deadline))), eventlog.Duration("delay", r.Delay))
 	if a.Outcome == request.NotRun && a.RetryAfter == 0 {
 		a.RetryAfter = expectedSlotWait(g.server.load(time.Now()))
 	}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -37,12 +37,14 @@
 type Client struct {
 	connPool    *connPool
 	correlation atomic.Uint64
+	// clock identifies the clock of this process in requests.
+	clock uint64
 }
 
 var _ Peers = (*Client)(nil)
 
 // NewClient returns a client without open connections.
-func NewClient() *Client { return &Client{connPool: newConnPool()} }
+func NewClient() *Client { return &Client{connPool: newConnPool(), clock: newClockID()} }
 
 // Close closes the idle connections.
 func (c *Client) Close() error { return c.connPool.close() }
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -6,6 +6,7 @@
 
 	"storj.io/drpc/drpcmux"
 
+	"heatherreel/internal/bootclock"
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/routed"
@@ -15,7 +16,7 @@
 // service.
 func NewRouterServer(service RouterService) (*Server, error) {
 	mux := drpcmux.New()
-	if err := nodepb.DRPCRegisterRouter(mux, &routerEndpoint{service: service}); err != nil {
+	if err := nodepb.DRPCRegisterRouter(mux, &routerEndpoint{service: service, pathDelays: newPathDelays()}); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the router service: %w", err)
 	}
 	if err := nodepb.DRPCRegisterNode(mux, &pingEndpoint{}); err != nil {
@@ -26,7 +27,8 @@
 
 // routerEndpoint decodes calls of the Router service and encodes the answers.
 type routerEndpoint struct {
-	service RouterService
+	service    RouterService
+	pathDelays *pathDelays
 }
 
 // pingEndpoint implements only Ping of the Node service, with which clients verify idle connections.
@@ -41,7 +43,8 @@
 
 // Dispatch implements nodepb.DRPCRouterServer.
 func (e *routerEndpoint) Dispatch(m *nodepb.DispatchRequest, stream nodepb.DRPCRouter_DispatchStream) error {
-	r := decodeDispatch(m, time.Now())
+	delay := e.pathDelays.observe(m.Clock, decodeDuration(m.SentUs), decodeDuration(m.PathDelayUs), bootclock.Now())
+	r := decodeDispatch(m, time.Now(), delay)
 	progress := DispatchProgress{Interval: dispatchProgressInterval, Report: func() {
 		// An error closes the stream, which cancels the context of the request.
 		if stream.Send(&nodepb.DispatchResponse{Running: true}) == nil {
@@ -71,8 +74,12 @@
 	sent := time.Now()
 	rule := newSilenceRule(dispatchSilenceLimit, dispatchProgressInterval, r.Deadline.Sub(sent), dispatchPatience(r.Repetition))
 	rule.takeRetry = takeRetry
+	if rule.patience == untilLimit {
+		// A node reports progress an interval after the arrival.
+		r.ArriveWithin = sendTime(len(r.Body)) + dispatchSilenceLimit - dispatchProgressInterval
+	}
 	conn.watchdog.arm(rule, sendTime(len(r.Body)))
-	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent))
+	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent, sendTimes{clock: c.clock, sent: bootclock.Now(), pathDelay: conn.pathDelay(sent)}))
 	conn.watchdog.disarm()
 	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, dispatchProgressInterval, err))
 }
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -54,12 +54,13 @@
 	return decoded
 }
 
-func encodeDispatch(r routed.Request, now time.Time) *nodepb.DispatchRequest {
+func encodeDispatch(r routed.Request, now time.Time, t sendTimes) *nodepb.DispatchRequest {
 	return &nodepb.DispatchRequest{
 		Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Header: encodeHeader(r.Header), Body: r.Body,
 		DeadlineUs: encodeDuration(r.Deadline.Sub(now)), Keyed: r.Keyed, Key: uint32(r.Key),
 		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
 		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: r.Traceparent,
+		Clock: t.clock, SentUs: encodeDuration(t.sent), PathDelayUs: encodeDuration(t.pathDelay), ArriveWithinUs: encodeDuration(r.ArriveWithin),
 	}
 }
 
@@ -83,12 +84,15 @@
 	return now.Add(time.Duration(min(max(us, -int64(maxDurationUs)), int64(maxDurationUs))) * time.Microsecond)
 }
 
-func decodeDispatch(m *nodepb.DispatchRequest, now time.Time) routed.Request {
+// decodeDispatch decodes a request that arrived at now and was on its way for delay before. Its times count from the send.
+func decodeDispatch(m *nodepb.DispatchRequest, now time.Time, delay time.Duration) routed.Request {
+	sent := now.Add(-delay)
 	return routed.Request{
 		ID: m.Id, Method: m.Method, Host: m.Host, Path: m.Path, Header: decodeHeader(m.Header), Body: m.Body,
-		Deadline: now.Add(decodeDuration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
+		Deadline: sent.Add(decodeDuration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
 		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
-		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, now), MayDivert: m.MayDivert, Route: m.Route, Traceparent: m.Traceparent,
+		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert, Route: m.Route, Traceparent: m.Traceparent,
+		Delay: delay, ArriveWithin: decodeDuration(m.ArriveWithinUs),
 	}
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -46,6 +46,12 @@
 	Revision uint64
 	// MayDivert reports whether the ingress node would try another backend server if this one is temporarily slow.
 	MayDivert bool
+	// Delay is how long the request was on its way from the ingress node, as far as that is known. It is measured at the
+	// receiver.
+	Delay time.Duration
+	// ArriveWithin is the longest Delay with which the ingress node still waits for the answer: after that it sends the
+	// request to another node. It is zero if the ingress node waits until the deadline. The sending connection sets it.
+	ArriveWithin time.Duration
 	// Repetition tells what the ingress node would do if the outcome here stayed unknown. It is not sent.
 	Repetition Repetition
 	// Traceparent is the W3C trace context of the hop that sent the request; empty without one. The header that the
