Refuse a request that its sender has given up on the way

A request that another instance can run is given up after 700 ms without data and sent there. If the first send was only late, its backend server ran it as well: for a caller that had its answer from the other instance, or had left.

Cause: the receiver did not know how long the sender waits. The deadline alone does not tell it, as it is seconds away.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -55,6 +55,9 @@
 
 // admit waits for the key and for a slot, and then runs the request.
 func (g *Gateway) admit(ctx context.Context, r routed.Request, p *progressReporter) routed.Answer {
+	if r.ArriveWithin > 0 && r.Delay > r.ArriveWithin {
+		return g.refuse(r, request.PathSlow)
+	}
 	if reason := g.refusalReason(r); reason != "" {
 		return g.refuse(r, reason)
 	}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -39,6 +39,10 @@
 	workFigureQueries int
 	// onDispatch is called for each request that one instance sends to another.
 	onDispatch func(to string, r routed.Request)
+	// dispatchOverNetwork, if set, sends the requests that one instance sends to another.
+	dispatchOverNetwork func(ctx context.Context, to string, r routed.Request, takeRetry func() bool) (routed.Answer, error)
+	// onRun is called when a request begins at a backend server, with the context of the exchange.
+	onRun func(ctx context.Context, inst *simulatedInstance, r routed.Request)
 	// silentAfterRun is an instance that becomes unreachable after it has run a request.
 	silentAfterRun string
 	// misdirected counts requests that reached another incarnation, or a backend server that did not hold their key.
@@ -360,7 +364,11 @@
 	inst.sim.exchanges++
 	serviceTime := s.serviceTime
 	lost := inst.sim.loseAnswerEvery > 0 && inst.sim.exchanges%inst.sim.loseAnswerEvery == 0
+	onRun := inst.sim.onRun
 	inst.sim.mu.Unlock()
+	if onRun != nil {
+		onRun(ctx, inst, e.Request)
+	}
 	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
 	select {
@@ -442,7 +450,11 @@
 	if p.sim.onDispatch != nil {
 		p.sim.onDispatch(address, r)
 	}
+	overNetwork := p.sim.dispatchOverNetwork
 	p.sim.mu.Unlock()
+	if overNetwork != nil {
+		return overNetwork(ctx, address, r, takeRetry)
+	}
 	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
 	p.sim.mu.Lock()
 	defer p.sim.mu.Unlock()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -132,6 +132,8 @@
 	// MachineSlow means that the machine of the backend server is slow at present, so another backend server may be
 	// faster.
 	MachineSlow Reason = "machine_slow"
+	// PathSlow means that the request was on its way between two nodes for so long that its sender has given it up.
+	PathSlow Reason = "path_slow"
 	// AnswerInvalid means that the backend server sent bytes that are malformed or no answer to the request.
 	AnswerInvalid Reason = "answer_invalid"
 	// AnswerTooLarge means that the request ran, but its answer exceeds the size limit of the router.
