Do not send a request whose caller left while it waited for a worker

A request that had its slot and waited for a worker of the backend pool was sent although its caller had left meanwhile; one that is not idempotent ran to its end. Found by the test that goes through all places where a request waits (a worker of the ingress pool, a key, a slot, a worker of the backend pool, a backend server): the others end with the caller.

Cause: the context of a request that may not be cut was detached from its caller before the worker began, instead of at the send.

TestWaitingRequestEndsWithItsCaller failed before for the backend pool, "the backend server got the request 1 times after its caller had left, want none"; passes now, with -race.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -319,20 +319,7 @@
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.lastHeartbeat.Server}
 	g.server.mu.Unlock()
 	result := make(chan routed.Answer, 1)
-	if !r.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	err := g.backendPool.Submit(func() {
-		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-		defer cancel()
-		ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
-		answer := g.deps.Backend.Exchange(ctx, e)
-		span.Result(answer.Outcome, answer.Reason)
-		span.End()
-		g.server.observeWorkFigure(answer.WorkFigure)
-		g.releaseSlot(ticket, answer.Outcome == request.Done)
-		result <- answer
-	})
+	err := g.backendPool.Submit(func() { result <- g.exchange(ctx, e, ticket) })
 	if err != nil {
 		g.releaseSlot(ticket, false)
 		return g.refuse(r, request.QueueFull)
@@ -357,6 +344,27 @@
 	}
 }
 
+// exchange sends a request to the backend server and returns its slot. When ctx ends, a request that was not sent yet is
+// not sent, and an idempotent one that runs is canceled.
+func (g *Gateway) exchange(ctx context.Context, e routed.Exchange, ticket admission.Ticket) routed.Answer {
+	if ctx.Err() != nil {
+		g.releaseSlot(ticket, false)
+		return routed.NotRun(request.DeadlineTooClose, 0)
+	}
+	if !e.Request.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
+	defer cancel()
+	ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
+	answer := g.deps.Backend.Exchange(ctx, e)
+	span.Result(answer.Outcome, answer.Reason)
+	span.End()
+	g.server.observeWorkFigure(answer.WorkFigure)
+	g.releaseSlot(ticket, answer.Outcome == request.Done)
+	return answer
+}
+
 // finishExchange logs an exchange that ended without an answer of the backend server, and sets RetryAfter in a refusal
 // that has none.
 func (g *Gateway) finishExchange(r routed.Request, e routed.Exchange, a *routed.Answer) {
