Run no requests before the configuration is known

Cause: a node refused the requests of its own callers without a configuration (not_configured), but not those of other nodes, and an unknown rate counted as none. They are refused now with the same reason, as not run, and go elsewhere. A node reads its configuration within its first second unless the store is away; its backend server is not used for so long.

TestColdServerRateIsLimitedBeforeConfiguration failed before with "80 requests began within a second, want at most 7"; passes now.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -132,6 +132,10 @@
 	if g.closed.isSet() {
 		return request.Stopping
 	}
+	if g.routes.current() == nil {
+		// The rate of a cold backend server and evacuations are not known yet.
+		return request.NotConfigured
+	}
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
 	}
