Transfer clock readings of machines that run for over an hour

Cause: the reading of the sender's clock went through the bound of durations in messages, which is an hour, so that it stood still on a machine that had run for longer. The tests ran on a machine that was up for less.

Readings have a decoder of their own. Besides, a difference that is over 30 s above the smallest one is a change of a clock, as no caller waits so long; it counts as the new smallest one, so that a wrong clock costs one request.

TestClockReadingOfOldMachine failed before with "request after 1 s: delay 1s, want none", TestPathDelayAfterClockChange without the second change with "delay 4h0m0s, want none"; both pass now.

--- a/internal/node/path_delay.go
+++ b/internal/node/path_delay.go
@@ -17,8 +17,9 @@
 	maxClocks = 4096
 	// pathDelayValidity is how long the time to open a connection counts as the delay of the path.
 	pathDelayValidity = 100 * time.Millisecond
-	// maxPathDelay bounds a measured delay: no request waits longer.
-	maxPathDelay = time.Minute
+	// maxPathDelay is above the time that callers wait. A larger difference is not the delay of a request, but a change of
+	// one of the clocks, for example of a virtual machine that was moved.
+	maxPathDelay = 30 * time.Second
 )
 
 // sendTimes are what a sender states about the time of a request.
@@ -65,7 +66,7 @@
 	if clock != 0 {
 		measured = p.excess(clock, received-sent, received)
 	}
-	return min(max(measured, stated), maxPathDelay)
+	return max(measured, min(stated, maxPathDelay))
 }
 
 // excess returns by how much a difference exceeds the smallest one of its clock.
@@ -84,7 +85,12 @@
 		d.previous, d.current, d.windowStart = d.current, difference, now
 	}
 	d.current = min(d.current, difference)
-	return difference - min(d.current, d.previous)
+	excess := difference - min(d.current, d.previous)
+	if excess > maxPathDelay {
+		*d = clockDifference{current: difference, previous: difference, windowStart: now}
+		return 0
+	}
+	return excess
 }
 
 // sweep removes the clocks from which no request came for long. The caller holds mu.
--- a/internal/node/path_delays_test.go
+++ b/internal/node/path_delays_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/routed"
 )
 
 // Guards against delays that depend on what the clocks of two machines show, or on a request that was slow itself.
@@ -73,6 +75,33 @@
 	}
 }
 
+// Guards against a clock reading that does not survive the message on a machine that has run for years: each request would
+// seem to be delayed by the time since the first one.
+func TestClockReadingOfOldMachine(t *testing.T) {
+	const upTime = 5 * 365 * 24 * time.Hour
+	p := newPathDelays()
+	for i := range 100 {
+		now := upTime + time.Duration(i)*time.Second
+		m := encodeDispatch(routed.Request{}, time.Now(), sendTimes{clock: 1, sent: now})
+		if got := p.observe(m.Clock, decodeReading(m.SentUs), 0, now+time.Millisecond); got != 0 {
+			t.Fatalf("request after %d s: delay %v, want none", i, got)
+		}
+	}
+	if got := decodeReading(math.MaxUint64); got < 0 {
+		t.Errorf("largest reading: %v", got)
+	}
+}
+
+// Guards against refusing the requests of a machine whose clock has changed.
+func TestPathDelayAfterClockChange(t *testing.T) {
+	p := newPathDelays()
+	for i, difference := range []time.Duration{time.Hour, 5 * time.Hour, 5 * time.Hour, 0, 0} {
+		if got := p.observe(1, 10*time.Hour-difference, 0, 10*time.Hour); got != 0 {
+			t.Errorf("request %d: delay %v, want none", i, got)
+		}
+	}
+}
+
 // Guards against a table that grows with each restart of another node.
 func TestPathDelaysForgetClocks(t *testing.T) {
 	p := newPathDelays()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -43,7 +43,7 @@
 
 // Dispatch implements nodepb.DRPCRouterServer.
 func (e *routerEndpoint) Dispatch(m *nodepb.DispatchRequest, stream nodepb.DRPCRouter_DispatchStream) error {
-	delay := e.pathDelays.observe(m.Clock, decodeDuration(m.SentUs), decodeDuration(m.PathDelayUs), bootclock.Now())
+	delay := e.pathDelays.observe(m.Clock, decodeReading(m.SentUs), decodeDuration(m.PathDelayUs), bootclock.Now())
 	r := decodeDispatch(m, time.Now(), delay)
 	progress := DispatchProgress{Interval: dispatchProgressInterval, Report: func() {
 		// An error closes the stream, which cancels the context of the request.
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"heatherreel/internal/node/nodepb"
@@ -139,6 +140,11 @@
 // encodeDuration returns d in microseconds, and 0 for negative durations.
 func encodeDuration(d time.Duration) uint64 { return uint64(max(0, d.Microseconds())) }
 
+// decodeReading returns the reading of a clock. Machines may have run for years, so that maxDurationUs does not apply.
+func decodeReading(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(math.MaxInt64/time.Microsecond))) * time.Microsecond
+}
+
 // maxDurationUs bounds decoded durations, so that a malformed message cannot cause an overflow.
 const maxDurationUs = uint64(time.Hour / time.Microsecond)
 
