Keep the state of an exchange when the next one begins on its connection

Cause: net/http returns the connection of an answer without a body to its pool before RoundTrip returns. The next exchange that waits for a connection resets the state "a write has started", which was kept with the connection; the first one then took its answer for bytes that nobody had asked for, so for a request that was not sent, aborted the writes of the second one and sent its own request again. It needs a waiting exchange and a busy processor.

Ruled out: a second send by the ingress node (it has no record of one), and by net/http (a request with a body that cannot be rewound is not repeated).

The state belongs to the exchange now; the connection points to that of the exchange that uses it. The same class, state of one call kept with a connection that is returned before it is read: the connections between nodes return themselves after the call, so that they are not concerned (by reading).

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -10,18 +10,37 @@
 // errAborted is returned by writes on an aborted connection.
 var errAborted = errors.New("exchange aborted before sending")
 
-// States of a writeTrackingConn during one exchange.
+// States of the writes of one exchange.
 const (
 	nothingWritten uint32 = iota
 	writeStarted
 	aborted
 )
 
-// writeTrackingConn records whether a write has started since beginExchange, and rejects all writes after abort. Only
-// if the connection was aborted in state nothingWritten is it certain that the request of the exchange was not sent.
+// exchangeWrites records whether a write has started in one exchange, and rejects all its writes after abort. Only if it
+// was aborted in state nothingWritten is it certain that the request of the exchange was not sent.
+//
+// Each exchange has its own: net/http makes the connection of an answer without a body available before the exchange
+// returns, so that the next one may begin on it before the state of this one is read.
+type exchangeWrites struct {
+	state atomic.Uint32
+}
+
+// started reports whether a write has started.
+func (w *exchangeWrites) started() bool { return w.state.Load() == writeStarted }
+
+// start records that a write starts. It returns false after abort.
+func (w *exchangeWrites) start() bool {
+	return w.state.CompareAndSwap(nothingWritten, writeStarted) || w.state.Load() == writeStarted
+}
+
+// abort makes all further writes of the exchange fail. It reports whether a write had started.
+func (w *exchangeWrites) abort() bool { return w.state.Swap(aborted) == writeStarted }
+
+// writeTrackingConn passes writes to the exchangeWrites of the exchange that uses the connection.
 type writeTrackingConn struct {
 	net.Conn
-	state atomic.Uint32
+	writes atomic.Pointer[exchangeWrites]
 	// reading is true while a read is in progress, and closed after Close. changed holds a token after each change of
 	// them to true.
 	reading, closed atomic.Bool
@@ -31,26 +50,32 @@
 }
 
 func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
-	return &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+	c := &writeTrackingConn{Conn: conn, changed: make(chan struct{}, 1)}
+	c.writes.Store(&exchangeWrites{})
+	return c
 }
 
-// beginExchange resets the state for the next exchange on the connection. It waits until net/http waits for data on the
-// connection or has closed it. If instead bytes came with the previous answer, net/http closes the connection, but if
+// beginExchange makes the connection record the writes of the next exchange, and returns their state. It waits until
+// net/http waits for data on the connection or has closed it. If instead bytes came with the previous answer, net/http closes the connection, but if
 // an exchange began before that, it would take them for the answer to the new request.
-func (c *writeTrackingConn) beginExchange(ctx context.Context) {
-	c.state.Store(nothingWritten)
+func (c *writeTrackingConn) beginExchange(ctx context.Context) *exchangeWrites {
+	w := &exchangeWrites{}
+	c.writes.Store(w)
 	for !c.reading.Load() && !c.closed.Load() {
 		select {
 		case <-c.changed:
 		case <-ctx.Done():
-			return
+			return w
 		}
 	}
+	return w
 }
 
-// abort makes all further writes of the exchange fail. It reports whether a write had started.
-func (c *writeTrackingConn) abort() bool {
-	return c.state.Swap(aborted) == writeStarted
+// rejectWrites makes all writes fail until the next exchange begins.
+func (c *writeTrackingConn) rejectWrites() {
+	w := &exchangeWrites{}
+	w.abort()
+	c.writes.Store(w)
 }
 
 // signalChange wakes beginExchange.
@@ -78,7 +103,7 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	if !c.state.CompareAndSwap(nothingWritten, writeStarted) && c.state.Load() == aborted {
+	if !c.writes.Load().start() {
 		return 0, errAborted
 	}
 	return c.Conn.Write(p)
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -185,6 +185,8 @@
 type exchange struct {
 	ctx        context.Context
 	connection atomic.Pointer[writeTrackingConn]
+	// writes is the state of the writes of this exchange on connection.
+	writes atomic.Pointer[exchangeWrites]
 	// sent is true if a connection before the present one was written to.
 	sent atomic.Bool
 	// reused is true if the connection had been used before. It is written before the round trip ends.
@@ -194,22 +196,22 @@
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
 func (e *exchange) gotConn(info httptrace.GotConnInfo) {
 	conn := info.Conn.(*writeTrackingConn)
-	if previous := e.connection.Load(); previous != nil && previous.abort() {
+	if previous := e.writes.Load(); previous != nil && previous.abort() {
 		e.sent.Store(true)
 	}
 	if e.sent.Load() {
-		conn.abort()
+		conn.rejectWrites()
 		return
 	}
-	conn.beginExchange(e.ctx)
+	e.writes.Store(conn.beginExchange(e.ctx))
 	e.reused = info.Reused
 	e.connection.Store(conn)
 }
 
 // hasSent reports whether a write of the request has started.
 func (e *exchange) hasSent() bool {
-	conn := e.connection.Load()
-	return e.sent.Load() || conn != nil && conn.state.Load() == writeStarted
+	writes := e.writes.Load()
+	return e.sent.Load() || writes != nil && writes.started()
 }
 
 // classifyError returns the error for a call without a response: problem.NotSent if nothing was written, otherwise
@@ -218,8 +220,8 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	conn := e.connection.Load()
-	if !e.sent.Load() && (conn == nil || !conn.abort()) {
+	writes := e.writes.Load()
+	if !e.sent.Load() && (writes == nil || !writes.abort()) {
 		return problem.New(problem.NotSent, "retry, at another node if this repeats", "nothing was sent: %w", err)
 	}
 	if e.receivedMalformed() {
