Refuse without a configuration only while the backend server may be cold

Two tests of internal/daemon waited without end for their request, TestStopAwaitsRunningRequest and TestLongRequestIsAnsweredBeforeStopEnds: they run a node without a store, and it is right that such a node serves.

The refusal is narrowed to what it is for: a backend server that is cold by its heartbeats, or that started less than 10 s ago, whose rate is not known. Evacuations that a new process has not read yet are as open as before.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -132,22 +132,22 @@
 	if g.closed.isSet() {
 		return request.Stopping
 	}
-	if g.routes.current() == nil {
-		// The rate of a cold backend server and evacuations are not known yet.
-		return request.NotConfigured
-	}
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
 	}
 	if g.routes.isEvacuated(g.self.DataCentre) && !g.withinEvacuationGrace(r) {
 		return request.Draining
 	}
+	configured := g.routes.current() != nil
 	now := g.deps.Now()
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
 	switch {
 	case g.server.lastHeartbeat.Server == "":
 		return request.NoServer
+	case !configured && g.server.mayBeCold(time.Now()):
+		// The rate of a cold backend server is not known yet.
+		return request.NotConfigured
 	case g.server.drainUntil > 0 && now >= g.server.drainUntil:
 		return request.Draining
 	case (g.server.lastHeartbeat.Draining || g.server.ended) && !(r.Keyed && g.server.holdsKeyLocked(r.Key, now)):
@@ -266,6 +266,15 @@
 	return t.coldLimiter.AllowN(now, 1)
 }
 
+// maxColdTime is above the time for which backend servers are cold, for a node that knows no configuration yet.
+const maxColdTime = 10 * time.Second
+
+// mayBeCold reports whether the backend server is cold by its heartbeats or has started less than maxColdTime ago. The
+// caller holds mu.
+func (t *serverTracker) mayBeCold(now time.Time) bool {
+	return now.Before(t.coldUntil) || now.Sub(time.UnixMilli(t.lastHeartbeat.StartedUnixMS)) < maxColdTime
+}
+
 // awaitSlot waits until the queue starts or refuses a waiting request. It returns the reason of a refusal, and cancels
 // the request if ctx ends first or the node accepts no more requests.
 func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p *progressReporter) request.Reason {
