Limit a backend server that may have started again before its heartbeat

A backend server may start again under its former id.

Cause: only heartbeats tell a node that the backend server began anew. A refused connection shows that nothing listened at its address; from then until the next heartbeat the rate of a cold backend server applies. Connections that are reset do not count: backend servers reset them when they are full.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -64,3 +64,33 @@
 		}
 	})
 }
+
+// Guards against a backend server that gets requests without limit after it has started again under its former id, until
+// its first heartbeat.
+func TestColdServerRateIsLimitedBeforeFirstHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.publishCold(2)
+		time.Sleep(6 * time.Second)
+		sim.awaitHeartbeat("f0")
+		sim.restartServerSilently("f0")
+		if n := sim.coldRuns("f0", "k0", 800*time.Millisecond); n > 5+coldBurst {
+			t.Errorf("%d requests began within a second, want at most %d", n, 5+coldBurst)
+		}
+	})
+}
+
+// restartServerSilently ends the backend server, lets a request fail, and starts it again under its former id. Its
+// next heartbeat comes when it would have come without the restart.
+func (sim *simulation) restartServerSilently(name string) {
+	sim.mu.Lock()
+	inst := sim.instances[name]
+	s := inst.server
+	inst.server = nil
+	sim.mu.Unlock()
+	sim.sendRequest("k0", "refused", "/home/", -1, 100*time.Millisecond)
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	inst.server = s
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -257,7 +257,7 @@
 // allowCold takes one request from the rate limit of a cold backend server and reports whether the limit allows it. The
 // caller holds mu.
 func (t *serverTracker) allowCold(now time.Time) bool {
-	if t.coldRate <= 0 || !now.Before(t.coldUntil) {
+	if t.coldRate <= 0 || !now.Before(t.coldUntil) && !t.restartSuspected {
 		return true
 	}
 	if t.coldLimiter == nil {
@@ -275,6 +275,15 @@
 	return now.Before(t.coldUntil) || now.Sub(time.UnixMilli(t.lastHeartbeat.StartedUnixMS)) < maxColdTime
 }
 
+// suspectRestart records that nothing accepted connections at the address of a backend server.
+func (t *serverTracker) suspectRestart(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if server == t.lastHeartbeat.Server {
+		t.restartSuspected = true
+	}
+}
+
 // awaitSlot waits until the queue starts or refuses a waiting request. It returns the reason of a refusal, and cancels
 // the request if ctx ends first or the node accepts no more requests.
 func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p *progressReporter) request.Reason {
@@ -373,6 +382,9 @@
 	answer := g.deps.Backend.Exchange(ctx, e)
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
+	if answer.ConnectionRefused {
+		g.server.suspectRestart(e.Server)
+	}
 	g.server.observeWorkFigure(answer.WorkFigure)
 	g.releaseSlot(ticket, answer.Outcome == request.Done)
 	return answer
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -43,6 +43,9 @@
 	coldUntil   time.Time
 	coldLimiter *rate.Limiter
 	coldRate    float64
+	// restartSuspected is set when nothing accepted connections at the address of the backend server, until its next
+	// heartbeat. It may have started again, cold and under its former ID, which requests name.
+	restartSuspected bool
 	// drainUntil is when the backend server must get no more requests; zero while it does not drain.
 	drainUntil keyrange.Instant
 	// departures holds the departures that backend servers have announced, by server ID.
@@ -326,7 +329,7 @@
 		delete(t.departures, m.Server)
 	}
 	changed = changed || m.Draining != t.lastHeartbeat.Draining || m.Slots != t.lastHeartbeat.Slots
-	t.lastHeartbeat, t.lastHeartbeatAt = m, now
+	t.lastHeartbeat, t.lastHeartbeatAt, t.restartSuspected = m, now, false
 	t.version++
 	t.drainUntil = 0
 	if m.Draining {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -352,7 +352,9 @@
 	switch {
 	case s == nil:
 		inst.sim.mu.Unlock()
-		return routed.NotRun(request.BackendUnreachable, 0)
+		refused := routed.NotRun(request.BackendUnreachable, 0)
+		refused.ConnectionRefused = true
+		return refused
 	case s.id != e.Server || inst.self.Service == "keyed" && !s.holds(e.Request.Key, time.Now()):
 		inst.sim.misdirected++
 		inst.sim.mu.Unlock()
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -103,6 +103,8 @@
 	Body       []byte
 	// ReachedServer reports whether the request reached a backend server, whatever the outcome.
 	ReachedServer bool
+	// ConnectionRefused reports whether nothing accepted connections at the address of the backend server.
+	ConnectionRefused bool
 	// WorkFigure is the work figure that the backend server reported: the service time of requests that start now,
 	// relative to the usual one of the service (1 is usual, 2 is twice as long); 0 if it reported none.
 	WorkFigure float64
