--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -55,6 +55,9 @@
 
 // admit waits for the key and for a slot, and then runs the request.
 func (g *Gateway) admit(ctx context.Context, r routed.Request, p *progressReporter) routed.Answer {
+	if r.ArriveWithin > 0 && r.Delay > r.ArriveWithin {
+		return g.refuse(r, request.PathSlow)
+	}
 	if reason := g.refusalReason(r); reason != "" {
 		return g.refuse(r, reason)
 	}
@@ -102,7 +105,8 @@
 func (g *Gateway) refuse(r routed.Request, reason request.Reason) routed.Answer {
 	load := g.server.load(time.Now())
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
-		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting))
+		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting),
+		eventlog.Duration("delay", r.Delay))
 	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
@@ -134,12 +138,16 @@
 	if g.routes.isEvacuated(g.self.DataCentre) && !g.withinEvacuationGrace(r) {
 		return request.Draining
 	}
+	configured := g.routes.current() != nil
 	now := g.deps.Now()
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
 	switch {
 	case g.server.lastHeartbeat.Server == "":
 		return request.NoServer
+	case !configured && g.server.mayBeCold(time.Now()):
+		// The rate of a cold backend server is not known yet.
+		return request.NotConfigured
 	case g.server.drainUntil > 0 && now >= g.server.drainUntil:
 		return request.Draining
 	case (g.server.lastHeartbeat.Draining || g.server.ended) && !(r.Keyed && g.server.holdsKeyLocked(r.Key, now)):
@@ -249,7 +257,7 @@
 // allowCold takes one request from the rate limit of a cold backend server and reports whether the limit allows it. The
 // caller holds mu.
 func (t *serverTracker) allowCold(now time.Time) bool {
-	if t.coldRate <= 0 || !now.Before(t.coldUntil) {
+	if t.coldRate <= 0 || !now.Before(t.coldUntil) && !t.restartSuspected {
 		return true
 	}
 	if t.coldLimiter == nil {
@@ -258,6 +266,24 @@
 	return t.coldLimiter.AllowN(now, 1)
 }
 
+// maxColdTime is above the time for which backend servers are cold, for a node that knows no configuration yet.
+const maxColdTime = 10 * time.Second
+
+// mayBeCold reports whether the backend server is cold by its heartbeats or has started less than maxColdTime ago. The
+// caller holds mu.
+func (t *serverTracker) mayBeCold(now time.Time) bool {
+	return now.Before(t.coldUntil) || now.Sub(time.UnixMilli(t.lastHeartbeat.StartedUnixMS)) < maxColdTime
+}
+
+// suspectRestart records that nothing accepted connections at the address of a backend server.
+func (t *serverTracker) suspectRestart(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if server == t.lastHeartbeat.Server {
+		t.restartSuspected = true
+	}
+}
+
 // awaitSlot waits until the queue starts or refuses a waiting request. It returns the reason of a refusal, and cancels
 // the request if ctx ends first or the node accepts no more requests.
 func (g *Gateway) awaitSlot(ctx context.Context, ticket admission.Ticket, waiter <-chan request.Reason, p *progressReporter) request.Reason {
@@ -315,20 +341,7 @@
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.lastHeartbeat.Server}
 	g.server.mu.Unlock()
 	result := make(chan routed.Answer, 1)
-	if !r.Idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-	err := g.backendPool.Submit(func() {
-		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-		defer cancel()
-		ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
-		answer := g.deps.Backend.Exchange(ctx, e)
-		span.Result(answer.Outcome, answer.Reason)
-		span.End()
-		g.server.observeWorkFigure(answer.WorkFigure)
-		g.releaseSlot(ticket, answer.Outcome == request.Done)
-		result <- answer
-	})
+	err := g.backendPool.Submit(func() { result <- g.exchange(ctx, e, ticket) })
 	if err != nil {
 		g.releaseSlot(ticket, false)
 		return g.refuse(r, request.QueueFull)
@@ -353,6 +366,30 @@
 	}
 }
 
+// exchange sends a request to the backend server and returns its slot. When ctx ends, a request that was not sent yet is
+// not sent, and an idempotent one that runs is canceled.
+func (g *Gateway) exchange(ctx context.Context, e routed.Exchange, ticket admission.Ticket) routed.Answer {
+	if ctx.Err() != nil {
+		g.releaseSlot(ticket, false)
+		return routed.NotRun(request.DeadlineTooClose, 0)
+	}
+	if !e.Request.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
+	defer cancel()
+	ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
+	answer := g.deps.Backend.Exchange(ctx, e)
+	span.Result(answer.Outcome, answer.Reason)
+	span.End()
+	if answer.ConnectionRefused {
+		g.server.suspectRestart(e.Server)
+	}
+	g.server.observeWorkFigure(answer.WorkFigure)
+	g.releaseSlot(ticket, answer.Outcome == request.Done)
+	return answer
+}
+
 // finishExchange logs an exchange that ended without an answer of the backend server, and sets RetryAfter in a refusal
 // that has none.
 func (g *Gateway) finishExchange(r routed.Request, e routed.Exchange, a *routed.Answer) {
@@ -361,7 +398,7 @@
 	}
 	g.events.Emit(eventlog.ExchangeFailed, eventlog.RequestID(r.ID), eventlog.Name("server", e.Server),
 		eventlog.Name("outcome", a.Outcome.String()), eventlog.Name("reason", string(a.Reason)),
-		eventlog.Duration("remaining", max(0, time.Until(r.Deadline))))
+		eventlog.Duration("remaining", max(0, time.Until(r.Deadline))), eventlog.Duration("delay", r.Delay))
 	if a.Outcome == request.NotRun && a.RetryAfter == 0 {
 		a.RetryAfter = expectedSlotWait(g.server.load(time.Now()))
 	}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -40,6 +40,10 @@
 	workFigureQueries int
 	// onDispatch is called for each request that one instance sends to another.
 	onDispatch func(to string, r routed.Request)
+	// dispatchOverNetwork, if set, sends the requests that one instance sends to another.
+	dispatchOverNetwork func(ctx context.Context, to string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error)
+	// onRun is called when a request begins at a backend server, with the context of the exchange.
+	onRun func(ctx context.Context, inst *simulatedInstance, r routed.Request)
 	// silentAfterRun is an instance that becomes unreachable after it has run a request.
 	silentAfterRun string
 	// answerDelays are the times by which the path from an instance delays its answers.
@@ -358,7 +362,9 @@
 	switch {
 	case s == nil:
 		inst.sim.mu.Unlock()
-		return routed.NotRun(request.BackendUnreachable, 0)
+		refused := routed.NotRun(request.BackendUnreachable, 0)
+		refused.ConnectionRefused = true
+		return refused
 	case s.id != e.Server || inst.self.Service == "keyed" && !s.holds(e.Request.Key, time.Now()):
 		inst.sim.misdirected++
 		inst.sim.mu.Unlock()
@@ -370,7 +376,11 @@
 	inst.sim.exchanges++
 	serviceTime := s.serviceTime
 	lost := inst.sim.loseAnswerEvery > 0 && inst.sim.exchanges%inst.sim.loseAnswerEvery == 0
+	onRun := inst.sim.onRun
 	inst.sim.mu.Unlock()
+	if onRun != nil {
+		onRun(ctx, inst, e.Request)
+	}
 	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
 	select {
@@ -455,12 +465,14 @@
 	if p.sim.onDispatch != nil {
 		p.sim.onDispatch(address, r)
 	}
-	refusal, network := p.sim.refusals[address], p.sim.network
+	refusal, network, overNetwork := p.sim.refusals[address], p.sim.network, p.sim.dispatchOverNetwork
 	p.sim.mu.Unlock()
-	if network != nil {
+	switch {
+	case network != nil:
 		return network.dispatch(ctx, p.from, address, r, onSilent)
-	}
-	if refusal != "" {
+	case overNetwork != nil:
+		return overNetwork(ctx, address, r, onSilent)
+	case refusal != "":
 		return routed.NotRun(refusal, 0), p.delayAnswer(ctx, address, r, onSilent)
 	}
 	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -46,6 +46,12 @@
 	Revision uint64
 	// MayDivert reports whether the ingress node would try another backend server if this one is temporarily slow.
 	MayDivert bool
+	// Delay is how long the request was on its way from the ingress node, as far as that is known. It is measured at the
+	// receiver.
+	Delay time.Duration
+	// ArriveWithin is the longest Delay with which the ingress node still waits for the answer: after that it sends the
+	// request to another node. It is zero if the ingress node waits until the deadline. The sending connection sets it.
+	ArriveWithin time.Duration
 	// Repetition is what the ingress node does next if the outcome of this send is unknown. It is not sent to other nodes.
 	Repetition Repetition
 	// Traceparent is the W3C trace context of the hop that sent the request; empty without one. The header that the
@@ -97,6 +103,8 @@
 	Body       []byte
 	// ReachedServer reports whether the request reached a backend server, whatever the outcome.
 	ReachedServer bool
+	// ConnectionRefused reports whether nothing accepted connections at the address of the backend server.
+	ConnectionRefused bool
 	// WorkFigure is the work figure that the backend server reported: the service time of requests that start now,
 	// relative to the usual one of the service (1 is usual, 2 is twice as long); 0 if it reported none.
 	WorkFigure float64
