Extend the lease only by reads that returned all records

A node that was suspended or cut off for longer than its lease read the range tables from where it had stopped. An answer holds at most 512 KB: if there were more records, the first page already extended the lease, so that for the time of the next reads the node could grant keys by a table that later records take away. Found by reading, not seen in a fleet.

A page now says whether the partition had later records (the end in the answer was there and unused), also when it comes through another node. The reader passes on when the last read was sent whose records are all applied, and the lease extends from that. It also reads on without the batch delay.

--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -26,6 +26,8 @@
 	// links holds the link to each instance that does not get its answers at once.
 	links     map[string]*storeLink
 	callCount int
+	// maxPageRecords bounds the records of a read; 0 for no bound.
+	maxPageRecords int
 }
 
 // storeLink is a link that carries the answers to several instances at a limited rate. busyUntil is when it has carried
@@ -77,6 +79,13 @@
 	s.missWakeups = missWakeups
 }
 
+// SetMaxPageRecords bounds the number of records that a read returns.
+func (s *PlatformStore) SetMaxPageRecords(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxPageRecords = n
+}
+
 // SetLink makes the answers to the instances share one link with the rate. They are sent in turn, in segments of the size:
 // what one connection has under way. An answer whose call is canceled has used the link for the segments sent so far.
 func (s *PlatformStore) SetLink(bytesPerSecond, segmentBytes int, instances ...string) {
@@ -237,6 +246,9 @@
 		t := c.store.topic(topic)
 		page := registry.Page{End: int64(len(t.records))}
 		page.Records = append(page.Records, t.records[from:]...)
+		if n := c.store.maxPageRecords; n > 0 && len(page.Records) > n {
+			page = registry.Page{Records: page.Records[:n], End: from + int64(n), Partial: true}
+		}
 		failing, changed := c.store.down || c.store.unreachable[c.instance], t.changed
 		if c.store.missWakeups {
 			changed = nil
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -62,8 +62,9 @@
 	}
 }
 
-// confirmRead records a completed read. It extends the lease unless the table suspects the instance.
-func (t *rangeTable) confirmRead(self Self, sent keyrange.Instant, readEnd int64) {
+// confirmRead records a completed read. All records that the store had at the time asOf are applied: the lease is
+// extended to LeaseDuration after that, unless the table suspects the instance.
+func (t *rangeTable) confirmRead(self Self, asOf keyrange.Instant, readEnd int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readEnd = readEnd
@@ -75,7 +76,7 @@
 			return
 		}
 	}
-	t.lease.Extend(sent)
+	t.lease.Extend(asOf)
 }
 
 // get returns the table of a service, nil if there is none, and the end offset up to which the tables are read.
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -46,10 +46,10 @@
 	wait       func() time.Duration
 	batchDelay func() time.Duration
 	// onSnapshot is called before the newest records of all keys are applied, apply for each record, and synced after
-	// each answer of the store with the time at which the read was sent.
+	// each answer with asOf: when the last read was sent whose records are all applied.
 	onSnapshot func()
 	apply      func(registry.Record)
-	synced     func(sent keyrange.Instant, end int64)
+	synced     func(asOf keyrange.Instant, end int64)
 	// poll is the read in progress that waits for records; nil if there is none. lastRefreshNS is when
 	// refreshTopicLimited last ended one, and outdatedSinceNS when another node first reported a newer record after the
 	// last completed read, zero if none did; both in Unix nanoseconds.
@@ -71,6 +71,7 @@
 // run reads until ctx ends.
 func (tr *topicReader) run(ctx context.Context) {
 	from, storeLost, backoff, noWait := int64(-1), false, minBackoff, false
+	var asOf keyrange.Instant
 	for ctx.Err() == nil {
 		sent := tr.g.deps.Now()
 		page, err := tr.read(ctx, from, noWait)
@@ -84,14 +85,17 @@
 				tr.apply(r)
 			}
 			from = page.End
+			if !page.Partial {
+				asOf = sent
+			}
 			tr.outdatedSinceNS.Store(0)
-			tr.synced(sent, page.End)
+			tr.synced(asOf, page.End)
 			if storeLost {
 				tr.g.interruptReaders(tr)
 				tr.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", tr.topic))
 			}
 			storeLost, backoff = false, minBackoff
-			if len(page.Records) > 0 {
+			if len(page.Records) > 0 && !page.Partial {
 				tr.delayForBatch(ctx)
 			}
 			continue
@@ -292,10 +296,10 @@
 	g.ranges.put(t, g.deps.Now())
 }
 
-// rangesSynced extends the lease: the store has answered a read that was sent at the given time, and its records are
+// rangesSynced extends the lease: the store has answered a read that was sent at the time asOf, and its records are
 // applied.
-func (g *Gateway) rangesSynced(sent keyrange.Instant, end int64) {
-	g.ranges.confirmRead(g.self, sent, end)
+func (g *Gateway) rangesSynced(asOf keyrange.Instant, end int64) {
+	g.ranges.confirmRead(g.self, asOf, end)
 	g.reconcileTrigger.Fire()
 }
 
--- a/internal/gateway/topic_reader_test.go
+++ b/internal/gateway/topic_reader_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/registry"
 )
 
 // largeConfigurationBytes is the size of the record of a large configuration.
@@ -99,3 +102,42 @@
 		}
 	})
 }
+
+// Guards against a lease that is extended by a read that did not return all records: the next ones may show that the
+// keys of the instance have been claimed.
+func TestPartialReadDoesNotExtendLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		setUnreachable := func(unreachable bool) {
+			for name := range sim.instances {
+				sim.store.SetUnreachable(name, unreachable)
+			}
+		}
+		// All nodes miss many records, and then read them one by one.
+		const records, latency = 200, 4 * time.Millisecond
+		setUnreachable(true)
+		time.Sleep(keyrange.LeaseDuration)
+		var end int64
+		for range records {
+			var err error
+			end, err = sim.store.ClientFor("operator").Append(t.Context(), registry.RangesTopic, registry.AnyOffset, registry.Record{Key: "other", Value: []byte("{}")})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		sim.store.SetMaxPageRecords(1)
+		setUnreachable(false)
+		g := sim.instances["k0"].gateway
+		for g.ranges.currentEnd() < end {
+			if hold := g.ranges.holdTime(g.deps.Now()); hold > 0 {
+				t.Fatalf("grants last %v although records are missing", hold)
+			}
+			time.Sleep(latency)
+		}
+		time.Sleep(time.Second)
+		if hold := g.ranges.holdTime(g.deps.Now()); hold < keyrange.MaxHold {
+			t.Errorf("grants last %v after all records were read", hold)
+		}
+	})
+}
--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -58,7 +58,7 @@
 }
 
 func encodePage(p registry.Page) *nodepb.StoreResponse {
-	m := &nodepb.StoreResponse{End: p.End, Records: make([]*nodepb.StoreRecord, len(p.Records))}
+	m := &nodepb.StoreResponse{End: p.End, Partial: p.Partial, Records: make([]*nodepb.StoreRecord, len(p.Records))}
 	for i, r := range p.Records {
 		m.Records[i] = &nodepb.StoreRecord{Key: r.Key, Value: r.Value}
 	}
@@ -66,7 +66,7 @@
 }
 
 func decodePage(m *nodepb.StoreResponse) registry.Page {
-	p := registry.Page{End: m.End, Records: make([]registry.Record, len(m.Records))}
+	p := registry.Page{End: m.End, Partial: m.Partial, Records: make([]registry.Record, len(m.Records))}
 	for i, r := range m.Records {
 		p.Records[i] = registry.Record{Key: r.Key, Value: r.Value}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,8 +32,11 @@
 // Page is the result of a read.
 type Page struct {
 	Records []Record
-	// End is the offset after the last record of the partition.
+	// End is the offset from which to read later records.
 	End int64
+	// Partial is set if the partition had records after End when it was read. A store that is called through a node of
+	// an earlier version does not set it.
+	Partial bool
 }
 
 // Store is the platform's store. Errors are problem.Conflict if the partition does not end at the offset that an append
