--- a/cmd/heatherreelctl/gateway.go
+++ b/cmd/heatherreelctl/gateway.go
@@ -40,6 +40,10 @@
 		rows = append(rows, []string{m.Instance, m.DataCentre, m.Service, orDash(m.Server), strconv.FormatBool(m.Draining),
 			numberCell(m.Running), numberCell(m.Waiting), numberCell(m.Slots), age, numberCell(m.Failures)})
 	}
+	rows = append(rows, nil, []string{"TOPIC", "READ THROUGH", "SINCE"})
+	for _, source := range s.Sources {
+		rows = append(rows, []string{source.Topic, orDash(source.Instance), fmt.Sprintf("%d ms", source.SinceMS)})
+	}
 	rows = append(rows, nil, []string{"SERVICE", "FROM", "TO", "FENCE", "OWNER", "BACKEND SERVER", "MOVES TO"})
 	for _, r := range s.Ranges {
 		rows = append(rows, []string{r.Service, numberCell(int(r.From)), numberCell(int(r.To)), numberCell(r.Fence), orDash(r.Instance), orDash(r.Server), orDash(r.Next)})
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -200,6 +200,13 @@
 		Text: "this node could not remove the member record of an earlier instance with the same address yet; it retries"})
 	StoreCallEnded = define(Event{Number: 220, Name: "store_call_ended", Level: zerolog.InfoLevel, PerSecond: peerRate,
 		Text: "a call of the platform store ended without its complete answer; the field ended tells how, and received_bytes how much of the answer had arrived and was discarded"})
+	TopicFollowed = define(Event{Number: 221, Name: "topic_followed", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "this node now reads a topic of the platform store through the node in the field peer_instance, which reads it from the store"})
+	TopicReadDirectly = define(Event{Number: 222, Name: "topic_read_directly", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "this node now reads a topic from the platform store itself: it is one of the nodes of its region that do so, or it can use none of them"})
+	FeedFailed = define(Event{Number: 223, Name: "feed_failed", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text:   "the node in the field peer_instance, through which this node reads a topic, did not answer or does not read the topic from the platform store; this node reads the topic from the store and then uses another node for a while",
+		Remedy: "if this repeats for one node, check that node and its connection to the platform store"})
 )
 
 // Events of the ownership of keys.
--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -19,6 +19,8 @@
 	down   bool
 	// unreachable holds the instances whose calls fail.
 	unreachable map[string]bool
+	// silent holds the instances whose reads get no answer until storeSilenceLimit after their wait.
+	silent map[string]bool
 	// loseReplies makes appends take effect but return an error.
 	loseReplies bool
 	// missWakeups makes waiting reads miss the records that are appended meanwhile.
@@ -47,7 +49,7 @@
 
 // NewPlatformStore returns an empty store.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, links: map[string]*storeLink{}}
+	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, silent: map[string]bool{}, links: map[string]*storeLink{}}
 }
 
 // SetDown sets whether the calls of all instances fail.
@@ -64,6 +66,16 @@
 	s.unreachable[instance] = unreachable
 }
 
+// SetSilent sets whether the reads of one instance, also those in progress, get no answer.
+func (s *PlatformStore) SetSilent(instance string, silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[instance] = silent
+}
+
+// storeSilenceLimit is the time after which a client gives up a read that gets no answer, in addition to its wait.
+const storeSilenceLimit = 1500 * time.Millisecond
+
 // SetLoseReplies sets whether appends take effect but return an error, as if the reply was lost.
 func (s *PlatformStore) SetLoseReplies(loseReplies bool) {
 	s.mu.Lock()
@@ -232,6 +244,7 @@
 
 // Read implements registry.Store.
 func (c *platformStoreClient) Read(ctx context.Context, topic string, from int64, wait time.Duration) (registry.Page, error) {
+	silentUntil := time.Now().Add(wait + storeSilenceLimit)
 	waitTimer := time.NewTimer(wait)
 	defer waitTimer.Stop()
 	for first := true; ; first = false {
@@ -249,6 +262,7 @@
 		if n := c.store.maxPageRecords; n > 0 && len(page.Records) > n {
 			page = registry.Page{Records: page.Records[:n], End: from + int64(n), Partial: true}
 		}
+		silent := c.store.silent[c.instance]
 		failing, changed := c.store.down || c.store.unreachable[c.instance], t.changed
 		if c.store.missWakeups {
 			changed = nil
@@ -257,12 +271,18 @@
 		if failing {
 			return registry.Page{}, problem.New(problem.Unavailable, "wait for the store", "the store went down")
 		}
+		if silent {
+			return c.awaitSilence(ctx, silentUntil)
+		}
 		if len(page.Records) > 0 {
 			return c.transfer(ctx, page)
 		}
 		select {
 		case <-changed:
 		case <-waitTimer.C:
+			if c.isSilent() {
+				return c.awaitSilence(ctx, silentUntil)
+			}
 			return page, nil
 		case <-ctx.Done():
 			return registry.Page{}, ctx.Err()
@@ -270,6 +290,24 @@
 	}
 }
 
+func (c *platformStoreClient) isSilent() bool {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.silent[c.instance]
+}
+
+// awaitSilence returns the error of a read that gets no answer and is given up at the time.
+func (c *platformStoreClient) awaitSilence(ctx context.Context, until time.Time) (registry.Page, error) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return registry.Page{}, problem.New(problem.Unavailable, "wait for the store", "the store is silent")
+	case <-ctx.Done():
+		return registry.Page{}, ctx.Err()
+	}
+}
+
 // Append implements registry.Store.
 func (c *platformStoreClient) Append(ctx context.Context, topic string, at int64, r registry.Record) (int64, error) {
 	err := c.beginCall(ctx)
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -31,13 +33,23 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range scheduleCount(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 1))) })
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 1)), 4) })
 		})
 	}
 }
 
-func randomFaults(t *testing.T, random *rand.Rand) {
-	sim := startFleet(t)
+// Guards against the same where most nodes read the topics of the store through others.
+func TestRandomFaultsWithFeeds(t *testing.T) {
+	for seed := range scheduleCount(t) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 2)), 14) })
+		})
+	}
+}
+
+// randomFaults injects faults into a fleet with the number of keyed instances.
+func randomFaults(t *testing.T, random *rand.Rand, keyed int) {
+	sim := startFleetOf(t, keyed)
 	defer sim.close()
 	sim.publish(2, false)
 	time.Sleep(time.Second)
@@ -62,7 +74,7 @@
 				if callerRandom.IntN(2) == 0 {
 					path, key = "/free/", -1
 				}
-				a := sim.sendRequest(fmt.Sprintf("k%d", callerRandom.IntN(4)), id, path, key, 1500*time.Millisecond)
+				a := sim.sendRequest(fmt.Sprintf("k%d", callerRandom.IntN(keyed)), id, path, key, 1500*time.Millisecond)
 				mu.Lock()
 				answers[id] = a.Outcome
 				mu.Unlock()
@@ -70,7 +82,7 @@
 		})
 	}
 	for range 8 {
-		sim.injectFault(random)
+		sim.injectFault(random, keyed)
 		time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
 	}
 	sim.clearFaults()
@@ -90,8 +102,12 @@
 }
 
 // injectFault injects one random fault.
-func (sim *simulation) injectFault(random *rand.Rand) {
-	name := fmt.Sprintf("k%d", random.IntN(4))
+func (sim *simulation) injectFault(random *rand.Rand, keyed int) {
+	name := fmt.Sprintf("k%d", random.IntN(keyed))
+	if keyed > 4 && random.IntN(2) == 0 {
+		sim.injectFeedFault(random)
+		return
+	}
 	sim.mu.Lock()
 	inst := sim.instances[name]
 	gatewayUp, serverUp := inst.gateway != nil, inst.server != nil
@@ -122,10 +138,44 @@
 	}
 }
 
+// injectFeedFault injects a random fault of a node through which others read.
+func (sim *simulation) injectFeedFault(random *rand.Rand) {
+	sim.mu.Lock()
+	names := slices.Sorted(maps.Keys(sim.instances))
+	sim.mu.Unlock()
+	feeds := sim.feeds(names)
+	if len(feeds) == 0 {
+		return
+	}
+	name := feeds[random.IntN(len(feeds))]
+	switch random.IntN(4) {
+	case 0:
+		sim.killGateway(name)
+	case 1:
+		sim.store.SetUnreachable(name, true)
+	case 2:
+		sim.mu.Lock()
+		sim.silentFeeds[name] = true
+		sim.mu.Unlock()
+	case 3:
+		seed := random.Uint64()
+		sim.mu.Lock()
+		delays := rand.New(rand.NewPCG(seed, 0))
+		var mu sync.Mutex
+		sim.topicDelay = func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(delays.IntN(1500)) * time.Millisecond
+		}
+		sim.mu.Unlock()
+	}
+}
+
 // clearFaults ends all faults and starts what is down.
 func (sim *simulation) clearFaults() {
 	sim.mu.Lock()
-	sim.loseAnswerEvery = 0
+	sim.loseAnswerEvery, sim.topicDelay = 0, nil
+	clear(sim.silentFeeds)
 	sim.mu.Unlock()
 	sim.store.SetDown(false)
 	sim.store.SetLoseReplies(false)
--- /dev/null
+++ b/internal/gateway/feed.go
@@ -0,0 +1,324 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/feed"
+	"heatherreel/internal/keyrange"
+	"heatherreel/internal/lockorder"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/telemetry"
+)
+
+// Times of reads through a feed.
+const (
+	// feedGrace is how much longer than its poll timeout a read of a feed may take: a hundred times the usual latency of
+	// the store.
+	feedGrace = 400 * time.Millisecond
+	// followTimeout bounds a read through a feed after its wait. A silent connection ends it earlier.
+	followTimeout = 5 * time.Second
+	// refusedFeedDelay is how long a feed that refuses reads is not used, and failedFeedDelay one that fails. The latter
+	// doubles with each failure in a row, up to maxFailedFeedDelay: the node may be gone or run an earlier version.
+	refusedFeedDelay   = time.Second
+	failedFeedDelay    = 5 * time.Second
+	maxFailedFeedDelay = 40 * time.Second
+	// followerMemory is how long a node counts as having followers after the last one has asked.
+	followerMemory = 15 * time.Second
+	// maxServedReads bounds the reads that are served to other nodes at once: those of 32 nodes, each of three topics.
+	// The answers to all of them may be in memory at once.
+	maxServedReads = 96
+)
+
+// servedTopic is a topic as this node serves it to its followers, and the source from which the node itself reads it.
+// mu guards all fields; it has rank lockorder.Feeds.
+type servedTopic struct {
+	mu      *lockorder.Mutex
+	records feed.Topic
+	// serving is set while the node reads the topic from the store. Otherwise it serves no records, so that no node
+	// follows a follower.
+	serving bool
+	// reads counts the reads of the store that were completed and returned all records, and readAt is when the last one
+	// was sent. current is set while there is one since serving was set, and failed if a later one failed.
+	reads           int
+	readAt          keyrange.Instant
+	current, failed bool
+	// askedAt is when a follower last asked.
+	askedAt time.Time
+	// changed is closed and replaced when a read may be answered or refused.
+	changed chan struct{}
+	// source is the instance through which the node reads the topic, empty for the store, since sourceSince.
+	source      string
+	sourceSince time.Time
+}
+
+func newServedTopic() *servedTopic {
+	return &servedTopic{mu: lockorder.New(lockorder.Feeds), changed: make(chan struct{}), sourceSince: time.Now()}
+}
+
+// notify wakes the reads that wait. The caller holds mu.
+func (s *servedTopic) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setServing sets whether records are served. The caller holds mu.
+func (s *servedTopic) setServing(serving bool) {
+	if serving != s.serving {
+		s.serving, s.current, s.failed = serving, false, false
+		s.notify()
+	}
+}
+
+// setSource sets the instance through which the node reads the topic, and reports whether that is a change.
+func (s *servedTopic) setSource(instance string, now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setServing(instance == "")
+	if instance == s.source {
+		return false
+	}
+	s.source, s.sourceSince = instance, now
+	return true
+}
+
+// stop refuses all reads from now on.
+func (s *servedTopic) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setServing(false)
+}
+
+// apply adds the records of a completed read.
+func (s *servedTopic) apply(r topicRead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records.Apply(r.page, r.snapshot)
+	if !r.followed && !r.page.Partial {
+		s.reads++
+		s.readAt, s.current, s.failed = r.asOf, true, false
+	}
+	s.notify()
+}
+
+// recordFailure records that a read of the store failed. Reads that wait are refused, so that their nodes read from the
+// store themselves.
+func (s *servedTopic) recordFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = true
+	s.notify()
+}
+
+// beginServing records that a follower asks, and returns the number of completed reads. first is set if the node had no
+// followers.
+func (s *servedTopic) beginServing(now time.Time) (reads int, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first = now.Sub(s.askedAt) > followerMemory
+	s.askedAt = now
+	return s.reads, first
+}
+
+// hasFollowers reports whether other nodes read the topic through this one.
+func (s *servedTopic) hasFollowers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.askedAt) <= followerMemory
+}
+
+// served is the result of an attempt to answer a follower.
+type served int
+
+const (
+	servedLater served = iota
+	servedNow
+	servedNever
+)
+
+// answer returns the answer to a request that arrived after readsBefore completed reads, if there is one by now, and a
+// channel that is closed when that may have changed. The records must be newer than those of the follower, or be those
+// of a read that was completed after the request arrived; the last read must not be older than maxAge.
+func (s *servedTopic) answer(r feed.Request, readsBefore int, arrived, now keyrange.Instant, maxAge time.Duration) (feed.Answer, served, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch end := s.records.End(); {
+	case !s.serving || s.failed || s.current && !s.records.Held():
+		return feed.Answer{}, servedNever, nil
+	case s.current && now.Sub(s.readAt) <= maxAge && (end > r.From || end == r.From && s.reads > readsBefore):
+		page, snapshot := s.records.Since(r.From)
+		return feed.Answer{Page: page, Snapshot: snapshot, ReadOffset: s.readAt.Sub(arrived)}, servedNow, nil
+	default:
+		return feed.Answer{}, servedLater, s.changed
+	}
+}
+
+// ReadTopic implements node.RouterService.
+func (g *Gateway) ReadTopic(ctx context.Context, r feed.Request) (feed.Answer, error) {
+	// A later reading of the clock only makes the answer seem older.
+	arrived := g.deps.Now()
+	s := g.served[r.Topic]
+	if s == nil {
+		return feed.Answer{}, problem.New(problem.Invalid, "run the same version with the same settings on all nodes", "topic %q is not known", r.Topic)
+	}
+	defer g.servedReads.Add(-1)
+	if g.servedReads.Add(1) > maxServedReads || g.stopping.Load() || g.store.Unreachable() {
+		return feed.Answer{}, problem.New(problem.Overloaded, "read from the store", "this node serves no records at the moment")
+	}
+	readsBefore, first := s.beginServing(time.Now())
+	if first {
+		// The poll in progress may take longer than the follower waits.
+		g.refreshTopic(r.Topic)
+	}
+	timer := time.NewTimer(r.Wait)
+	defer timer.Stop()
+	for {
+		answer, result, changed := s.answer(r, readsBefore, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge())
+		switch result {
+		case servedNow:
+			return answer, nil
+		case servedNever:
+			return feed.Answer{}, problem.New(problem.Overloaded, "read from the store", "this node does not read the topic from the store at the moment")
+		case servedLater:
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return feed.Answer{}, problem.New(problem.Unavailable, "read from the store", "no read of the store was completed in %v", r.Wait)
+		case <-ctx.Done():
+			return feed.Answer{}, problem.New(problem.Unavailable, "read from the store", "the read was given up: %w", ctx.Err())
+		}
+	}
+}
+
+// feedTimes are the times by which a node reads a topic from the store while others follow it.
+type feedTimes struct {
+	poll, batchDelay time.Duration
+}
+
+// A follower notices after the poll timeout that its feed has failed. It then reads the topic from the store, so that a
+// configuration is in force 2 s after its acknowledgement.
+const feedOperatorPollTimeout = 800 * time.Millisecond
+
+// feedTimes returns the times for a topic.
+func (g *Gateway) feedTimes(topic string) feedTimes {
+	switch topic {
+	case registry.MembersTopic:
+		return feedTimes{memberPollTimeout, memberBatchDelay}
+	case registry.RangesTopic:
+		// Owners may be among the followers.
+		return feedTimes{leasePollTimeout, ownerBatchDelay}
+	default:
+		return feedTimes{feedOperatorPollTimeout, 0}
+	}
+}
+
+// wait returns how long a follower waits for the next read of its feed.
+func (t feedTimes) wait() time.Duration { return t.poll + t.batchDelay + feedGrace }
+
+// maxAge returns the greatest age of the last completed read of a feed, counted from when it was sent.
+func (t feedTimes) maxAge() time.Duration { return t.poll + t.wait() }
+
+// follow reads the next records through a feed. An interrupted read returns context.Canceled.
+func (tr *topicReader) follow(ctx context.Context, f registry.Member, from int64) (topicRead, error) {
+	times := tr.g.feedTimes(tr.topic)
+	ctx, transfer := registry.TrackTransfer(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tr.poll.Store(&poll{cancel, transfer, f.Instance})
+	defer tr.poll.Store(nil)
+	callCtx, stop := context.WithTimeout(ctx, times.wait()+followTimeout)
+	defer stop()
+	sent := tr.g.deps.Now()
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: times.wait()})
+	asOf := sent.Add(answer.ReadOffset)
+	switch {
+	case ctx.Err() != nil:
+		return topicRead{}, ctx.Err()
+	case err == nil && (answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
+		err = problem.New(problem.Malformed, "run the same version on all nodes", "records up to %d for a reader at %d, read %v after the request arrived",
+			answer.Page.End, from, answer.ReadOffset)
+	}
+	if err != nil {
+		tr.g.recordFeedFailure(tr, f.Instance, err)
+		return topicRead{}, err
+	}
+	tr.g.members.recordFeed(f.Instance, 0, time.Now())
+	tr.g.deps.Metrics.CountTopicRead(telemetry.FromNode)
+	return topicRead{page: answer.Page, snapshot: answer.Snapshot, asOf: asOf, followed: true}, nil
+}
+
+// recordFeedFailure stops the use of a feed for a while, by all readers.
+func (g *Gateway) recordFeedFailure(reader *topicReader, instance string, err error) {
+	g.events.Emit(eventlog.FeedFailed, eventlog.Name("topic", reader.topic), eventlog.Name("peer_instance", instance), eventlog.Cause(err))
+	if problem.KindOf(err) == problem.Overloaded {
+		g.members.recordFeed(instance, refusedFeedDelay, time.Now())
+		return
+	}
+	g.members.recordFeed(instance, failedFeedDelay, time.Now())
+	for _, tr := range g.topicReaders {
+		if p := tr.poll.Load(); tr != reader && p != nil && p.feed == instance && p.transfer.Received() == 0 {
+			p.cancel()
+		}
+	}
+}
+
+// chooseFeed returns the feed for the next read; found is false if the node reads from the store.
+func (tr *topicReader) chooseFeed() (f registry.Member, found bool) {
+	f, found = tr.g.members.feed(time.Now())
+	if !tr.served.setSource(f.Instance, time.Now()) {
+		return f, found
+	}
+	if found {
+		tr.g.events.Emit(eventlog.TopicFollowed, eventlog.Name("topic", tr.topic), eventlog.Name("peer_instance", f.Instance))
+	} else {
+		tr.g.events.Emit(eventlog.TopicReadDirectly, eventlog.Name("topic", tr.topic))
+	}
+	return f, found
+}
+
+// feed returns the node through which this node reads the topics; found is false if it reads them from the store.
+func (t *memberTable) feed(now time.Time) (f registry.Member, found bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var members []feed.Member
+	for name, p := range t.peers {
+		if p.Region == t.self.Region && !p.Stopping {
+			members = append(members, feed.Member{Instance: name, DataCentre: p.DataCentre, Failed: now.Before(p.feedRetryAt)})
+		}
+	}
+	chosen := feed.Choose(feed.Member{Instance: t.self.Instance, DataCentre: t.self.DataCentre}, members)
+	if chosen == "" {
+		return registry.Member{}, false
+	}
+	return t.peers[chosen].Member, true
+}
+
+// recordFeed records the result of a read through a feed: delay is how long the feed is not to be used, for the first
+// failure in a row; zero after a completed read.
+func (t *memberTable) recordFeed(instance string, delay time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[instance]
+	switch {
+	case p == nil:
+	case delay == 0:
+		p.feedFailures, p.feedRetryAt = 0, time.Time{}
+	default:
+		p.feedRetryAt = now.Add(min(delay<<min(p.feedFailures, 8), maxFailedFeedDelay))
+		p.feedFailures++
+	}
+}
+
+// addState adds the source of a topic to the state for operators.
+func (s *servedTopic) addState(state *operator.GatewayState, topic string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.Sources = append(state.Sources, operator.GatewaySource{Topic: topic, Instance: s.source, SinceMS: now.Sub(s.sourceSince).Milliseconds()})
+	slices.SortFunc(state.Sources, func(a, b operator.GatewaySource) int { return cmp.Compare(a.Topic, b.Topic) })
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -18,10 +18,13 @@
 const fleetSettleTime = 6 * time.Second
 
 // startFleet starts four instances of the keyed service and two of the service without keys, in two regions.
-func startFleet(t *testing.T) *simulation {
+func startFleet(t *testing.T) *simulation { return startFleetOf(t, 4) }
+
+// startFleetOf starts instances of the keyed service, and two of the service without keys, in two regions.
+func startFleetOf(t *testing.T, keyed int) *simulation {
 	sim := newSimulation(t)
 	sim.publish(1, true)
-	for i := range 4 {
+	for i := range keyed {
 		sim.addInstance(fmt.Sprintf("k%d", i), "keyed", fmt.Sprintf("r%d", i%2+1))
 	}
 	sim.addInstance("f0", "free", "r1")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/feed"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
@@ -94,6 +95,9 @@
 	Probe(ctx context.Context, address string, rangesEnd int64) (instance string, load routed.Load, err error)
 	// StoreCall calls the store through another node. Errors are those of registry.Store.
 	StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error)
+	// ReadTopic reads a topic through a node that reads it from the store. The error is problem.Overloaded if that node
+	// does not serve the topic at present.
+	ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error)
 }
 
 // Dependencies are what a gateway calls.
@@ -130,6 +134,10 @@
 	store *relay.Store
 	// relayedCalls counts the store calls that are in progress for other nodes.
 	relayedCalls atomic.Int64
+	// served are the topics that this node reads; the map is not modified. servedReads counts the reads in progress that
+	// other nodes make through this one.
+	served      map[string]*servedTopic
+	servedReads atomic.Int64
 
 	ingressPool      *worker.Pool
 	backendPool      *worker.Pool
@@ -195,6 +203,7 @@
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
 	g.server = newServerTracker()
+	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
 	g.store = relay.New(d.Store, relayNodes{g}, d.Events)
 	return g
 }
@@ -214,10 +223,11 @@
 	g.events.Emit(eventlog.Started)
 	g.topicReaders = []*topicReader{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, batchDelay: func() time.Duration { return 0 }, onSnapshot: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
-		{g: g, topic: registry.MembersTopic, wait: memberWait, batchDelay: func() time.Duration { return memberBatchDelay }, onSnapshot: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
-		{g: g, topic: registry.RangesTopic, wait: g.rangesWait, batchDelay: g.rangesBatchDelay, onSnapshot: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
+		{g: g, topic: registry.MembersTopic, ownRecords: true, wait: memberWait, batchDelay: func() time.Duration { return memberBatchDelay }, onSnapshot: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
+		{g: g, topic: registry.RangesTopic, ownRecords: true, wait: g.rangesWait, batchDelay: g.rangesBatchDelay, onSnapshot: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
 	}
 	for _, tr := range g.topicReaders {
+		tr.served = g.served[tr.topic]
 		g.startReader(tr)
 	}
 	g.stopTickers = []func(){
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -25,6 +25,10 @@
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
+	// feedFailures counts the failures in a row of the peer as a feed, and feedRetryAt is when it may be used as one
+	// again.
+	feedFailures int
+	feedRetryAt  time.Time
 	// seenInSnapshot is set for the peers whose records are in the snapshot that is being applied.
 	seenInSnapshot bool
 }
@@ -112,6 +116,7 @@
 	}
 	if m.Incarnation != p.Incarnation {
 		p.stoppingSince = time.Time{}
+		p.feedFailures, p.feedRetryAt = 0, time.Time{}
 	}
 	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -12,6 +12,7 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/fake"
+	"heatherreel/internal/feed"
 	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
@@ -33,6 +34,12 @@
 	runs map[string]int
 	// disconnected are the instances that no other instance can reach.
 	disconnected map[string]bool
+	// silentFeeds are the instances that do not answer reads of other instances, and topicDelay delays the request and the
+	// answer of each such read; nil for no delay.
+	silentFeeds map[string]bool
+	topicDelay  func() time.Duration
+	// clockOffsets are what the clocks of instances show more than that of the test.
+	clockOffsets map[string]time.Duration
 	// loseAnswerEvery makes every n-th answer of a backend server get lost; 0 for none.
 	loseAnswerEvery, exchanges int
 	// workFigureQueries counts the queries for work figures.
@@ -90,7 +97,7 @@
 
 func newSimulation(t *testing.T) *simulation {
 	return &simulation{t: t, store: fake.NewPlatformStore(), instances: map[string]*simulatedInstance{}, runs: map[string]int{}, disconnected: map[string]bool{},
-		stop: make(chan struct{})}
+		silentFeeds: map[string]bool{}, clockOffsets: map[string]time.Duration{}, stop: make(chan struct{})}
 }
 
 // close stops everything, so that the synctest bubble of the test can end.
@@ -180,10 +187,11 @@
 	if err != nil {
 		sim.t.Fatal(err)
 	}
+	clockOffset := sim.clockOffsets[name]
 	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
 		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, MinPerSecond: 1, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
-			Backend: inst, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()) }})
+			Backend: inst, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset) }})
 	sim.mu.Unlock()
 	g.Start()
 	sim.mu.Lock()
@@ -473,6 +481,32 @@
 	return g.StoreCall(ctx, c)
 }
 
+// feedSilenceLimit is the time without an answer after which a connection to a silent feed is given up, in addition to
+// the wait.
+const feedSilenceLimit = 300 * time.Millisecond
+
+// ReadTopic implements Peers.
+func (p *peers) ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return feed.Answer{}, err
+	}
+	p.sim.mu.Lock()
+	silent, delay := p.sim.silentFeeds[address], p.sim.topicDelay
+	p.sim.mu.Unlock()
+	if silent {
+		sleep(ctx, r.Wait+feedSilenceLimit)
+		return feed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s is silent", address)
+	}
+	if delay == nil {
+		return g.ReadTopic(ctx, r)
+	}
+	sleep(ctx, delay())
+	answer, err := g.ReadTopic(ctx, r)
+	sleep(ctx, delay())
+	return answer, err
+}
+
 // sendRequest sends a request through an instance.
 func (sim *simulation) sendRequest(through, id, path string, key int, timeout time.Duration) routed.Answer {
 	sim.mu.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,9 @@
 		s.Revision, s.Routes = table.Revision, table.RouteCount()
 	}
 	s.Members = g.members.state(time.Now())
+	for topic, served := range g.served {
+		served.addState(&s, topic, time.Now())
+	}
 	g.ranges.addState(&s, g.self.Service, g.deps.Now())
 	return s
 }
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -13,6 +13,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/telemetry"
 )
 
 // Poll timeouts of the readers. A read whose answer is lost, or that misses a record, ends only after this time. The
@@ -40,8 +41,12 @@
 
 // topicReader reads one topic and applies its records in order.
 type topicReader struct {
-	g     *Gateway
-	topic string
+	g      *Gateway
+	topic  string
+	served *servedTopic
+	// ownRecords is set if nodes write to the topic. The first read then goes to the store: it must show what an earlier
+	// process of this instance wrote, and a feed may have read before that.
+	ownRecords bool
 	// wait returns the poll timeout of the next read, and batchDelay the delay after a read that returned records.
 	wait       func() time.Duration
 	batchDelay func() time.Duration
@@ -66,50 +71,65 @@
 type poll struct {
 	cancel   context.CancelFunc
 	transfer *registry.Transfer
+	// feed is the instance through which the topic is read; empty for the store.
+	feed string
+}
+
+// topicRead is a completed read.
+type topicRead struct {
+	page registry.Page
+	// snapshot is set if the page holds the newest records of all keys.
+	snapshot bool
+	// asOf is when the read was sent to the store, and followed is set if a feed had sent it.
+	asOf     keyrange.Instant
+	followed bool
 }
 
 // run reads until ctx ends.
 func (tr *topicReader) run(ctx context.Context) {
+	defer tr.served.stop()
 	from, storeLost, backoff, noWait := int64(-1), false, minBackoff, false
 	var asOf keyrange.Instant
 	for ctx.Err() == nil {
-		sent := tr.g.deps.Now()
-		page, err := tr.read(ctx, from, noWait)
+		read, err := tr.read(ctx, from, noWait)
 		noWait = false
 		switch {
 		case err == nil:
-			if from < 0 {
+			if read.snapshot {
 				tr.onSnapshot()
 			}
-			for _, r := range page.Records {
+			for _, r := range read.page.Records {
 				tr.apply(r)
 			}
-			from = page.End
-			if !page.Partial {
-				asOf = sent
+			from = read.page.End
+			if !read.page.Partial {
+				asOf = max(asOf, read.asOf)
 			}
 			tr.outdatedSinceNS.Store(0)
-			tr.synced(asOf, page.End)
+			tr.served.apply(read)
+			tr.synced(asOf, from)
 			if storeLost {
 				tr.g.interruptReaders(tr)
 				tr.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", tr.topic))
 			}
 			storeLost, backoff = false, minBackoff
-			if len(page.Records) > 0 && !page.Partial {
+			if len(read.page.Records) > 0 && !read.page.Partial && !read.followed {
 				tr.delayForBatch(ctx)
 			}
 			continue
-		case problem.KindOf(err) == problem.PastRetention:
-			from = -1
-			continue
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, context.Canceled):
-			// The read was interrupted. The next one does not wait for records: reads that are interrupted one after
-			// the other would never complete, and the lease would expire.
+		case errors.Is(err, errNotFollowed) || errors.Is(err, context.Canceled):
+			// The feed failed, or the read was interrupted. The next one goes to the store and does not wait for records:
+			// reads that are interrupted one after the other would never complete, and the lease would expire.
 			noWait = true
 			continue
-		case !storeLost:
+		case problem.KindOf(err) == problem.PastRetention:
+			from = -1
+			continue
+		}
+		tr.served.recordFailure()
+		if !storeLost {
 			tr.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", tr.topic), eventlog.Cause(err))
 			storeLost = true
 		}
@@ -118,21 +138,49 @@
 	}
 }
 
-// read reads the next records, or the newest records of all keys if from is negative. It waits for new records unless
-// noWait is set.
-func (tr *topicReader) read(ctx context.Context, from int64, noWait bool) (registry.Page, error) {
-	if from < 0 {
-		return tr.g.store.Newest(ctx, tr.topic)
+// errNotFollowed means that a read through a feed failed, which is recorded.
+var errNotFollowed = errors.New("the feed failed")
+
+// read reads the next records, or the newest records of all keys if from is negative, through a feed or from the store.
+// It waits for new records unless noWait is set. A read that does not wait goes to the store, as do those while requests
+// wait for a record: its answer holds what the store had when it was sent.
+func (tr *topicReader) read(ctx context.Context, from int64, noWait bool) (topicRead, error) {
+	f, found := tr.chooseFeed()
+	if !found || noWait || tr.waiters.Load() > 0 || from < 0 && tr.ownRecords {
+		return tr.readStore(ctx, from, noWait)
+	}
+	read, err := tr.follow(ctx, f, from)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return topicRead{}, errNotFollowed
+	}
+	return read, err
+}
+
+// readStore reads the next records from the store.
+func (tr *topicReader) readStore(ctx context.Context, from int64, noWait bool) (topicRead, error) {
+	read := topicRead{snapshot: from < 0, asOf: tr.g.deps.Now()}
+	var err error
+	switch {
+	case from < 0:
+		read.page, err = tr.g.store.Newest(ctx, tr.topic)
+	case noWait:
+		read.page, err = tr.g.store.Read(ctx, tr.topic, from, 0)
+	default:
+		ctx, transfer := registry.TrackTransfer(ctx)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		tr.poll.Store(&poll{cancel, transfer, ""})
+		defer tr.poll.Store(nil)
+		wait := tr.wait()
+		if tr.served.hasFollowers(time.Now()) {
+			wait = tr.g.feedTimes(tr.topic).poll
+		}
+		read.page, err = tr.g.store.Read(ctx, tr.topic, from, wait)
 	}
-	if noWait {
-		return tr.g.store.Read(ctx, tr.topic, from, 0)
+	if err == nil {
+		tr.g.deps.Metrics.CountTopicRead(telemetry.FromStore)
 	}
-	ctx, transfer := registry.TrackTransfer(ctx)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	tr.poll.Store(&poll{cancel, transfer})
-	defer tr.poll.Store(nil)
-	return tr.g.store.Read(ctx, tr.topic, from, tr.wait())
+	return read, err
 }
 
 // delayForBatch waits, so that records that arrive close together are read together. An interrupt ends the delay.
@@ -140,12 +188,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tr.cancelDelay.Store(&cancel)
-	if tr.waiters.Load() == 0 {
-		sleep(ctx, tr.batchDelay())
+	if tr.waiters.Load() > 0 {
+		return
 	}
+	delay := tr.batchDelay()
+	if tr.served.hasFollowers(time.Now()) {
+		delay = tr.g.feedTimes(tr.topic).batchDelay
+	}
+	sleep(ctx, delay)
 }
 
-// skipBatchDelay ends the batch delay of the reader of a topic, and makes it skip further ones until release is called.
+// skipBatchDelay ends the batch delay of the reader of a topic, and makes it skip further ones, and read from the store,
+// until release is called.
 func (g *Gateway) skipBatchDelay(topic string) (release func()) {
 	for _, tr := range g.topicReaders {
 		if tr.topic != topic {
@@ -153,6 +207,10 @@
 		}
 		tr.waiters.Add(1)
 		tr.endBatchDelay()
+		if p := tr.poll.Load(); p != nil && p.feed != "" && p.transfer.Received() == 0 {
+			// The feed may be in a batch delay.
+			p.cancel()
+		}
 		return func() { tr.waiters.Add(-1) }
 	}
 	return func() {}
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -17,6 +17,8 @@
 	Members Rank = 14
 	// KeyRanges guards the key ownership that was read from the store.
 	KeyRanges Rank = 16
+	// Feeds guards the records that a node serves to others of its region.
+	Feeds Rank = 18
 	// Lease guards the state of this node as a lease holder and as a witness.
 	Lease Rank = 20
 	// Handover guards the decision whether keys whose home regions changed may be served.
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"heatherreel/internal/feed"
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
@@ -29,6 +30,9 @@
 	Probe(rangesEnd int64) (instance string, load routed.Load)
 	// StoreCall makes a call to the platform's store on behalf of another node. Errors are those of registry.Store.
 	StoreCall(ctx context.Context, c registry.Call) (registry.Page, error)
+	// ReadTopic returns records that this node has read from the platform's store. The error is problem.Overloaded if it
+	// is no feed of the topic at present.
+	ReadTopic(ctx context.Context, r feed.Request) (feed.Answer, error)
 }
 
 // DispatchProgress reports to the sender of a request at intervals that the request is in progress. The zero value
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
@@ -23,6 +24,11 @@
 // Probe implements node.RouterService.
 func (doneRouter) Probe(int64) (string, routed.Load) { return "", routed.Load{} }
 
+// ReadTopic implements node.RouterService.
+func (doneRouter) ReadTopic(context.Context, feed.Request) (feed.Answer, error) {
+	return feed.Answer{}, nil
+}
+
 // StoreCall implements node.RouterService.
 func (doneRouter) StoreCall(context.Context, registry.Call) (registry.Page, error) {
 	return registry.Page{}, nil
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
@@ -57,6 +58,11 @@
 // Probe implements node.RouterService.
 func (*echoRouter) Probe(int64) (string, routed.Load) { return "echo", routed.Load{} }
 
+// ReadTopic implements node.RouterService.
+func (*echoRouter) ReadTopic(context.Context, feed.Request) (feed.Answer, error) {
+	return feed.Answer{}, nil
+}
+
 // StoreCall implements node.RouterService.
 func (*echoRouter) StoreCall(context.Context, registry.Call) (registry.Page, error) {
 	return registry.Page{}, nil
--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -16,11 +16,7 @@
 func (e *routerEndpoint) StoreCall(ctx context.Context, m *nodepb.StoreRequest) (*nodepb.StoreResponse, error) {
 	page, err := e.service.StoreCall(ctx, decodeStoreCall(m))
 	if err != nil {
-		kind := string(problem.KindOf(err))
-		if kind == "" {
-			kind = string(problem.Unavailable)
-		}
-		return &nodepb.StoreResponse{Failure: kind, Detail: problem.DetailOf(err)}, nil
+		return &nodepb.StoreResponse{Failure: failureKind(err), Detail: problem.DetailOf(err)}, nil
 	}
 	return encodePage(page), nil
 }
@@ -58,17 +54,25 @@
 }
 
 func encodePage(p registry.Page) *nodepb.StoreResponse {
-	m := &nodepb.StoreResponse{End: p.End, Partial: p.Partial, Records: make([]*nodepb.StoreRecord, len(p.Records))}
-	for i, r := range p.Records {
-		m.Records[i] = &nodepb.StoreRecord{Key: r.Key, Value: r.Value}
-	}
-	return m
+	return &nodepb.StoreResponse{End: p.End, Partial: p.Partial, Records: encodeRecords(p.Records)}
 }
 
 func decodePage(m *nodepb.StoreResponse) registry.Page {
-	p := registry.Page{End: m.End, Partial: m.Partial, Records: make([]registry.Record, len(m.Records))}
-	for i, r := range m.Records {
-		p.Records[i] = registry.Record{Key: r.Key, Value: r.Value}
+	return registry.Page{End: m.End, Partial: m.Partial, Records: decodeRecords(m.Records)}
+}
+
+func encodeRecords(records []registry.Record) []*nodepb.StoreRecord {
+	encoded := make([]*nodepb.StoreRecord, len(records))
+	for i, r := range records {
+		encoded[i] = &nodepb.StoreRecord{Key: r.Key, Value: r.Value}
+	}
+	return encoded
+}
+
+func decodeRecords(records []*nodepb.StoreRecord) []registry.Record {
+	decoded := make([]registry.Record, len(records))
+	for i, r := range records {
+		decoded[i] = registry.Record{Key: r.GetKey(), Value: r.GetValue()}
 	}
-	return p
+	return decoded
 }
--- /dev/null
+++ b/internal/node/topic_messages.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"heatherreel/internal/feed"
+	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+)
+
+// ReadTopic implements nodepb.DRPCRouterServer. An error of the service is encoded in the response, so that it does not
+// count as an error of the connection.
+func (e *routerEndpoint) ReadTopic(ctx context.Context, m *nodepb.TopicRequest) (*nodepb.TopicResponse, error) {
+	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait)})
+	if err != nil {
+		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: problem.DetailOf(err)}, nil
+	}
+	return encodeTopicAnswer(answer), nil
+}
+
+// topicSilenceLimit is the longest time without data from a feed while its answer is due or arrives. It covers a pause
+// of the process of the feed.
+const topicSilenceLimit = 300 * time.Millisecond
+
+// ReadTopic asks the node at address for the records of a topic that it has read from the platform's store. Errors are
+// problem.Overloaded if it does not answer such requests at present, and problem.NotSent or problem.Unavailable if it
+// could not be reached, stopped responding, or runs a version without this call.
+func (c *Client) ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error) {
+	conn, err := c.connPool.take(ctx, address, true)
+	if err != nil {
+		return feed.Answer{}, err
+	}
+	sent := time.Now()
+	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
+	conn.watchdog.arm(silenceRule{limit: r.Wait + topicSilenceLimit, patience: untilLimit}, 0)
+	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait)})
+	conn.watchdog.disarm()
+	conn.watchdog.transfer.Store(nil)
+	if err = c.finishCall(address, conn, c.explainSilence(address, conn, sent, r.Wait, err)); err != nil {
+		return feed.Answer{}, err
+	}
+	if response.Failure != "" {
+		return feed.Answer{}, problem.New(errs.Tag(response.Failure), "read from the platform's store", "the node at %s: %s", address, response.Detail)
+	}
+	return decodeTopicAnswer(response), nil
+}
+
+// failureKind returns the kind of an error as it is encoded in a response.
+func failureKind(err error) string {
+	if kind := problem.KindOf(err); kind != "" {
+		return string(kind)
+	}
+	return string(problem.Unavailable)
+}
+
+func encodeTopicAnswer(a feed.Answer) *nodepb.TopicResponse {
+	return &nodepb.TopicResponse{Records: encodeRecords(a.Page.Records), End: a.Page.End, Snapshot: a.Snapshot,
+		// The next lower microsecond is the earlier time.
+		ReadOffsetUs: a.ReadOffset.Microseconds() - 1}
+}
+
+func decodeTopicAnswer(m *nodepb.TopicResponse) feed.Answer {
+	offset := time.Duration(min(max(m.ReadOffsetUs, -int64(maxDurationUs)), int64(maxDurationUs))) * time.Microsecond
+	return feed.Answer{Page: registry.Page{Records: decodeRecords(m.Records), End: m.End}, Snapshot: m.Snapshot, ReadOffset: offset}
+}
--- /dev/null
+++ b/internal/node/topic_test.go
@@ -0,0 +1,94 @@
+package node_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"heatherreel/internal/feed"
+	"heatherreel/internal/node"
+	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+)
+
+// feedRouter answers reads of topics with an answer, or an error.
+type feedRouter struct {
+	echoRouter
+	answer  feed.Answer
+	err     error
+	request feed.Request
+}
+
+// ReadTopic implements node.RouterService.
+func (f *feedRouter) ReadTopic(_ context.Context, r feed.Request) (feed.Answer, error) {
+	f.request = r
+	return f.answer, f.err
+}
+
+// Guards against records, removals or the age of an answer that change on their way, in particular an answer that seems
+// to reflect a later read of the store.
+func TestTopicAnswerArrivesUnchanged(t *testing.T) {
+	router := &feedRouter{}
+	server, err := node.NewRouterServer(router)
+	requireNoError(t, err)
+	f := newFixtureFor(t, server.Serve)
+	want := feed.Request{Topic: "operators", From: -1, Wait: 1200 * time.Millisecond}
+	for _, offset := range []time.Duration{-1499999 * time.Nanosecond, 0, 700*time.Millisecond + 1} {
+		router.answer = feed.Answer{Snapshot: true, ReadOffset: offset, Page: registry.Page{End: 7,
+			Records: []registry.Record{{Key: "config", Value: []byte("v")}, {Key: "gone"}}}}
+		got, err := f.client.ReadTopic(t.Context(), f.relay.Address(), want)
+		requireNoError(t, err)
+		if router.request != want {
+			t.Errorf("request %+v, want %+v", router.request, want)
+		}
+		records := slices.EqualFunc(got.Page.Records, router.answer.Page.Records, func(a, b registry.Record) bool { return a.Key == b.Key && string(a.Value) == string(b.Value) })
+		if !records || got.Page.End != 7 || !got.Snapshot {
+			t.Errorf("answer %+v", got)
+		}
+		if late := got.ReadOffset - offset; late > 0 || late < -2*time.Microsecond {
+			t.Errorf("the read offset %v arrived as %v", offset, got.ReadOffset)
+		}
+	}
+	router.err = problem.New(problem.Overloaded, "read from the store", "no feed")
+	if _, err := f.client.ReadTopic(t.Context(), f.relay.Address(), want); problem.KindOf(err) != problem.Overloaded {
+		t.Errorf("refused: %v", err)
+	}
+}
+
+// Guards against a node of an earlier version that is taken for a feed, or that breaks later calls.
+func TestNodeWithoutTopicsIsNoFeed(t *testing.T) {
+	mux := drpcmux.New()
+	requireNoError(t, nodepb.DRPCRegisterNode(mux, &nodepb.DRPCNodeUnimplementedServer{}))
+	server := drpcserver.New(mux)
+	f := newFixtureFor(t, server.Serve)
+	for range 3 {
+		if _, err := f.client.ReadTopic(t.Context(), f.relay.Address(), feed.Request{Topic: "operators", Wait: time.Second}); problem.KindOf(err) != problem.Unavailable {
+			t.Errorf("got %v", err)
+		}
+	}
+}
+
+// Guards against a node that waits for a silent feed until the call times out.
+func TestSilentFeedIsGivenUp(t *testing.T) {
+	const wait, limit = 500 * time.Millisecond, 1500 * time.Millisecond
+	server, err := node.NewRouterServer(&feedRouter{})
+	requireNoError(t, err)
+	f := newFixtureFor(t, server.Serve)
+	_, err = f.client.ReadTopic(t.Context(), f.relay.Address(), feed.Request{Topic: "operators", Wait: wait})
+	requireNoError(t, err)
+	f.relay.SilenceToClientAfter(0)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	started := time.Now()
+	if _, err := f.client.ReadTopic(ctx, f.relay.Address(), feed.Request{Topic: "operators", Wait: wait}); problem.KindOf(err) != problem.Unavailable {
+		t.Errorf("got %v", err)
+	}
+	if took := time.Since(started); took < wait || took > limit {
+		t.Errorf("given up after %v", took)
+	}
+}
--- a/internal/operator/gateway.go
+++ b/internal/operator/gateway.go
@@ -26,6 +26,17 @@
 	// Suspected are instances whose ownership is being ended; Lost are instances whose ownership has ended.
 	Suspected []string `json:"suspected"`
 	Lost      []string `json:"lost"`
+	// Sources are where the gateway reads the topics of the store from.
+	Sources []GatewaySource `json:"sources"`
+}
+
+// GatewaySource is where a gateway reads a topic from.
+type GatewaySource struct {
+	Topic string `json:"topic"`
+	// Instance is the instance that reads the topic for the gateway; empty if the gateway reads it from the store.
+	Instance string `json:"instance"`
+	// SinceMS is for how long that has been the case, in milliseconds.
+	SinceMS int64 `json:"since_ms"`
 }
 
 // GatewayMember is the state of an instance as recorded by a gateway.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -16,6 +16,7 @@
 	labelTransport = "transport"
 	labelDirection = "direction"
 	labelStep      = "step"
+	labelSource    = "source"
 )
 
 // otherValue replaces a service or reason that is not in its fixed set of label values.
@@ -98,6 +99,20 @@
 // String returns the label value of s.
 func (s ClaimStep) String() string { return [...]string{"started", "abandoned", "won"}[s] }
 
+// ReadSource is where the records of a topic of the platform's store were read from.
+type ReadSource uint8
+
+// Sources of records.
+const (
+	FromStore ReadSource = iota
+	// FromNode means that another node of the region had read the records from the store.
+	FromNode
+	readSourceCount
+)
+
+// String returns the label value of s.
+func (s ReadSource) String() string { return [...]string{"store", "node"}[s] }
+
 // Direction is the direction of traffic or moves relative to this node.
 type Direction uint8
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,6 +42,7 @@
 	duration                      metric.Float64Histogram
 	appends, claims, moves        metric.Int64Counter
 	storeReceived, storeDiscarded metric.Int64Counter
+	topicReads                    metric.Int64Counter
 
 	// services is replaced, never modified, by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -49,6 +50,7 @@
 	appendOptions [appendOutcomeCount][]metric.AddOption
 	claimOptions  [claimStepCount][]metric.AddOption
 	moveOptions   [directionCount][]metric.AddOption
+	readOptions   [readSourceCount][]metric.AddOption
 }
 
 // NewMetrics returns metrics with their own registry.
@@ -86,6 +88,7 @@
 		{&m.claims, "claims", "Claims of this node against other incarnations by step."},
 		{&m.moves, "moved_slices", "Slices that moved to this node (in) or away from it (out)."},
 		{&m.storeReceived, "store_received_bytes", "Bytes of answers of the platform store that arrived, with those of calls that failed."},
+		{&m.topicReads, "topic_reads", "Completed reads of the topics of the platform store, by source: the store, or a node of the region that had read the records."},
 		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
 	for _, c := range counters {
@@ -114,6 +117,9 @@
 	for d := range directionCount {
 		m.moveOptions[d] = addOptions(attribute.String(labelDirection, d.String()))
 	}
+	for s := range readSourceCount {
+		m.readOptions[s] = addOptions(attribute.String(labelSource, s.String()))
+	}
 }
 
 // addOptions returns the options for a counter with the labels.
@@ -167,6 +173,11 @@
 	}
 }
 
+// CountTopicRead counts a completed read of a topic.
+func (m *Metrics) CountTopicRead(source ReadSource) {
+	m.topicReads.Add(context.Background(), 1, m.readOptions[source]...)
+}
+
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -38,6 +38,8 @@
 	m.CountMovedSlices(In, 2)
 	m.CountStoreAnswer(300, false)
 	m.CountStoreAnswer(20, true)
+	m.CountTopicRead(FromStore)
+	m.CountTopicRead(FromNode)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
