Read the first configuration through a feed

Each new process read the configuration from the store itself: 20 processes that start in a region fetch 20 times 256 KB over the link to it. The three readers start at once, so that no feed was known yet.

The members and the ranges are still read from the store first, as they must show what an earlier process of the instance wrote.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -227,15 +227,20 @@
 // follow reads the next records through a feed. An interrupted read returns context.Canceled.
 func (tr *topicReader) follow(ctx context.Context, f registry.Member, from int64) (topicRead, error) {
 	times := tr.g.feedTimes(tr.topic)
+	wait := times.wait()
+	if from < 0 {
+		// A feed has the records already, and the node cannot serve without them.
+		wait = feedGrace
+	}
 	ctx, transfer := registry.TrackTransfer(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tr.poll.Store(&poll{cancel, transfer, f.Instance})
 	defer tr.poll.Store(nil)
-	callCtx, stop := context.WithTimeout(ctx, times.wait()+followTimeout)
+	callCtx, stop := context.WithTimeout(ctx, wait+followTimeout)
 	defer stop()
 	sent := tr.g.deps.Now()
-	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: times.wait()})
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait})
 	asOf := sent.Add(answer.ReadOffset)
 	switch {
 	case ctx.Err() != nil:
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -273,3 +273,29 @@
 		}
 	})
 }
+
+// Guards against a configuration that crosses the link to a region once for each process that is started there.
+func TestNewProcessesReadConfigurationThroughFeeds(t *testing.T) {
+	const started, inForce = 20, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t)
+		defer sim.close()
+		sim.configurationBytes = largeConfigurationBytes
+		far := startRegion(sim, 30)
+		before := sim.store.CarriedBytes("far-0")
+		followers := slices.DeleteFunc(slices.Clone(far), func(name string) bool { return slices.Contains(sim.feeds(far), name) })
+		for _, name := range followers[:started] {
+			sim.killGateway(name)
+			sim.startGateway(name)
+		}
+		time.Sleep(inForce)
+		if outdated := sim.outdated(1, far); len(outdated) > 0 {
+			t.Errorf("%s have no configuration after %v", outdated, inForce)
+		}
+		carried := sim.store.CarriedBytes("far-0") - before
+		t.Logf("the link carried %d bytes", carried)
+		if carried > 2*largeConfigurationBytes {
+			t.Errorf("the link carried %d bytes for a configuration of %d and %d new processes", carried, largeConfigurationBytes, started)
+		}
+	})
+}
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -43,6 +43,8 @@
 	removed          map[string]bool
 	synced           bool
 	applyingSnapshot bool
+	// firstSync happens with the first completed read.
+	firstSync signal
 	// readEnd is the end offset of the topic up to which the records are read.
 	readEnd int64
 	limits  RetryLimits
@@ -50,7 +52,7 @@
 }
 
 func newMemberTable(self Self, limits RetryLimits) *memberTable {
-	return &memberTable{mu: lockorder.New(lockorder.Members), self: self, peers: map[string]*peer{}, removed: map[string]bool{},
+	return &memberTable{mu: lockorder.New(lockorder.Members), firstSync: newSignal(), self: self, peers: map[string]*peer{}, removed: map[string]bool{},
 		limits: limits, budgets: map[string]*retry.Budget{}}
 }
 
@@ -84,6 +86,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.synced, t.readEnd = true, readEnd
+	t.firstSync.set()
 	if !t.applyingSnapshot {
 		return
 	}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -88,6 +88,9 @@
 // run reads until ctx ends.
 func (tr *topicReader) run(ctx context.Context) {
 	defer tr.served.stop()
+	if !tr.ownRecords {
+		tr.awaitMembers(ctx)
+	}
 	from, storeLost, backoff, noWait := int64(-1), false, minBackoff, false
 	var asOf keyrange.Instant
 	for ctx.Err() == nil {
@@ -138,6 +141,22 @@
 	}
 }
 
+// maxMembersWait is how long the first read of a topic waits until the feeds are known. It is many times the duration of
+// a read between regions.
+const maxMembersWait = 500 * time.Millisecond
+
+// awaitMembers waits until the members are read, so that a new process does not read a large record from the store that
+// another node of its region has.
+func (tr *topicReader) awaitMembers(ctx context.Context) {
+	timer := time.NewTimer(maxMembersWait)
+	defer timer.Stop()
+	select {
+	case <-tr.g.members.firstSync.happened:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // errNotFollowed means that a read through a feed failed, which is recorded.
 var errNotFollowed = errors.New("the feed failed")
 
