Serve no records before the gateway has started

The listener for other nodes opens a little before the readers start. A read of a topic that arrived in between used the list of readers while it was set. Only a node that reads from the store looks at its readers for a new follower now; that is set by the readers themselves.

TestNodeThatHasNotStartedServesNoRecords reported "WARNING: DATA RACE" in refreshTopic before; it passes now.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -115,11 +115,14 @@
 	s.notify()
 }
 
-// beginServing records that a follower asks, and returns the number of completed reads. first is set if the node had no
-// followers.
+// beginServing records that a follower asks, and returns the number of completed reads. first is set if the node serves
+// the topic and had no followers.
 func (s *servedTopic) beginServing(now time.Time) (reads int, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.serving {
+		return s.reads, false
+	}
 	first = now.Sub(s.askedAt) > followerMemory
 	s.askedAt = now
 	return s.reads, first
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/eventlog"
 	"heatherreel/internal/feed"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
@@ -299,3 +300,21 @@
 		}
 	})
 }
+
+// Guards against a node that is asked for records before it has started, as it accepts calls a little earlier.
+func TestNodeThatHasNotStartedServesNoRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t)
+		defer sim.close()
+		g := New(Options{}, Dependencies{Store: sim.store.ClientFor("new"), OperatorTopic: "operators", Events: eventlog.Discard(),
+			Now: func() keyrange.Instant { return 0 }})
+		var reads sync.WaitGroup
+		reads.Go(func() {
+			if _, err := g.ReadTopic(t.Context(), feed.Request{Topic: "operators", From: -1, Wait: time.Second}); problem.KindOf(err) != problem.Overloaded {
+				t.Errorf("got %v", err)
+			}
+		})
+		g.topicReaders = nil
+		reads.Wait()
+	})
+}
