--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -26,6 +26,10 @@
 	stoppingSince time.Time
 	// storedRecord is the record that the store held when it was last read.
 	storedRecord registry.Member
+	// feedFailures counts the failures in a row of the peer as a feed, and feedRetryAt is when it may be used as one
+	// again.
+	feedFailures int
+	feedRetryAt  time.Time
 	// seenInSnapshot is set for the peers whose records are in the snapshot that is being applied.
 	seenInSnapshot bool
 }
@@ -40,6 +44,8 @@
 	removed          map[string]bool
 	synced           bool
 	applyingSnapshot bool
+	// firstSync happens with the first completed read.
+	firstSync signal
 	// readEnd is the end offset of the topic up to which the records are read.
 	readEnd int64
 	limits  RetryLimits
@@ -47,7 +53,7 @@
 }
 
 func newMemberTable(self Self, limits RetryLimits) *memberTable {
-	return &memberTable{mu: lockorder.New(lockorder.Members), self: self, peers: map[string]*peer{}, removed: map[string]bool{},
+	return &memberTable{mu: lockorder.New(lockorder.Members), firstSync: newSignal(), self: self, peers: map[string]*peer{}, removed: map[string]bool{},
 		limits: limits, budgets: map[string]*retry.Budget{}}
 }
 
@@ -81,6 +87,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.synced, t.readEnd = true, readEnd
+	t.firstSync.set()
 	if !t.applyingSnapshot {
 		return
 	}
@@ -113,6 +120,7 @@
 	}
 	if m.Incarnation != p.Incarnation {
 		p.stoppingSince = time.Time{}
+		p.feedFailures, p.feedRetryAt = 0, time.Time{}
 	}
 	if m.Stopping && p.stoppingSince.IsZero() {
 		p.stoppingSince = time.Now()
--- a/internal/node/path_delay_test.go
+++ b/internal/node/path_delay_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
@@ -39,6 +40,11 @@
 	return registry.Page{}, nil
 }
 
+// ReadTopic implements node.RouterService.
+func (*recordingRouter) ReadTopic(context.Context, feed.Request) (feed.Answer, error) {
+	return feed.Answer{}, nil
+}
+
 // find returns the arrival of the request with the id.
 func (r *recordingRouter) find(id string) (arrival, bool) {
 	r.mu.Lock()
