End the delay of a test relay for the data that it holds back too

TestStopAwaitsAnswerToAnotherNode failed in 2 of 6 runs of its package with -race beside other work: "connection is silent while the peer answers on another one".

Cause: the test removed the delay of 4 s, which held for data that arrived from then on. For up to 4 s new connections worked while the open one was silent, as with a dead connection, and the client rightly gave it up. The test means a path that recovers.

Change: EndDelay forwards what is held back as well.

--- a/internal/daemon/node_stop_test.go
+++ b/internal/daemon/node_stop_test.go
@@ -233,7 +233,7 @@
 	}()
 	await(t, "the node to leave", func() bool { return stopping.log.countEvents("left") > 0 })
 	<-time.After(lingerTime + 300*time.Millisecond)
-	relay.Delay(0, 0)
+	relay.EndDelay()
 	if got := <-results; got.err != nil || got.answer.Outcome != request.Done || len(got.answer.Body) != len(body) {
 		t.Errorf("got %v %q with %d bytes, error %v; want the answer of the backend server with %d bytes",
 			got.answer.Outcome, got.answer.Reason, len(got.answer.Body), got.err, len(body))
--- a/internal/fake/relay.go
+++ b/internal/fake/relay.go
@@ -20,6 +20,8 @@
 	target   string
 	// delayToTarget and delayToClient are the delays of data on all connections, in nanoseconds.
 	delayToTarget, delayToClient atomic.Int64
+	// delayEnded is closed by EndDelay.
+	delayEnded chan struct{}
 	// goroutines counts the running goroutines of the relay.
 	goroutines sync.WaitGroup
 
@@ -48,6 +50,8 @@
 	from, to net.Conn
 	// delay is shared by all connections.
 	delay *atomic.Int64
+	// delayEnded is closed when the relay forwards all data at once.
+	delayEnded <-chan struct{}
 	// done is closed with the relay.
 	done chan struct{}
 
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target}
+	r := &Relay{listener: listener, target: target, delayEnded: make(chan struct{})}
 	r.goroutines.Add(1)
 	go r.accept()
 	return r, nil
@@ -97,8 +101,8 @@
 // startConnection starts to copy in both directions, or closes the connections if the relay is closed.
 func (r *Relay) startConnection(client, target net.Conn) {
 	c := &relayConnection{
-		toTarget: newRelayDirection(client, target, &r.delayToTarget),
-		toClient: newRelayDirection(target, client, &r.delayToClient),
+		toTarget: newRelayDirection(client, target, &r.delayToTarget, r.delayEnded),
+		toClient: newRelayDirection(target, client, &r.delayToClient, r.delayEnded),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -120,6 +124,10 @@
 	r.delayToClient.Store(int64(toClient))
 }
 
+// EndDelay forwards all data without delay from now on, also what is held back. A path that recovers keeps no data back that
+// other connections overtake. EndDelay is called at most once.
+func (r *Relay) EndDelay() { close(r.delayEnded) }
+
 // Silence stops forwarding on all open connections in the chosen directions. Data and the end of a stream are held back
 // until Resume.
 func (r *Relay) Silence(toTarget, toClient bool) {
@@ -179,8 +187,8 @@
 	r.goroutines.Wait()
 }
 
-func newRelayDirection(from, to net.Conn, delay *atomic.Int64) *relayDirection {
-	d := &relayDirection{from: from, to: to, delay: delay, done: make(chan struct{}), bytesUntilStall: -1}
+func newRelayDirection(from, to net.Conn, delay *atomic.Int64, delayEnded <-chan struct{}) *relayDirection {
+	d := &relayDirection{from: from, to: to, delay: delay, delayEnded: delayEnded, done: make(chan struct{}), bytesUntilStall: -1}
 	d.changed = sync.NewCond(&d.mu)
 	return d
 }
@@ -239,6 +247,8 @@
 	select {
 	case <-timer.C:
 		return true
+	case <-d.delayEnded:
+		return true
 	case <-d.done:
 		return false
 	}
