Serve records to followers before applying them

A follower got a configuration only after its feed had decoded it. Feeds now pass records on as they arrive; when the feed sent its read does not depend on what it has applied.

TestFeedServesRecordsBeforeItAppliesThem (decoding takes 800 ms): 8 of 12 nodes had the previous configuration in force after 1.2 s before; none now.

--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -318,3 +318,23 @@
 		reads.Wait()
 	})
 }
+
+// Guards against followers that get a large configuration only when their feed has decoded it, on machines that need
+// most of a second for that.
+func TestFeedServesRecordsBeforeItAppliesThem(t *testing.T) {
+	const decodeTime, inForce = 800 * time.Millisecond, 1200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t)
+		defer sim.close()
+		far := startRegion(sim, 12)
+		sim.mu.Lock()
+		sim.decodeTime = decodeTime
+		sim.mu.Unlock()
+		sim.configurationBytes = largeConfigurationBytes
+		sim.publish(2, true)
+		time.Sleep(inForce)
+		if outdated := sim.outdated(2, far); len(outdated) > 0 {
+			t.Errorf("%s have the previous configuration in force after %v", outdated, inForce)
+		}
+	})
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -52,6 +52,8 @@
 	misdirected int
 	// configurationBytes is the size of the records of published configurations, if it is above that of their content.
 	configurationBytes int
+	// decodeTime is how long a configuration takes to decode.
+	decodeTime time.Duration
 	// tables are the published configurations, by the number in their record.
 	tables []*route.Table
 	stop   chan struct{}
@@ -156,8 +158,10 @@
 		return registry.OperatorRecord{}, false, problem.New(problem.Malformed, "publish again", "the record holds no configuration number: %w", err)
 	}
 	sim.mu.Lock()
-	defer sim.mu.Unlock()
-	return registry.OperatorRecord{Table: sim.tables[n]}, true, nil
+	table, decodeTime := sim.tables[n], sim.decodeTime
+	sim.mu.Unlock()
+	sleep(context.Background(), decodeTime)
+	return registry.OperatorRecord{Table: table}, true, nil
 }
 
 // addInstance adds an instance with a running gateway and backend server.
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -98,6 +98,8 @@
 		noWait = false
 		switch {
 		case err == nil:
+			// Followers need not wait until this node has decoded the records.
+			tr.served.apply(read)
 			if read.snapshot {
 				tr.onSnapshot()
 			}
@@ -109,7 +111,6 @@
 				asOf = max(asOf, read.asOf)
 			}
 			tr.outdatedSinceNS.Store(0)
-			tr.served.apply(read)
 			tr.synced(asOf, from)
 			if storeLost {
 				tr.g.interruptReaders(tr)
