Time a request to a stopping node by the node in its test

TestRequestOnItsWayToStoppingNodeIsRefused failed in two of five runs with -race beside other work: once "got not-run no_server", as the node still accepted requests, once "the node stopped 205 ms after the last request", as the request arrived after the end of the wait.

Cause: the request was released at a fixed time, 300 ms after the node should have stopped accepting and 200 ms before the end of its wait, and a busy machine is late by more than that.

The request is released now when the node refuses another request as stopping.

--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -65,7 +65,6 @@
 	d, stopServing := startDaemon(t, "127.0.0.1:1")
 	defer d.close(stopServing)
 	ended := make(chan time.Time, 1)
-	began := time.Now()
 	go func() {
 		if !d.drain() {
 			t.Error("the node stopped while it ran requests")
@@ -86,19 +85,27 @@
 		err    error
 	}
 	results := make(chan result, 1)
-	dispatch := func(id string) {
-		answer, err := client.Dispatch(context.Background(), relay.Address(), routed.Request{ID: id, Service: "orders", Idempotent: true, Deadline: time.Now().Add(2 * time.Second)}, nil)
-		results <- result{answer, err}
+	dispatch := func(id, address string) (routed.Answer, error) {
+		return client.Dispatch(context.Background(), address, routed.Request{ID: id, Service: "orders", Idempotent: true, Deadline: time.Now().Add(2 * acceptTime)}, nil)
 	}
-	<-time.After(time.Until(began.Add(acceptTime - 200*time.Millisecond)))
 	// The connection that this request opens is used for the next one.
-	dispatch("first")
-	if r := <-results; r.err != nil {
-		t.Fatal(r.err)
+	if _, err := dispatch("first", relay.Address()); err != nil {
+		t.Fatal(err)
 	}
 	relay.Silence(true, false)
-	go dispatch("second")
-	<-time.After(time.Until(began.Add(acceptTime + 300*time.Millisecond)))
+	go func() {
+		answer, err := dispatch("second", relay.Address())
+		results <- result{answer, err}
+	}()
+	// The node refuses requests as stopping from when it has stopped accepting them.
+	for refused := false; !refused; {
+		<-time.After(20 * time.Millisecond)
+		answer, err := dispatch("other", d.settings.NodesAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		refused = answer.Reason == request.Stopping
+	}
 	relay.Resume()
 	arrived := time.Now()
 	if r := <-results; r.err != nil || r.answer.Outcome != request.NotRun || r.answer.Reason != request.Stopping {
