--- a/internal/daemon/node_stop_test.go
+++ b/internal/daemon/node_stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
@@ -49,17 +48,6 @@
 	client      *caller.Client
 }
 
-// unusedAddress returns a loopback address on which nothing listens.
-func unusedAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // startLog starts a log with testConfiguration and returns its URL.
 func startLog(t *testing.T) *url.URL {
 	t.Helper()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -22,17 +22,6 @@
 // acceptTime is how long a stopping node still accepts requests; see gateway.PrepareStop.
 const acceptTime = 2500 * time.Millisecond
 
-// freeAddress returns an address of the loopback interface that is not in use.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // startDaemon starts a gateway and returns it and what stops its server for other nodes.
 func startDaemon(t *testing.T, backendAddress string) (d *gatewayDaemon, stopServing func()) {
 	t.Helper()
