--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,8 @@
 //
 // Work runs on four pools: jobs of the ingress pool route a request and wait for its answer, jobs of the pool for second
 // sends do so for a request whose first send is silent, jobs of the backend pool make one exchange with the backend
-// server, and jobs of the control pool keep the records and the ownership of keys up to date. One reader for each topic blocks in a long poll of the store.
+// server, and jobs of the control pool keep the records and the ownership of keys up to date. One reader for each topic
+// blocks in a long poll of the store or of another node.
 package gateway
 
 import (
