--- /dev/null
+++ b/internal/gateway/simulation_peers_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"heatherreel/internal/feed"
+	"heatherreel/internal/node"
+	"heatherreel/internal/problem"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/routed"
+)
+
+// peers calls the other instances, as seen from one instance.
+type peers struct {
+	sim  *simulation
+	from string
+}
+
+// reach returns the gateway at an address, or the error of a connection that cannot be opened.
+func (p *peers) reach(ctx context.Context, address string) (*Gateway, error) {
+	p.sim.mu.Lock()
+	inst := p.sim.instances[address]
+	disconnected := p.sim.disconnected[address] || p.sim.disconnected[p.from]
+	var g *Gateway
+	if inst != nil {
+		g = inst.gateway
+	}
+	p.sim.mu.Unlock()
+	if disconnected {
+		sleep(ctx, 300*time.Millisecond)
+	}
+	if disconnected || g == nil {
+		return nil, problem.New(problem.NotSent, "check the node", "cannot connect to %s", address)
+	}
+	return g, nil
+}
+
+// Dispatch implements Peers.
+func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return routed.Answer{}, err
+	}
+	p.sim.mu.Lock()
+	if p.sim.onDispatch != nil {
+		p.sim.onDispatch(address, r)
+	}
+	refusal, network, overNetwork := p.sim.refusals[address], p.sim.network, p.sim.dispatchOverNetwork
+	p.sim.mu.Unlock()
+	switch {
+	case network != nil:
+		return network.dispatch(ctx, p.from, address, r, onSilent)
+	case overNetwork != nil:
+		return overNetwork(ctx, address, r, onSilent)
+	case refusal != "":
+		return routed.NotRun(refusal, 0), p.delayAnswer(ctx, address, r, onSilent)
+	}
+	answer := g.Dispatch(ctx, r, node.DispatchProgress{})
+	if err := p.delayAnswer(ctx, address, r, onSilent); err != nil {
+		return routed.Answer{}, err
+	}
+	p.sim.mu.Lock()
+	defer p.sim.mu.Unlock()
+	if address == p.sim.silentAfterRun {
+		p.sim.disconnected[address] = true
+		return routed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s stopped responding", address)
+	}
+	return answer, nil
+}
+
+// silenceLimit is the time without data after which a path counts as silent.
+const silenceLimit = 700 * time.Millisecond
+
+// delayAnswer waits as long as the path from the instance at address delays its answers.
+func (p *peers) delayAnswer(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) error {
+	p.sim.mu.Lock()
+	delay, state := p.sim.answerDelays[address], node.PeerSilent
+	if p.sim.deadConnections[address] > 0 {
+		p.sim.deadConnections[address]--
+		delay, state = time.Hour, node.PeerAnswers
+	}
+	p.sim.mu.Unlock()
+	repeated := r.Repetition == routed.RepeatedElsewhere || r.Repetition == routed.RepeatedAtOwner && state == node.PeerAnswers
+	if delay > silenceLimit && repeated && onSilent != nil {
+		sleep(ctx, silenceLimit)
+		delay -= silenceLimit
+		onSilent(state)
+	}
+	if !sleep(ctx, delay) {
+		return problem.New(problem.Unavailable, "check the node", "no answer of %s: %w", address, ctx.Err())
+	}
+	return nil
+}
+
+// Probe implements Peers.
+func (p *peers) Probe(ctx context.Context, address string, rangesEnd int64) (string, routed.Load, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return "", routed.Load{}, err
+	}
+	instance, load := g.Probe(rangesEnd)
+	return instance, load, nil
+}
+
+// StoreCall implements Peers.
+func (p *peers) StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return registry.Page{}, err
+	}
+	return g.StoreCall(ctx, c)
+}
+
+// feedSilenceLimit is the time without an answer after which a connection to a silent feed is given up, in addition to
+// the wait.
+const feedSilenceLimit = 300 * time.Millisecond
+
+// ReadTopic implements Peers.
+func (p *peers) ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error) {
+	g, err := p.reach(ctx, address)
+	if err != nil {
+		return feed.Answer{}, err
+	}
+	p.sim.mu.Lock()
+	silent, delay := p.sim.silentFeeds[address], p.sim.topicDelay
+	p.sim.mu.Unlock()
+	if silent {
+		sleep(ctx, r.Wait+feedSilenceLimit)
+		return feed.Answer{}, problem.New(problem.Unavailable, "check the node", "the connection to %s is silent", address)
+	}
+	if delay == nil {
+		return g.ReadTopic(ctx, r)
+	}
+	sleep(ctx, delay())
+	answer, err := g.ReadTopic(ctx, r)
+	sleep(ctx, delay())
+	return answer, err
+}
