End polls of a feed that only other topics still use

What callers would see: a node routes by member records that are up to 10 s old, if the node through which it reads them has failed without a reset.

Cause: each topic is read through the feed that was chosen when its poll began. A reader that notices a failed feed ends the polls of the other topics there, but after failures the reader of the operators' topic, whose polls are the shortest, can be at another feed; a poll of the members then waits for its whole 10.6 s.

Ruled out: a poll that begins between the failure of its feed and the end of the polls there: with a check for that 17 of 400 runs failed.

Evidence: TestFailedFeedDelaysNothing/store_does_not_answer failed once in a run of the package with -race, and in 10 of at most 300 repeats ("far-9 has the record of backend server ..., not of ..."); a log of the reads showed the poll from 0.878 to 11.478 s, while the operators' topic was read through others.

Change: whenever the operators' topic is about to be read, polls of other topics at another feed are ended; they are read from the store at once and then through the same feed. 300 repeats of the case and 25 of the test passed.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -276,9 +276,22 @@
 	}
 }
 
+// endPollsOfOtherFeeds ends the polls of topics that are read through another feed than the operators' topic, whose polls are
+// the shortest: its reader notices that a feed has failed, but that of another topic would wait for its whole poll timeout.
+func (g *Gateway) endPollsOfOtherFeeds(instance string) {
+	for _, tr := range g.topicReaders {
+		if p := tr.poll.Load(); p != nil && p.feed != "" && p.feed != instance && p.transfer.Received() == 0 {
+			p.cancel()
+		}
+	}
+}
+
 // chooseFeed returns the feed for the next read; found is false if the node reads from the store.
 func (tr *topicReader) chooseFeed() (f registry.Member, found bool) {
 	f, found = tr.g.members.feed(time.Now())
+	if tr.topic == tr.g.deps.OperatorTopic {
+		tr.g.endPollsOfOtherFeeds(f.Instance)
+	}
 	if !tr.served.setSource(f.Instance, time.Now()) {
 		return f, found
 	}
