Grant keys by calls where the platform asks for them

Change: what may be held until when is package keyhold, without I/O or clock; it serves both ways of a grant. The gateway schedules renewals and releases on a pool of their own. platform/backend makes the calls on connections that lead to one incarnation. The setting grant_delivery names the way. A table that was computed while a reply to a heartbeat was delayed could be written although the reply granted keys of it: the grant is now announced before the grantable ranges are read.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -69,6 +69,8 @@
 	store    *store.Client
 	peers    *node.Client
 	backend  *backend.Client
+	// keyCalls is nil if keys are granted in the replies to heartbeats.
+	keyCalls *backend.KeyCalls
 
 	requestServers requestServers
 	servers        []*http.Server
@@ -187,15 +189,20 @@
 	if d.tracing, err = telemetry.NewTracing(output, s.TraceRatio, identity); err != nil {
 		return nil, err
 	}
+	dependencies := gateway.Dependencies{
+		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorRecord,
+		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Tracing: d.tracing, Now: bootClock,
+	}
+	if s.GrantDelivery == settings.GrantsDirect {
+		d.keyCalls = backend.NewKeyCalls()
+		dependencies.KeyCalls = d.keyCalls
+	}
 	d.gateway = gateway.New(gateway.Options{
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
 		Limits: gatewayLimits(s),
-	}, gateway.Dependencies{
-		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorRecord,
-		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Tracing: d.tracing, Now: bootClock,
-	})
+	}, dependencies)
 	return d, nil
 }
 
@@ -292,6 +299,9 @@
 	}
 	d.store.Close()
 	d.backend.CloseIdleConnections()
+	if d.keyCalls != nil {
+		d.keyCalls.Close()
+	}
 	d.serveLoops.Wait()
 	d.events.Flush()
 }
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -233,6 +233,11 @@
 	KeysVacated = define(Event{Number: 417, Name: "keys_vacated", Level: zerolog.WarnLevel, PerSecond: peerRate,
 		Text:   "the backend server of this node ended or stopped sending heartbeats; its keys get other owners",
 		Remedy: "check the backend server on this instance"})
+	KeyCallFailed = define(Event{Number: 418, Name: "key_call_failed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "a call that grants or releases keys was not sent, got no answer, or was refused since the backend server has seen a higher fence; the node calls again, and keys that the call may have granted move only after that grant has expired",
+		Remedy: "if this repeats, check the backend server on this instance"})
+	KeysReleased = define(Event{Number: 419, Name: "keys_released", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "the backend server of this node has released keys that move to another instance"})
 )
 
 // decisionRate limits each event that records what was decided on a request, in events per second. Under overload,
--- a/internal/gateway/disconnect_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -65,7 +65,7 @@
 			s := sim.instances["k0"].gateway.server
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.grantsExpireAt = 0
+			s.holds.Retain(nil)
 			return func() {}
 		}, owner("k0", "keyed")},
 		"for a backend server": {func(_ *testing.T, sim *simulation) func() {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -53,8 +53,21 @@
 	return answer
 }
 
-// admit waits for the key and for a slot, and then runs the request.
+// admit runs the request at the backend server. If that refuses a key that it was granted, because a grant that was lost
+// earlier has taken effect late and shortened the hold, the key is granted again and the request sent once more.
 func (g *Gateway) admit(ctx context.Context, r routed.Request, p *progressReporter) routed.Answer {
+	answer := g.admitOnce(ctx, r, p)
+	if answer.Reason != request.BackendChanged || !r.Keyed || !g.grantsByCalls() || !g.server.dropHold(r.Key, g.deps.Now()) {
+		return answer
+	}
+	g.grantTrigger.Fire()
+	answer = g.admitOnce(ctx, r, p)
+	answer.ReachedServer = true
+	return answer
+}
+
+// admitOnce waits for the key and for a slot, and then runs the request.
+func (g *Gateway) admitOnce(ctx context.Context, r routed.Request, p *progressReporter) routed.Answer {
 	if r.ArriveWithin > 0 && r.Delay > r.ArriveWithin {
 		return g.refuse(r, request.PathSlow)
 	}
@@ -91,7 +104,7 @@
 func (t *serverTracker) holdsKey(key uint16, now keyrange.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.holdsKeyLocked(key, now)
+	return t.holds.Usable(key, now)
 }
 
 // countRequest counts a request for a key.
@@ -150,7 +163,7 @@
 		return request.NotConfigured
 	case g.server.drainUntil > 0 && now >= g.server.drainUntil:
 		return request.Draining
-	case (g.server.lastHeartbeat.Draining || g.server.ended) && !(r.Keyed && g.server.holdsKeyLocked(r.Key, now)):
+	case (g.server.lastHeartbeat.Draining || g.server.ended) && !(r.Keyed && g.server.holds.Usable(r.Key, now)):
 		return request.Draining
 	}
 	return ""
@@ -179,7 +192,7 @@
 	defer timeout.Stop()
 	for {
 		g.server.mu.Lock()
-		held, rangesChanged := g.server.holdsKeyLocked(r.Key, g.deps.Now()), g.server.rangesChanged
+		held, rangesChanged := g.server.holds.Usable(r.Key, g.deps.Now()), g.server.rangesChanged
 		g.server.mu.Unlock()
 		if held {
 			return ""
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -58,7 +58,12 @@
 
 // randomFaults injects faults into a fleet with the number of keyed instances.
 func randomFaults(t *testing.T, random *rand.Rand, keyed int) {
-	sim := startFleetOf(t, keyed)
+	startFleetOf(t, keyed).runRandomFaults(random, keyed)
+}
+
+// runRandomFaults injects faults while requests arrive, and closes the simulation.
+func (sim *simulation) runRandomFaults(random *rand.Rand, keyed int) {
+	t := sim.t
 	defer sim.close()
 	sim.publish(2, false)
 	time.Sleep(time.Second)
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -23,6 +23,12 @@
 // startFleetOf starts instances of the keyed service, and two of the service without keys, in two regions.
 func startFleetOf(t *testing.T, keyed int) *simulation {
 	sim := newSimulation(t)
+	sim.startFleet(keyed)
+	return sim
+}
+
+// startFleet starts instances of the keyed service, and two of the service without keys, in two regions.
+func (sim *simulation) startFleet(keyed int) {
 	sim.publish(1, true)
 	for i := range keyed {
 		sim.addInstance(fmt.Sprintf("k%d", i), "keyed", fmt.Sprintf("r%d", i%2+1))
@@ -30,7 +36,6 @@
 	sim.addInstance("f0", "free", "r1")
 	sim.addInstance("f1", "free", "r2")
 	time.Sleep(fleetSettleTime)
-	return sim
 }
 
 // inVirtualTime runs a scenario in virtual time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,9 +5,10 @@
 // All limits of a backend server (its slots, draining, evacuation, the request rate while it is cold, the keys that it
 // holds) are therefore enforced at its own node; ingress nodes only choose among nodes.
 //
-// Work runs on four pools: jobs of the ingress pool route a request and wait for its answer, jobs of the pool for second
+// Work runs on several pools: jobs of the ingress pool route a request and wait for its answer, jobs of the pool for second
 // sends do so for a request whose first send is silent, jobs of the backend pool make one exchange with the backend
-// server, and jobs of the control pool keep the records and the ownership of keys up to date. One reader for each topic
+// server, jobs of the control pool keep the records and the ownership of keys up to date, and jobs of the pool for grants
+// make the calls that grant and release keys. One reader for each topic
 // blocks in a long poll of the store or of another node.
 package gateway
 
@@ -20,6 +21,7 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/feed"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
@@ -86,6 +88,13 @@
 	CloseIdleConnections()
 }
 
+// KeyCalls grants keys to the local backend server, and releases them, by calls.
+type KeyCalls interface {
+	// Grant sends one grant, and Release one release. The release is answered when the requests for the keys have ended.
+	Grant(ctx context.Context, c keyhold.Call) keyhold.Reply
+	Release(ctx context.Context, c keyhold.Call) keyhold.Reply
+}
+
 // Peers calls the nodes of other instances.
 type Peers interface {
 	// Dispatch sends a request to a node. It calls onSilent, unless that is nil, once the request should be sent to another
@@ -111,9 +120,11 @@
 	DecodeOperator func(registry.Record) (decoded registry.OperatorRecord, ok bool, err error)
 	Peers          Peers
 	Backend        Backend
-	Events         *eventlog.Logger
-	Metrics        *telemetry.Metrics
-	Tracing        *telemetry.Tracing
+	// KeyCalls grants keys by calls. If it is nil, keys are granted in the replies to heartbeats.
+	KeyCalls KeyCalls
+	Events   *eventlog.Logger
+	Metrics  *telemetry.Metrics
+	Tracing  *telemetry.Tracing
 	// Now reads a clock that counts the time during which the machine is suspended.
 	Now func() keyrange.Instant
 }
@@ -146,6 +157,10 @@
 	secondSendPool   *worker.Pool
 	controlPool      *worker.Pool
 	reconcileTrigger *worker.Trigger
+	// grantPool makes the calls that grant and release keys, and grantTrigger runs scheduleKeyCalls on it; both are nil if
+	// keys are granted in the replies to heartbeats.
+	grantPool    *worker.Pool
+	grantTrigger *worker.Trigger
 	// slowdownTrigger runs pollSlowdown, which queries whether the machine of the backend server is still slow.
 	slowdownTrigger *worker.Trigger
 	// reconciled belongs to the reconcile job.
@@ -224,6 +239,11 @@
 	g.controlPool = worker.NewPool("control", controlWorkers, controlQueue)
 	g.reconcileTrigger = worker.NewTrigger(g.controlPool, g.reconcile)
 	g.slowdownTrigger = worker.NewTrigger(g.controlPool, g.pollSlowdown)
+	if g.grantsByCalls() {
+		g.grantPool = worker.NewPool("grants", 1+maxGrantCalls+maxReleaseCalls, grantQueue)
+		g.grantTrigger = worker.NewTrigger(g.grantPool, g.scheduleKeyCalls)
+		g.server.assumeEarlierGrants(g.deps.Now())
+	}
 	g.events.Emit(eventlog.Started)
 	g.topicReaders = []*topicReader{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, batchDelay: func() time.Duration { return 0 }, onSnapshot: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
@@ -321,6 +341,10 @@
 	g.readerGoroutines.Wait()
 	g.reconcileTrigger.Stop()
 	g.slowdownTrigger.Stop()
+	if g.grantsByCalls() {
+		g.grantTrigger.Stop()
+		g.grantPool.Stop()
+	}
 	g.ingressPool.Stop()
 	g.secondSendPool.Stop()
 	g.controlPool.Stop()
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/lockorder"
 	"heatherreel/internal/operator"
@@ -140,6 +141,13 @@
 	return t.lease.Hold(now)
 }
 
+// callHold returns for how long a grant by a call that is sent now may last; zero if none may be sent.
+func (t *rangeTable) callHold(now keyrange.Instant) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lease.HoldWithin(now, keyhold.MaxHold, keyhold.CallTimeout)
+}
+
 // currentEnd returns the end offset up to which the tables are read.
 func (t *rangeTable) currentEnd() int64 {
 	t.mu.Lock()
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -9,6 +9,7 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
@@ -267,7 +268,10 @@
 			changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
 		}
 	}
-	t.DropTokens(owner, g.server.reportsHolding)
+	for _, refused := range g.server.refusedSpans() {
+		changed = t.RaiseFence(owner, refused.From, refused.To, refused.Fence) || changed
+	}
+	t.DropTokens(owner, g.hasTaken)
 	for _, r := range g.server.releasableRanges(t.Outgoing(g.self.Instance), now) {
 		changed = t.HandOver(g.self.Instance, r.From, r.To, r.HandoverToken, func(instance string) (keyrange.Owner, bool) {
 			return g.nextOwner(instance, candidates)
@@ -325,9 +329,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastHeartbeat.Server == "" {
-		return time.Since(started) > heartbeatTimeout+keyrange.MaxHold
+		return time.Since(started) > heartbeatTimeout+max(keyrange.MaxHold, keyhold.MaxHold)
 	}
-	return !slices.ContainsFunc(t.outstandingGrants, func(g outstandingGrant) bool { return now < g.expiresAt })
+	return t.holds.HoldsNothing(now)
 }
 
 // isDraining reports whether the backend server drains or has ended.
@@ -338,28 +342,13 @@
 }
 
 // releasableRanges returns the parts of the outgoing ranges that the backend server no longer holds or works on, with
-// the handover tokens that it gave for them. Parts that it may still hold by an earlier reply are left out.
-func (t *serverTracker) releasableRanges(outgoing []keyrange.Range, now keyrange.Instant) []heartbeat.Freed {
+// the handover tokens that it gave for them.
+func (t *serverTracker) releasableRanges(outgoing []keyrange.Range, now keyrange.Instant) []keyhold.Released {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// A token is kept until the table shows that its range has left, since the write that passes it on may fail.
-	t.released = slices.DeleteFunc(t.released, func(f heartbeat.Freed) bool {
-		return !slices.ContainsFunc(outgoing, func(r keyrange.Range) bool { return r.Overlaps(f.From, f.To) })
+	return t.holds.Releasable(outgoing, now, func(from, to uint16) bool {
+		return slices.ContainsFunc(t.lastHeartbeat.Holds, func(h heartbeat.Held) bool { return h.From <= to && from <= h.To })
 	})
-	var releasable []heartbeat.Freed
-	for _, f := range t.released {
-		for _, r := range outgoing {
-			if r.Overlaps(f.From, f.To) && !t.mayHold(max(r.From, f.From), min(r.To, f.To), now) {
-				releasable = append(releasable, heartbeat.Freed{From: max(r.From, f.From), To: min(r.To, f.To), HandoverToken: f.HandoverToken})
-			}
-		}
-	}
-	for _, r := range outgoing {
-		if !t.mayHold(r.From, r.To, now) && !overlapsAny(r, releasable) {
-			releasable = append(releasable, heartbeat.Freed{From: r.From, To: r.To})
-		}
-	}
-	return releasable
 }
 
 // reportsHolding reports whether the last heartbeat says that the backend server holds all keys of a range under its
@@ -370,21 +359,6 @@
 	return slices.ContainsFunc(t.lastHeartbeat.Holds, func(h heartbeat.Held) bool { return h.From <= r.From && r.To <= h.To && h.Fence == r.Fence })
 }
 
-// overlapsAny reports whether any of the released ranges overlaps r. The rest of such a range is handed over only after
-// the table has changed.
-func overlapsAny(r keyrange.Range, released []heartbeat.Freed) bool {
-	return slices.ContainsFunc(released, func(f heartbeat.Freed) bool { return r.Overlaps(f.From, f.To) })
-}
-
-// mayHold reports whether the backend server may hold a key in [from, to]: a grant for it may still be in force, or the
-// last heartbeat reported it. The caller holds mu.
-func (t *serverTracker) mayHold(from, to uint16, now keyrange.Instant) bool {
-	if slices.ContainsFunc(t.outstandingGrants, func(g outstandingGrant) bool { return now < g.expiresAt && g.Overlaps(from, to) }) {
-		return true
-	}
-	return slices.ContainsFunc(t.lastHeartbeat.Holds, func(h heartbeat.Held) bool { return h.From <= to && from <= h.To })
-}
-
 // probeState belongs to the probe job, which never runs twice at once.
 type probeState struct {
 	// instance is the instance that was probed last, and failures the number of its consecutive failed probes.
--- a/internal/gateway/release_test.go
+++ b/internal/gateway/release_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 )
 
@@ -19,10 +20,10 @@
 	outgoing := []keyrange.Range{{From: 100, To: 199, Fence: 3, Next: "other"}}
 	tracker := newServerTracker()
 	tracker.applyHeartbeat(newMessage(1), at(0), time.Second)
-	tracker.recordGrant([]keyrange.Range{{From: 0, To: 199, Fence: 3}}, keyrange.HoldExpiry(at(0), hold), at(700*time.Millisecond))
+	tracker.recordGrant([]keyhold.Span{{From: 0, To: 199, Fence: 3}}, keyrange.HoldExpiry(at(0), hold), at(700*time.Millisecond))
 	// This heartbeat was sent before the reply to the first one arrived. Its own reply takes the keys away.
 	tracker.applyHeartbeat(newMessage(2), at(870*time.Millisecond), time.Second)
-	tracker.recordGrant([]keyrange.Range{{From: 0, To: 99, Fence: 3}}, keyrange.HoldExpiry(at(870*time.Millisecond), hold), at(880*time.Millisecond))
+	tracker.recordGrant([]keyhold.Span{{From: 0, To: 99, Fence: 3}}, keyrange.HoldExpiry(at(870*time.Millisecond), hold), at(880*time.Millisecond))
 	if releasable := tracker.releasableRanges(outgoing, at(900*time.Millisecond)); len(releasable) != 0 {
 		t.Errorf("%v counts as released", releasable)
 	}
@@ -31,7 +32,7 @@
 	}
 	// The backend server reports the release itself.
 	released := newMessage(3)
-	released.Freed = []heartbeat.Freed{{From: 100, To: 199, HandoverToken: "token"}}
+	released.Freed = []keyhold.Released{{From: 100, To: 199, HandoverToken: "token"}}
 	tracker.applyHeartbeat(released, at(1740*time.Millisecond), time.Second)
 	releasable := tracker.releasableRanges(outgoing, at(1740*time.Millisecond))
 	if len(releasable) != 1 || releasable[0] != released.Freed[0] {
@@ -44,7 +45,7 @@
 	tracker := newServerTracker()
 	start := keyrange.Instant(time.Hour)
 	tracker.applyHeartbeat(heartbeat.Message{Server: "s", StartedUnixMS: 1, Slots: 9, Sequence: 1}, start, time.Second)
-	tracker.recordGrant([]keyrange.Range{{From: 0, To: 99, Fence: 3}}, keyrange.HoldExpiry(start, keyrange.MaxHold), start)
+	tracker.recordGrant([]keyhold.Span{{From: 0, To: 99, Fence: 3}}, keyrange.HoldExpiry(start, keyrange.MaxHold), start)
 	outgoing := []keyrange.Range{{From: 0, To: 99, Fence: 3, Next: "other"}}
 	if releasable := tracker.releasableRanges(outgoing, start.Add(keyrange.MaxHold)); len(releasable) != 0 {
 		t.Errorf("%v counts as released before the grant has expired", releasable)
--- a/internal/gateway/restrictions_test.go
+++ b/internal/gateway/restrictions_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/request"
@@ -88,7 +89,7 @@
 		g.server.mu.Lock()
 		g.server.lastHeartbeat.Draining = true
 		g.server.drainUntil = g.deps.Now().Add(50 * time.Millisecond)
-		g.server.grantedRanges, g.server.grantsExpireAt = []keyrange.Range{r}, g.deps.Now().Add(time.Minute)
+		g.server.holds.GrantByReply(keyhold.Spans([]keyrange.Range{r}), g.deps.Now().Add(time.Minute), g.deps.Now(), g.deps.Now())
 		g.server.mu.Unlock()
 		if a := g.Dispatch(t.Context(), dispatchedRequest("before", 10), node.DispatchProgress{}); a.Outcome != request.Done {
 			t.Errorf("before the end: got %v %q", a.Outcome, a.Reason)
@@ -96,7 +97,7 @@
 		g.server.mu.Lock()
 		g.server.lastHeartbeat.Draining = true
 		g.server.drainUntil = g.deps.Now()
-		g.server.grantedRanges, g.server.grantsExpireAt = []keyrange.Range{r}, g.deps.Now().Add(time.Minute)
+		g.server.holds.GrantByReply(keyhold.Spans([]keyrange.Range{r}), g.deps.Now().Add(time.Minute), g.deps.Now(), g.deps.Now())
 		g.server.mu.Unlock()
 		if a := g.Dispatch(t.Context(), dispatchedRequest("after", 10), node.DispatchProgress{}); a.Reason != request.Draining || sim.runs["after"] != 0 {
 			t.Errorf("after the end: got %v %q, ran %d times", a.Outcome, a.Reason, sim.runs["after"])
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -12,6 +11,7 @@
 	"heatherreel/internal/contention"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyload"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/lockorder"
@@ -50,20 +50,8 @@
 	drainUntil keyrange.Instant
 	// departures holds the departures that backend servers have announced, by server ID.
 	departures map[string]departure
-	// grantedRanges are the ranges of the last reply. The grant ends at grantsExpireAt.
-	grantedRanges  []keyrange.Range
-	grantsExpireAt keyrange.Instant
-	// outstandingGrants are the grants of all replies that may still be in force. A reply may reach the backend server
-	// after it has sent its next heartbeat, so that a heartbeat without a range does not prove that the backend server
-	// holds none of it.
-	outstandingGrants []outstandingGrant
-	// newGrants are those of grantedRanges that the reply before did not grant. The backend server has them from
-	// newGrantsEffectiveAt on.
-	newGrants            []keyrange.Range
-	newGrantsEffectiveAt keyrange.Instant
-	// released are the ranges that the backend server has released, with their handover tokens, until the table shows
-	// that they have left.
-	released []heartbeat.Freed
+	// holds are the keys that were granted to the current incarnation.
+	holds keyhold.Tracker
 	// version grows with each heartbeat and each grant. reconcileRanges compares it to detect a grant that was made
 	// while it computed the next table.
 	version uint64
@@ -95,13 +83,6 @@
 	stored bool
 }
 
-// outstandingGrant is a granted range that the backend server may hold until expiresAt, unless it has reported its
-// release.
-type outstandingGrant struct {
-	keyrange.Range
-	expiresAt keyrange.Instant
-}
-
 // recordDeparture records that a backend server leaves, unless that is known already, and returns the departure. The
 // caller holds mu.
 func (t *serverTracker) recordDeparture(server string, serveUntil keyrange.Instant, learntAt time.Time) departure {
@@ -193,15 +174,6 @@
 	}
 }
 
-// holdsKeyLocked reports whether the last reply granted a key and that grant is in force. The caller holds mu.
-func (t *serverTracker) holdsKeyLocked(key uint16, now keyrange.Instant) bool {
-	covers := func(r keyrange.Range) bool { return r.Overlaps(key, key) }
-	if now >= t.grantsExpireAt || now < t.newGrantsEffectiveAt && slices.ContainsFunc(t.newGrants, covers) {
-		return false
-	}
-	return slices.ContainsFunc(t.grantedRanges, covers)
-}
-
 // Heartbeat processes a heartbeat of the local backend server and returns the ranges that it may hold.
 func (g *Gateway) Heartbeat(m heartbeat.Message) (heartbeat.Reply, error) {
 	if !m.Ended && (m.Service != g.self.Service || m.Address != g.self.BackendAddress) {
@@ -230,10 +202,7 @@
 		}
 	}
 	g.measureSpeed()
-	if !m.Ended && !m.Draining {
-		g.awaitIncomingRanges(m)
-	}
-	return g.grant(m, now), nil
+	return g.grantOnHeartbeat(m, now), nil
 }
 
 // departureTimeout bounds the write of a departure: a reply counts as acknowledgement only within 1 s.
@@ -271,33 +240,6 @@
 	return nil
 }
 
-// maxReplyDelay is how long a reply is delayed while keys are moving to the backend server. A reply counts as
-// acknowledgement only within 1 s. Without the delay the keys would be granted with the next heartbeat, 870 ms later.
-const maxReplyDelay = 700 * time.Millisecond
-
-// awaitIncomingRanges waits until no keys are about to be assigned to the backend server, for at most maxReplyDelay.
-func (g *Gateway) awaitIncomingRanges(m heartbeat.Message) {
-	if !g.serviceKeyed() {
-		return
-	}
-	timeout := time.NewTimer(maxReplyDelay)
-	defer timeout.Stop()
-	for {
-		changed := g.ranges.changes()
-		table, _ := g.ranges.get(g.self.Service)
-		if !table.HasIncoming(keyrange.Owner{Instance: g.self.Instance, Server: m.Server, StartedUnixMS: m.StartedUnixMS}) {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return
-		case <-g.ctx.Done():
-			return
-		}
-	}
-}
-
 // applyHeartbeat records a heartbeat. changed reports whether the state or the incarnation of the backend server
 // changed; accepted is false for a heartbeat of an earlier incarnation and for one that arrives after a later one.
 func (t *serverTracker) applyHeartbeat(m heartbeat.Message, now keyrange.Instant, drainTime time.Duration) (changed, accepted bool) {
@@ -319,7 +261,10 @@
 	case !sameIncarnation && t.lastHeartbeat.Server != "" && m.StartedUnixMS <= t.lastHeartbeat.StartedUnixMS, sameIncarnation && m.Sequence <= t.lastHeartbeat.Sequence:
 		return false, false
 	case !sameIncarnation:
-		t.ended, t.drainUntil, t.grantedRanges, t.grantsExpireAt, t.released, t.outstandingGrants = false, 0, nil, 0, nil, nil
+		t.ended, t.drainUntil = false, 0
+		if t.lastHeartbeat.Server != "" {
+			t.holds.Reset()
+		}
 		t.coldLimiter, t.slowdownMonitor, t.speedProbes = nil, contention.Monitor{}, 0
 		changed = true
 	}
@@ -335,9 +280,9 @@
 	if m.Draining {
 		t.drainUntil = t.recordDeparture(m.Server, now.Add(drainTime), time.Now()).serveUntil
 	}
-	t.released = append(t.released, m.Freed...)
+	t.holds.Heartbeat(now)
 	for _, f := range m.Freed {
-		t.outstandingGrants = withoutReleased(t.outstandingGrants, f)
+		t.holds.Freed(f)
 	}
 	t.setCold(m.ColdFor)
 	return changed, true
@@ -380,75 +325,6 @@
 	return len(table.Outgoing(g.self.Instance)) > 0
 }
 
-// grant returns the ranges that the backend server may hold. It grants nothing without a lease, and nothing to an
-// incarnation that the table does not name as an owner.
-func (g *Gateway) grant(m heartbeat.Message, now keyrange.Instant) heartbeat.Reply {
-	table, _ := g.ranges.get(g.self.Service)
-	if m.Ended || table == nil {
-		return heartbeat.Reply{}
-	}
-	// The reply may have been delayed. The hold counts from the arrival of the heartbeat nevertheless.
-	holdTime := g.ranges.holdTime(now)
-	if holdTime == 0 {
-		g.events.Emit(eventlog.GrantWithheld, eventlog.Name("server", m.Server))
-		return heartbeat.Reply{}
-	}
-	ranges := g.ranges.grantable(keyrange.Owner{Instance: g.self.Instance, Server: m.Server, StartedUnixMS: m.StartedUnixMS}, g.self.Service)
-	if g.server.recordGrant(ranges, keyrange.HoldExpiry(now, holdTime), g.deps.Now()) {
-		g.controlPool.After(grantEffectDelay, g.server.wakeKeyWaiters)
-	}
-	return heartbeat.Reply{Hold: holdTime, Ranges: ranges}
-}
-
-// grantEffectDelay is how long a reply takes to reach the backend server and take effect. The backend server would
-// refuse a request that arrives earlier, since it does not hold the key yet.
-const grantEffectDelay = 15 * time.Millisecond
-
-// recordGrant records the ranges of a reply. It reports whether some of them are new to the backend server.
-func (t *serverTracker) recordGrant(ranges []keyrange.Range, expiresAt, now keyrange.Instant) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	previous := t.grantedRanges
-	if now >= t.grantsExpireAt {
-		previous = nil
-	}
-	t.newGrants = nil
-	for _, r := range ranges {
-		if !slices.ContainsFunc(previous, func(h keyrange.Range) bool { return h.From <= r.From && r.To <= h.To && h.Fence == r.Fence }) {
-			t.newGrants = append(t.newGrants, r)
-		}
-	}
-	t.grantedRanges, t.grantsExpireAt, t.newGrantsEffectiveAt = ranges, expiresAt, now.Add(grantEffectDelay)
-	t.addOutstanding(ranges, expiresAt, now)
-	t.version++
-	return len(t.newGrants) > 0
-}
-
-// addOutstanding adds the grants of a reply to the outstanding ones and drops those that have expired. The caller holds
-// mu.
-func (t *serverTracker) addOutstanding(ranges []keyrange.Range, expiresAt, now keyrange.Instant) {
-	t.outstandingGrants = slices.DeleteFunc(t.outstandingGrants, func(g outstandingGrant) bool { return g.expiresAt <= now })
-	for _, r := range ranges {
-		i := slices.IndexFunc(t.outstandingGrants, func(g outstandingGrant) bool { return g.From == r.From && g.To == r.To })
-		if i < 0 {
-			t.outstandingGrants = append(t.outstandingGrants, outstandingGrant{Range: r, expiresAt: expiresAt})
-			continue
-		}
-		t.outstandingGrants[i].expiresAt = max(t.outstandingGrants[i].expiresAt, expiresAt)
-	}
-}
-
-// withoutReleased returns the grants without the keys of a released range.
-func withoutReleased(grants []outstandingGrant, f heartbeat.Freed) []outstandingGrant {
-	var remaining []outstandingGrant
-	for _, g := range grants {
-		for _, r := range keyrange.Without([]keyrange.Range{g.Range}, f.From, f.To) {
-			remaining = append(remaining, outstandingGrant{Range: r, expiresAt: g.expiresAt})
-		}
-	}
-	return remaining
-}
-
 // wakeKeyWaiters wakes the requests that wait for a key.
 func (t *serverTracker) wakeKeyWaiters() {
 	t.mu.Lock()
@@ -457,8 +333,16 @@
 	t.rangesChanged = make(chan struct{})
 }
 
-// localOwner returns the current incarnation of the local backend server; ok is false if it does not run.
+// localOwner returns the current incarnation of the local backend server; ok is false if it cannot be granted keys.
 func (g *Gateway) localOwner() (o keyrange.Owner, ok bool) {
-	s := g.server.registryServer(g.deps.Now())
-	return keyrange.Owner{Instance: g.self.Instance, Server: s.ID, StartedUnixMS: s.StartedUnixMS}, s.Ready
+	now := g.deps.Now()
+	s := g.server.registryServer(now)
+	return keyrange.Owner{Instance: g.self.Instance, Server: s.ID, StartedUnixMS: s.StartedUnixMS}, s.Ready || g.grantsByCalls() && g.server.servesAfterEnd(now)
+}
+
+// servesAfterEnd reports whether the backend server has announced its end and still serves. Calls reach it then.
+func (t *serverTracker) servesAfterEnd(now keyrange.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended && now < t.drainUntil
 }
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/fake"
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
@@ -65,6 +67,14 @@
 	misdirected int
 	// configurationBytes is the size of the records of published configurations, if it is above that of their content.
 	configurationBytes int
+	// direct is set if keys are granted by calls. orderLoss is the probability that such a call gets no answer and takes
+	// effect lateBy later; orderRandom decides it.
+	direct      bool
+	orderLoss   float64
+	orderRandom *rand.Rand
+	keyCalls    keyCallCounts
+	// reuseServerIDs makes a backend server start again under its former ID.
+	reuseServerIDs bool
 	// decodeTime is how long a configuration takes to decode.
 	decodeTime time.Duration
 	// tables are the published configurations, by the number in their record.
@@ -80,6 +90,8 @@
 	gateway     *Gateway
 	server      *fakeBackendServer
 	incarnation int64
+	// earlierFence is what highestFence was in the earlier incarnations of the backend server.
+	earlierFence [64]uint64
 }
 
 // fakeBackendServer holds the ranges that heartbeat replies grant, by a clock that runs 2% slow.
@@ -89,12 +101,20 @@
 	sequence      int64
 	draining      bool
 	held          map[[2]uint16]heldRange
-	released      []heartbeat.Freed
+	released      []keyhold.Released
 	serviceTime   time.Duration
 	// workFigure is the work figure that it reports; 0 for none.
 	workFigure float64
 	// highestFence is the highest fence under which it has held each 1024th key.
 	highestFence [64]uint64
+	// running are the keys of the requests in progress, and idle is closed and replaced when one of them ends.
+	running []uint16
+	idle    chan struct{}
+	// granted are the spans that calls granted; seen are the highest fences of the spans that it was ever granted.
+	granted []grantedSpan
+	seen    []keyhold.Span
+	// ended is closed when the incarnation ends.
+	ended chan struct{}
 }
 
 type heldRange struct {
@@ -205,10 +225,14 @@
 		sim.t.Fatal(err)
 	}
 	clockOffset := sim.clockOffsets[name]
+	var keyCalls KeyCalls
+	if sim.direct {
+		keyCalls = &simulatedKeyCalls{inst: inst}
+	}
 	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
 		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, MinPerSecond: 1, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
-			Backend: inst, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset) }})
+			Backend: inst, KeyCalls: keyCalls, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset) }})
 	sim.mu.Unlock()
 	g.Start()
 	sim.mu.Lock()
@@ -233,6 +257,10 @@
 	inst := sim.instances[name]
 	s := &fakeBackendServer{id: fmt.Sprintf("s-%s-%d", name, time.Now().UnixMilli()), startedUnixMS: time.Now().UnixMilli(), held: map[[2]uint16]heldRange{},
 		serviceTime: 100 * time.Millisecond}
+	if sim.reuseServerIDs {
+		s.id = "s-" + name
+	}
+	s.ended = make(chan struct{})
 	inst.server = s
 	sim.mu.Unlock()
 	sim.group.Add(1)
@@ -246,7 +274,14 @@
 func (sim *simulation) stopServer(name string) {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
-	sim.instances[name].server = nil
+	inst := sim.instances[name]
+	if s := inst.server; s != nil {
+		for i := range s.highestFence {
+			inst.earlierFence[i] = max(inst.earlierFence[i], s.highestFence[i])
+		}
+		close(s.ended)
+	}
+	inst.server = nil
 }
 
 // sendHeartbeats sends the heartbeats of one incarnation until it ends.
@@ -277,14 +312,11 @@
 	sent := time.Now()
 	sim.mu.Lock()
 	g := inst.gateway
-	s.sequence++
-	m := heartbeat.Message{Server: s.id, Service: inst.self.Service, Address: inst.self.BackendAddress, Draining: s.draining, Slots: 8,
-		StartedUnixMS: s.startedUnixMS, Sequence: s.sequence, Freed: s.released}
-	for span, held := range s.held {
-		if held.until.After(sent) {
-			m.Holds = append(m.Holds, heartbeat.Held{From: span[0], To: span[1], Fence: held.fence})
-		}
+	if inst.server != s {
+		sim.mu.Unlock()
+		return false
 	}
+	m := heartbeatOf(inst)
 	sim.mu.Unlock()
 	if g == nil {
 		return false
@@ -305,13 +337,13 @@
 		return false
 	}
 	kept := map[[2]uint16]heldRange{}
-	for _, r := range reply.Ranges {
+	for _, r := range reply.Spans {
 		kept[[2]uint16{r.From, r.To}] = heldRange{fence: r.Fence, until: sent.Add(reply.Hold * 102 / 100)}
 		sim.checkFence(inst, s, r)
 	}
 	for span, held := range s.held {
-		if _, stays := kept[span]; !stays && held.until.After(sent) && !slices.ContainsFunc(reply.Ranges, func(r keyrange.Range) bool { return r.Overlaps(span[0], span[1]) }) {
-			s.released = append(s.released, heartbeat.Freed{From: span[0], To: span[1], HandoverToken: "from-" + s.id})
+		if _, stays := kept[span]; !stays && held.until.After(sent) && !slices.ContainsFunc(reply.Spans, func(r keyhold.Span) bool { return r.Overlaps(span[0], span[1]) }) {
+			s.released = append(s.released, keyhold.Released{From: span[0], To: span[1], HandoverToken: "from-" + s.id})
 		}
 	}
 	s.held = kept
@@ -319,9 +351,23 @@
 	return len(s.released) > 0
 }
 
+// heartbeatOf returns the next heartbeat of a running backend server.
+func heartbeatOf(inst *simulatedInstance) heartbeat.Message {
+	s := inst.server
+	s.sequence++
+	m := heartbeat.Message{Server: s.id, Service: inst.self.Service, Address: inst.self.BackendAddress, Draining: s.draining, Slots: 8,
+		StartedUnixMS: s.startedUnixMS, Sequence: s.sequence, Freed: s.released}
+	for span, held := range s.held {
+		if held.until.After(time.Now()) {
+			m.Holds = append(m.Holds, heartbeat.Held{From: span[0], To: span[1], Fence: held.fence})
+		}
+	}
+	return m
+}
+
 // checkFence fails the test if a backend server takes a range under a fence that is not above all fences that the other
 // backend servers had for it. It checks each 1024th key.
-func (sim *simulation) checkFence(inst *simulatedInstance, s *fakeBackendServer, r keyrange.Range) {
+func (sim *simulation) checkFence(inst *simulatedInstance, s *fakeBackendServer, r keyhold.Span) {
 	for name, other := range sim.instances {
 		if other == inst || other.server == nil {
 			continue
@@ -335,6 +381,9 @@
 	}
 	for i := int(r.From) / 1024; i <= int(r.To)/1024; i++ {
 		if key := uint16(i * 1024); r.Overlaps(key, key) {
+			if inst.earlierFence[i] >= r.Fence {
+				sim.t.Errorf("%s takes key %d with fence %d; its earlier incarnation had %d", inst.self.Instance, key, r.Fence, inst.earlierFence[i])
+			}
 			s.highestFence[i] = max(s.highestFence[i], r.Fence)
 		}
 	}
@@ -358,6 +407,9 @@
 }
 
 func (s *fakeBackendServer) holds(key uint16, now time.Time) bool {
+	if slices.ContainsFunc(s.granted, func(g grantedSpan) bool { return g.Overlaps(key, key) && g.until.After(now) }) {
+		return true
+	}
 	for span, held := range s.held {
 		if span[0] <= key && key <= span[1] && held.until.After(now) {
 			return true
@@ -385,6 +437,8 @@
 	}
 	inst.sim.runs[e.Request.ID]++
 	inst.sim.exchanges++
+	s.running = append(s.running, e.Request.Key)
+	defer inst.endRun(s, e.Request.Key)
 	serviceTime := s.serviceTime
 	lost := inst.sim.loseAnswerEvery > 0 && inst.sim.exchanges%inst.sim.loseAnswerEvery == 0
 	onRun := inst.sim.onRun
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -179,7 +179,7 @@
 		time.Sleep(stopServeTime - 5*time.Millisecond)
 		// The backend server holds no key from now on, as if all were still on their way to it.
 		g.server.mu.Lock()
-		g.server.grantsExpireAt = 0
+		g.server.holds.Retain(nil)
 		g.server.mu.Unlock()
 		r := routed.Request{ID: "r", Service: "keyed", Route: "keyed", Keyed: true, Key: uint16(sim.ownedKey("k1", "k1")), Deadline: time.Now().Add(5 * time.Second)}
 		if a := dispatch(g, 1, r)()[0]; a.Reason != request.Stopping || a.at.After(closeAt) {
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherreel/internal/heartbeat"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyload"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
@@ -255,7 +256,10 @@
 		inst := sim.instances[r.Owner.Instance]
 		g := inst.gateway
 		g.server.mu.Lock()
-		g.server.newGrants, g.server.newGrantsEffectiveAt = g.server.grantedRanges, g.deps.Now().Add(240*time.Millisecond)
+		// The grant of the range takes effect only now, as if it had just been granted.
+		now := g.deps.Now()
+		g.server.holds = keyhold.Tracker{}
+		g.server.holds.GrantByReply(keyhold.Spans([]keyrange.Range{r}), now.Add(keyrange.MaxHold), now.Add(240*time.Millisecond), now)
 		g.server.mu.Unlock()
 		g.controlPool.After(240*time.Millisecond, g.server.wakeKeyWaiters)
 		inst.sim.mu.Lock()
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -378,6 +378,9 @@
 // applied.
 func (g *Gateway) rangesSynced(asOf keyrange.Instant, end int64) {
 	g.ranges.confirmRead(g.self, asOf, end)
+	if g.grantsByCalls() {
+		g.grantTrigger.Fire()
+	}
 	g.reconcileTrigger.Fire()
 }
 
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"heatherreel/internal/keyrange"
+	"heatherreel/internal/keyhold"
 )
 
 // Held is a range that a backend server holds, or for which it still executes requests.
@@ -14,12 +14,6 @@
 	Fence    uint64
 }
 
-// Freed is a range that a backend server has released, with the handover token for its next owner.
-type Freed struct {
-	From, To      uint16
-	HandoverToken string
-}
-
 // Message is a heartbeat of a backend server.
 type Message struct {
 	Server   string
@@ -36,12 +30,12 @@
 	StartedUnixMS int64
 	Sequence      int64
 	Holds         []Held
-	Freed         []Freed
+	Freed         []keyhold.Released
 }
 
-// Reply is the answer to a heartbeat. It grants Ranges for the duration Hold; if Hold is zero, it grants and renews
+// Reply is the answer to a heartbeat. It grants Spans for the duration Hold; if Hold is zero, it grants and renews
 // nothing.
 type Reply struct {
-	Hold   time.Duration
-	Ranges []keyrange.Range
+	Hold  time.Duration
+	Spans []keyhold.Span
 }
--- a/internal/keyrange/lease.go
+++ b/internal/keyrange/lease.go
@@ -43,8 +43,12 @@
 
 // Hold returns the duration of a grant that answers a heartbeat received now; zero means no grant. The hold ends before
 // the lease does, even when a slow clock measures it.
-func (l *Lease) Hold(now Instant) time.Duration {
-	hold := min(MaxHold, time.Duration(float64(l.Remaining(now))/clockDriftFactor))
+func (l *Lease) Hold(now Instant) time.Duration { return l.HoldWithin(now, MaxHold, 0) }
+
+// HoldWithin returns the duration of a grant of at most limit that arrives at the backend server within delay; zero means
+// no grant. The hold ends before the lease does, even when it begins at the end of the delay.
+func (l *Lease) HoldWithin(now Instant, limit, delay time.Duration) time.Duration {
+	hold := min(limit, time.Duration(float64(l.Remaining(now)-delay)/clockDriftFactor))
 	if hold < minHold {
 		return 0
 	}
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -265,6 +265,19 @@
 	}
 }
 
+// RaiseFence gives the keys in [from, to] that an owner has under the fence, and that are not moving, a higher fence. It
+// reports whether there are any.
+func (t *Table) RaiseFence(o Owner, from, to uint16, fence uint64) bool {
+	raised := false
+	for i, r := range t.Ranges {
+		if r.Owner == o && r.Fence == fence && r.Next == "" && r.Overlaps(from, to) {
+			t.assign(i, o, r.HandoverToken)
+			raised = true
+		}
+	}
+	return raised
+}
+
 // Unassign leaves all ranges of an instance without an owner, after its backend server has ended or its ownership has
 // expired. It also closes a suspicion against the instance. It returns the number of ranges.
 func (t *Table) Unassign(instance string) int {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,6 +30,9 @@
 	HeartbeatsAddress string `yaml:"heartbeats_address"`
 	ReadyAddress      string `yaml:"ready_address"`
 	MetricsAddress    string `yaml:"metrics_address"`
+	// GrantDelivery is how the node grants keys to the backend server: GrantsByHeartbeat or GrantsDirect; empty means the
+	// first.
+	GrantDelivery string `yaml:"grant_delivery"`
 	// StoreAddress is the IP address and port of the platform's store.
 	StoreAddress string `yaml:"store_address"`
 	// MemoryMB is the memory limit of the process in MB, and CPUShare its share of one core; 1 is a whole core.
@@ -52,6 +55,14 @@
 	TraceRatio  float64 `yaml:"trace_ratio"`
 }
 
+// Values of Gateway.GrantDelivery.
+const (
+	// GrantsByHeartbeat grants keys in the replies to heartbeats.
+	GrantsByHeartbeat = "heartbeat"
+	// GrantsDirect grants keys by calls to the backend server.
+	GrantsDirect = "direct"
+)
+
 // withoutReloadable returns the settings with zero values for those that can change while the process runs.
 func (s Gateway) withoutReloadable() Gateway {
 	s.MemoryMB, s.CPUShare, s.DrainMS, s.ShutdownS, s.RetryRatio, s.RetryWindowS, s.RetryFloor = 0, 0, 0, 0, 0, 0, 0
@@ -116,6 +127,9 @@
 			faults = append(faults, fmt.Errorf("%s must be positive", f.name))
 		}
 	}
+	if s.GrantDelivery != "" && s.GrantDelivery != GrantsByHeartbeat && s.GrantDelivery != GrantsDirect {
+		faults = append(faults, fmt.Errorf("grant_delivery %q is neither %s nor %s", s.GrantDelivery, GrantsByHeartbeat, GrantsDirect))
+	}
 	if s.TraceRatio < 0 || s.TraceRatio > 1 {
 		faults = append(faults, errors.New("trace_ratio must be from 0 to 1"))
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -21,6 +21,7 @@
 heartbeats_address: 10.0.0.1:8306
 ready_address: 10.0.0.1:8302
 metrics_address: 10.0.0.1:9464
+grant_delivery: direct
 store_address: 10.0.0.2:8309
 memory_mb: 284
 cpu_share: 0.32
@@ -36,8 +37,8 @@
 	if _, err := ParseGateway([]byte(gatewaySettings)); err != nil {
 		t.Fatal(err)
 	}
-	_, err := ParseGateway([]byte(strings.NewReplacer("instance: i-1", "instance: \"\"", "memory_mb: 284", "memory_mb: 0", "10.0.0.2:8309", "store").Replace(gatewaySettings)))
-	if !errors.Is(err, problem.Invalid) || !strings.Contains(err.Error(), "instance") || !strings.Contains(err.Error(), "memory_mb") || !strings.Contains(err.Error(), "store_address") {
+	_, err := ParseGateway([]byte(strings.NewReplacer("instance: i-1", "instance: \"\"", "memory_mb: 284", "memory_mb: 0", "grant_delivery: direct", "grant_delivery: post", "10.0.0.2:8309", "store").Replace(gatewaySettings)))
+	if !errors.Is(err, problem.Invalid) || !strings.Contains(err.Error(), "instance") || !strings.Contains(err.Error(), "memory_mb") || !strings.Contains(err.Error(), "grant_delivery") || !strings.Contains(err.Error(), "store_address") {
 		t.Errorf("got %v", err)
 	}
 	if _, err := ParseGateway([]byte(gatewaySettings + "unknown: 1\n")); !errors.Is(err, problem.Malformed) {
