Carry bytes that are not UTF-8 between nodes

Cause: the messages between nodes declared the parts of requests and the keys of records as strings, which protobuf refuses to send when they are not UTF-8. One record of another writer whose key is not UTF-8 ended each read of its topic through a feed, so that the followers read nothing from it any more; a request whose path, header or answer had such bytes failed between two nodes.

Change: these fields are bytes. The encoding on the wire is the same, so that nodes of both versions understand each other. Texts of errors are made valid.

--- /dev/null
+++ b/internal/node/export_test.go
@@ -0,0 +1,8 @@
+package node
+
+// Decoders for the fuzz tests.
+var (
+	DecodeDispatch       = decodeDispatch
+	DecodeTopicAnswer    = decodeTopicAnswer
+	DecodeDispatchAnswer = decodeDispatchAnswer
+)
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -46,7 +46,7 @@
 func encodeHeader(fields []routed.Field) []*nodepb.HeaderField {
 	encoded := make([]*nodepb.HeaderField, len(fields))
 	for i, f := range fields {
-		encoded[i] = &nodepb.HeaderField{Name: f.Name, Value: f.Value}
+		encoded[i] = &nodepb.HeaderField{Name: []byte(f.Name), Value: []byte(f.Value)}
 	}
 	return encoded
 }
@@ -54,17 +54,17 @@
 func decodeHeader(fields []*nodepb.HeaderField) []routed.Field {
 	decoded := make([]routed.Field, len(fields))
 	for i, f := range fields {
-		decoded[i] = routed.Field{Name: f.GetName(), Value: f.GetValue()}
+		decoded[i] = routed.Field{Name: string(f.GetName()), Value: string(f.GetValue())}
 	}
 	return decoded
 }
 
 func encodeDispatch(r routed.Request, now time.Time, t sendTimes) *nodepb.DispatchRequest {
 	return &nodepb.DispatchRequest{
-		Id: r.ID, Method: r.Method, Host: r.Host, Path: r.Path, Header: encodeHeader(r.Header), Body: r.Body,
+		Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Path: []byte(r.Path), Header: encodeHeader(r.Header), Body: r.Body,
 		DeadlineUs: encodeDuration(r.Deadline.Sub(now)), Keyed: r.Keyed, Key: uint32(r.Key),
 		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
-		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: r.Traceparent,
+		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: []byte(r.Traceparent),
 		Clock: t.clock, SentUs: encodeDuration(t.sent), PathDelayUs: encodeDuration(t.pathDelay), ArriveWithinUs: encodeDuration(r.ArriveWithin),
 	}
 }
@@ -93,10 +93,10 @@
 func decodeDispatch(m *nodepb.DispatchRequest, now time.Time, delay time.Duration) routed.Request {
 	sent := now.Add(-delay)
 	return routed.Request{
-		ID: m.Id, Method: m.Method, Host: m.Host, Path: m.Path, Header: decodeHeader(m.Header), Body: m.Body,
+		ID: string(m.Id), Method: string(m.Method), Host: string(m.Host), Path: string(m.Path), Header: decodeHeader(m.Header), Body: m.Body,
 		Deadline: sent.Add(decodeDuration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
 		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
-		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert, Route: m.Route, Traceparent: m.Traceparent,
+		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert, Route: m.Route, Traceparent: string(m.Traceparent),
 		Delay: delay, ArriveWithin: decodeDuration(m.ArriveWithinUs),
 	}
 }
--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -16,7 +16,7 @@
 func (e *routerEndpoint) StoreCall(ctx context.Context, m *nodepb.StoreRequest) (*nodepb.StoreResponse, error) {
 	page, err := e.service.StoreCall(ctx, decodeStoreCall(m))
 	if err != nil {
-		return &nodepb.StoreResponse{Failure: failureKind(err), Detail: problem.DetailOf(err)}, nil
+		return &nodepb.StoreResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
 	}
 	return encodePage(page), nil
 }
@@ -42,7 +42,7 @@
 
 func encodeStoreCall(c registry.Call) *nodepb.StoreRequest {
 	return &nodepb.StoreRequest{Operation: nodepb.StoreOperation(c.Operation), Topic: c.Topic, From: c.From, WaitUs: encodeDuration(c.Wait),
-		At: c.At, Record: &nodepb.StoreRecord{Key: c.Record.Key, Value: c.Record.Value}}
+		At: c.At, Record: &nodepb.StoreRecord{Key: []byte(c.Record.Key), Value: c.Record.Value}}
 }
 
 // maxStoreWait bounds the wait time of a read on behalf of another node.
@@ -50,7 +50,7 @@
 
 func decodeStoreCall(m *nodepb.StoreRequest) registry.Call {
 	return registry.Call{Operation: registry.Operation(m.Operation), Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait),
-		At: m.At, Record: registry.Record{Key: m.Record.GetKey(), Value: m.Record.GetValue()}}
+		At: m.At, Record: registry.Record{Key: string(m.Record.GetKey()), Value: m.Record.GetValue()}}
 }
 
 func encodePage(p registry.Page) *nodepb.StoreResponse {
@@ -64,7 +64,7 @@
 func encodeRecords(records []registry.Record) []*nodepb.StoreRecord {
 	encoded := make([]*nodepb.StoreRecord, len(records))
 	for i, r := range records {
-		encoded[i] = &nodepb.StoreRecord{Key: r.Key, Value: r.Value}
+		encoded[i] = &nodepb.StoreRecord{Key: []byte(r.Key), Value: r.Value}
 	}
 	return encoded
 }
@@ -72,7 +72,7 @@
 func decodeRecords(records []*nodepb.StoreRecord) []registry.Record {
 	decoded := make([]registry.Record, len(records))
 	for i, r := range records {
-		decoded[i] = registry.Record{Key: r.GetKey(), Value: r.GetValue()}
+		decoded[i] = registry.Record{Key: string(r.GetKey()), Value: r.GetValue()}
 	}
 	return decoded
 }
--- a/internal/node/topic_messages.go
+++ b/internal/node/topic_messages.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 func (e *routerEndpoint) ReadTopic(ctx context.Context, m *nodepb.TopicRequest) (*nodepb.TopicResponse, error) {
 	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait)})
 	if err != nil {
-		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: problem.DetailOf(err)}, nil
+		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
 	}
 	return encodeTopicAnswer(answer), nil
 }
@@ -65,6 +66,9 @@
 	return string(problem.Unavailable)
 }
 
+// failureDetail returns the text of an error as it is encoded in a response. It may quote bytes that are not UTF-8.
+func failureDetail(err error) string { return strings.ToValidUTF8(problem.DetailOf(err), "?") }
+
 func encodeTopicAnswer(a feed.Answer) *nodepb.TopicResponse {
 	records := encodeRecords(a.Page.Records)
 	for _, r := range records {
