Refuse odd records of members and of key ownership

Cause: records that another writer left in the topics of the nodes were taken over as far as they could be decoded. The weight of a backend server divides by the square of a stored number: with it divides by zero, and every node of the service ended at each read (integer divide by zero in ownerCandidates). Fences at the end of 64 bits began again at 1, and a table whose ranges have fences above its last one gave fences away twice. Without a readable table a node that starts assigned all keys anew from fence 1.

Change: addresses, times, slots, percentages and fences of records are checked when they are decoded. A node that knows the table before an unreadable one writes it again; one that does not waits for that. Instances of the simulation have IP addresses, as the check asks for them.

--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -21,6 +21,8 @@
 	lease           keyrange.Lease
 	// changed is closed and replaced when a table changes.
 	changed chan struct{}
+	// unreadable are the services whose newest record cannot be decoded.
+	unreadable map[string]bool
 	// readEnd is the end offset of the topic up to which the tables are read; -1 before the first read.
 	readEnd int64
 	// pendingWrites are the tables that this node has tried to write at the offset pendingEnd and that may still take
@@ -38,7 +40,7 @@
 
 func newRangeTable() *rangeTable {
 	return &rangeTable{mu: lockorder.New(lockorder.KeyRanges), tables: map[string]*keyrange.Table{},
-		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), readEnd: -1}
+		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), unreadable: map[string]bool{}, readEnd: -1}
 }
 
 // put sets the table of a service. A table in the map is never modified.
@@ -46,6 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.tables[table.Service] = table
+	delete(t.unreadable, table.Service)
 	close(t.changed)
 	t.changed = make(chan struct{})
 	open := map[suspicionKey]bool{}
@@ -63,6 +66,20 @@
 	}
 }
 
+// putUnreadable records that the newest record of a service cannot be decoded. The table before it stays in force.
+func (t *rangeTable) putUnreadable(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unreadable[service] = true
+}
+
+// isUnreadable reports whether the newest record of a service cannot be decoded.
+func (t *rangeTable) isUnreadable(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unreadable[service]
+}
+
 // confirmRead records a completed read. All records that the store had at the time asOf are applied: the lease is
 // extended to LeaseDuration after that, unless the table suspects the instance.
 func (t *rangeTable) confirmRead(self Self, asOf keyrange.Instant, readEnd int64) {
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -151,7 +151,12 @@
 		next = table.Clone()
 	}
 	version := g.server.currentVersion()
-	changed := g.applyDueChanges(next)
+	unreadable := g.ranges.isUnreadable(g.self.Service)
+	if unreadable && table == nil {
+		// The table that the record replaced had fences that are not known here. A node that has read it writes it again.
+		return
+	}
+	changed := g.applyDueChanges(next) || unreadable
 	// A write with an unknown outcome may still take effect until any other write does. The table is then written
 	// unchanged to settle it.
 	if !changed && !(g.ranges.hasPendingWrites() && time.Since(g.reconciled.rangesWrittenAt) > writeTimeout) {
--- a/internal/gateway/simulation_peers_test.go
+++ b/internal/gateway/simulation_peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"strings"
 	"time"
 
 	"heatherreel/internal/feed"
@@ -17,11 +19,29 @@
 	from string
 }
 
-// reach returns the gateway at an address, or the error of a connection that cannot be opened.
-func (p *peers) reach(ctx context.Context, address string) (*Gateway, error) {
+// nodeAddress returns the address of the node of an instance: an IP address that holds its name.
+func nodeAddress(instance string) string {
+	var ip [net.IPv6len]byte
+	ip[0] = 0xfd
+	copy(ip[1:], instance)
+	return net.JoinHostPort(net.IP(ip[:]).String(), "7620")
+}
+
+// instanceAt returns the instance whose node has an address.
+func instanceAt(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	if len(ip) == 0 {
+		return ""
+	}
+	return strings.TrimRight(string(ip[1:]), "\x00")
+}
+
+// reach returns the gateway of an instance, or the error of a connection that cannot be opened.
+func (p *peers) reach(ctx context.Context, instance string) (*Gateway, error) {
 	p.sim.mu.Lock()
-	inst := p.sim.instances[address]
-	disconnected := p.sim.disconnected[address] || p.sim.disconnected[p.from]
+	inst := p.sim.instances[instance]
+	disconnected := p.sim.disconnected[instance] || p.sim.disconnected[p.from]
 	var g *Gateway
 	if inst != nil {
 		g = inst.gateway
@@ -31,13 +51,14 @@
 		sleep(ctx, 300*time.Millisecond)
 	}
 	if disconnected || g == nil {
-		return nil, problem.New(problem.NotSent, "check the node", "cannot connect to %s", address)
+		return nil, problem.New(problem.NotSent, "check the node", "cannot connect to %s", instance)
 	}
 	return g, nil
 }
 
 // Dispatch implements Peers.
 func (p *peers) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(node.PeerState)) (routed.Answer, error) {
+	address = instanceAt(address)
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return routed.Answer{}, err
@@ -95,6 +116,7 @@
 
 // Probe implements Peers.
 func (p *peers) Probe(ctx context.Context, address string, rangesEnd int64) (string, routed.Load, error) {
+	address = instanceAt(address)
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return "", routed.Load{}, err
@@ -105,6 +127,7 @@
 
 // StoreCall implements Peers.
 func (p *peers) StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
+	address = instanceAt(address)
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return registry.Page{}, err
@@ -118,6 +141,7 @@
 
 // ReadTopic implements Peers.
 func (p *peers) ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error) {
+	address = instanceAt(address)
 	g, err := p.reach(ctx, address)
 	if err != nil {
 		return feed.Answer{}, err
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -199,7 +199,7 @@
 
 // addInstance adds an instance with a running gateway and backend server.
 func (sim *simulation) addInstance(name, service, region string) *simulatedInstance {
-	inst := &simulatedInstance{sim: sim, self: Self{Instance: name, Address: name, DataCentre: "dc-" + name, Region: region, Service: service,
+	inst := &simulatedInstance{sim: sim, self: Self{Instance: name, Address: nodeAddress(name), DataCentre: "dc-" + name, Region: region, Service: service,
 		BackendAddress: "backend-" + name}}
 	sim.mu.Lock()
 	sim.instances[name] = inst
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -369,6 +369,7 @@
 	t, err := registry.DecodeRanges(r)
 	if err != nil {
 		g.events.Emit(eventlog.RangesRecordRefused, eventlog.Name("key", r.Key), eventlog.Cause(err))
+		g.ranges.putUnreadable(r.Key)
 		return
 	}
 	g.ranges.put(t, g.deps.Now())
--- a/internal/registry/ranges.go
+++ b/internal/registry/ranges.go
@@ -56,6 +56,9 @@
 	return encode(t.Service, s)
 }
 
+// maxFence is the largest integer that every JSON reader decodes exactly, and far above the fences of any service.
+const maxFence = 1<<53 - 1
+
 // DecodeRanges decodes the table of a record. It returns a problem.Malformed error if the record is not valid.
 func DecodeRanges(r Record) (*keyrange.Table, error) {
 	var s storedRanges
@@ -65,6 +68,9 @@
 	if s.Service != r.Key {
 		return nil, problem.New(problem.Malformed, writerRemedy, "ranges record %q is of another service", r.Key)
 	}
+	if s.LastFence > maxFence || s.LastSuspicion > maxFence {
+		return nil, problem.New(problem.Malformed, writerRemedy, "ranges record %q: fence %d or suspicion %d is too large", r.Key, s.LastFence, s.LastSuspicion)
+	}
 	t := &keyrange.Table{Service: s.Service, LastFence: s.LastFence, Suspicions: s.Suspicions, LastSuspicion: s.LastSuspicion, Lost: s.Lost}
 	if t.Suspicions == nil {
 		t.Suspicions = map[string]keyrange.Suspicion{}
@@ -78,8 +84,12 @@
 	next := 0
 	for _, row := range strings.Split(s.Ranges, rangeSeparator) {
 		decoded, err := decodeRange(row, s.Owners)
-		if err == nil && int(decoded.To) < next {
+		switch {
+		case err != nil:
+		case int(decoded.To) < next:
 			err = fmt.Errorf("range ends before its first key %d", next)
+		case decoded.Fence > s.LastFence:
+			err = fmt.Errorf("fence %d is above the last one, %d", decoded.Fence, s.LastFence)
 		}
 		if err != nil {
 			return nil, problem.New(problem.Malformed, writerRemedy, "range %q of record %q: %w", row, r.Key, err)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/netip"
 	"time"
 
 	"heatherreel/internal/problem"
@@ -95,14 +97,42 @@
 // EncodeMember returns the record of a member.
 func EncodeMember(m Member) (Record, error) { return encode(m.Instance, m) }
 
+// Bounds of the numbers in a record. Another writer may leave any number there, and the weights of backend servers are
+// products of these.
+const (
+	maxSlots       = 100_000
+	maxWorkPercent = 1_000_000
+	// maxUnixMS is in the year 2200.
+	maxUnixMS = 7_258_118_400_000
+)
+
 // DecodeMember decodes the member of a record. It returns a problem.Malformed error if the record is not valid.
 func DecodeMember(r Record) (Member, error) {
 	var m Member
-	err := decode(r, &m)
-	if err == nil && (m.Instance != r.Key || m.Address == "") {
-		err = problem.New(problem.Malformed, writerRemedy, "member record %q has no address, or the name of another instance", r.Key)
+	if err := decode(r, &m); err != nil {
+		return Member{}, err
+	}
+	if err := m.check(r.Key); err != nil {
+		return Member{}, problem.New(problem.Malformed, writerRemedy, "member record %q: %w", r.Key, err)
 	}
-	return m, err
+	return m, nil
+}
+
+// check returns an error for a member that no node writes under the key.
+func (m Member) check(key string) error {
+	address, err := netip.ParseAddrPort(m.Address)
+	isTime := func(unixMS int64) bool { return 0 <= unixMS && unixMS <= maxUnixMS }
+	switch {
+	case m.Instance != key || key == "":
+		return fmt.Errorf("it has the name of instance %q", m.Instance)
+	case err != nil || address.Port() == 0:
+		return fmt.Errorf("%q is not an IP address and port", m.Address)
+	case !isTime(m.Incarnation) || !isTime(m.Server.StartedUnixMS):
+		return fmt.Errorf("incarnation %d or start time %d is not a time", m.Incarnation, m.Server.StartedUnixMS)
+	case m.Server.Slots < 0 || m.Server.Slots > maxSlots || m.Server.WorkPercent < 0 || m.Server.WorkPercent > maxWorkPercent:
+		return fmt.Errorf("%d slots or %d percent are out of range", m.Server.Slots, m.Server.WorkPercent)
+	}
+	return nil
 }
 
 const writerRemedy = "find the writer of the record; nothing but heatherreel may write to its topics"
