--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -108,15 +108,18 @@
 // HomeRegions returns the regions to which any route restricts requests for the service.
 func (t *Table) HomeRegions(service string) []string { return t.homes[service] }
 
-// validate returns an error if a route names an unknown service, has a negative weight or has no positive weight.
+// maxWeight keeps sums of weights far below the end of their type.
+const maxWeight = 1_000_000_000
+
+// validate returns an error if a route names an unknown service, has a weight out of range or has no positive weight.
 func (t *Table) validate(r *Route) error {
 	total := 0
 	for _, weighted := range r.Services {
 		if _, known := t.Services[weighted.Service]; !known {
 			return problem.New(problem.UnknownService, "define the service of the route", "route %q names service %q", r.Name, weighted.Service)
 		}
-		if weighted.Weight < 0 {
-			return problem.New(problem.Invalid, "give weights of zero or more", "route %q has weight %d", r.Name, weighted.Weight)
+		if weighted.Weight < 0 || weighted.Weight > maxWeight {
+			return problem.New(problem.Invalid, "give weights from zero to a thousand million", "route %q has weight %d", r.Name, weighted.Weight)
 		}
 		total += weighted.Weight
 	}
