--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -4,7 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
+	"io"
+	"net/netip"
 	"os"
 	"time"
 
@@ -91,12 +92,18 @@
 	if err := decoder.Decode(&s); err != nil {
 		return Gateway{}, problem.New(problem.Malformed, "correct the settings file", "settings: %w", err)
 	}
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return Gateway{}, problem.New(problem.Malformed, "put all settings into one YAML document", "settings: the file has a second document")
+	}
 	if err := errors.Join(s.faults()...); err != nil {
 		return Gateway{}, problem.New(problem.Invalid, "correct the settings file", "settings: %w", err)
 	}
 	return s, nil
 }
 
+// maxSetting bounds each number, so that times do not wrap around. It is above the milliseconds of a week.
+const maxSetting = 1e9
+
 // faults returns one error for each invalid or missing setting.
 func (s Gateway) faults() []error {
 	var faults []error
@@ -112,7 +119,7 @@
 		{"heartbeats_address", s.HeartbeatsAddress}, {"ready_address", s.ReadyAddress}, {"metrics_address", s.MetricsAddress},
 		{"store_address", s.StoreAddress},
 	} {
-		if host, _, err := net.SplitHostPort(f.value); err != nil || net.ParseIP(host) == nil {
+		if address, err := netip.ParseAddrPort(f.value); err != nil || address.Port() == 0 {
 			faults = append(faults, fmt.Errorf("%s %q is not an IP address and port", f.name, f.value))
 		}
 	}
@@ -123,18 +130,18 @@
 		{"memory_mb", float64(s.MemoryMB)}, {"cpu_share", s.CPUShare}, {"drain_ms", float64(s.DrainMS)},
 		{"shutdown_s", s.ShutdownS}, {"retry_window_s", s.RetryWindowS},
 	} {
-		if f.value <= 0 {
-			faults = append(faults, fmt.Errorf("%s must be positive", f.name))
+		if !(f.value > 0 && f.value <= maxSetting) {
+			faults = append(faults, fmt.Errorf("%s must be positive and at most %d", f.name, int(maxSetting)))
 		}
 	}
 	if s.GrantDelivery != "" && s.GrantDelivery != GrantsByHeartbeat && s.GrantDelivery != GrantsDirect {
 		faults = append(faults, fmt.Errorf("grant_delivery %q is neither %s nor %s", s.GrantDelivery, GrantsByHeartbeat, GrantsDirect))
 	}
-	if s.TraceRatio < 0 || s.TraceRatio > 1 {
+	if !(s.TraceRatio >= 0 && s.TraceRatio <= 1) {
 		faults = append(faults, errors.New("trace_ratio must be from 0 to 1"))
 	}
-	if s.RetryRatio < 0 || s.RetryFloor < 0 {
-		faults = append(faults, errors.New("retry_ratio and retry_floor must not be negative"))
+	if !(s.RetryRatio >= 0 && s.RetryRatio <= maxSetting) || !(s.RetryFloor >= 0 && s.RetryFloor <= maxSetting) {
+		faults = append(faults, fmt.Errorf("retry_ratio and retry_floor must be from 0 to %d", int(maxSetting)))
 	}
 	return faults
 }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -58,3 +58,25 @@
 		t.Errorf("the template has %v, want %v", got, want)
 	}
 }
+
+// Guards against settings that are no numbers, wrap around, or stand in a second document, and are accepted: a node would
+// run without its limits.
+func TestOddGatewaySettingsAreRefused(t *testing.T) {
+	for old, odd := range map[string][]string{
+		"retry_ratio: 0.2":               {"retry_ratio: .nan", "retry_ratio: .inf", "retry_ratio: -0.1"},
+		"retry_floor: 62":                {"retry_floor: .nan", "retry_floor: .inf"},
+		"retry_window_s: 10":             {"retry_window_s: .nan", "retry_window_s: .inf", "retry_window_s: 1e300"},
+		"cpu_share: 0.32":                {"cpu_share: .nan", "cpu_share: .inf"},
+		"shutdown_s: 6":                  {"shutdown_s: .inf", "shutdown_s: 1e18"},
+		"drain_ms: 2000":                 {"drain_ms: 9223372036854775807", "drain_ms: 99999999999999999999"},
+		"metrics_address: 10.0.0.1:9464": {"metrics_address: 10.0.0.1:70000", "metrics_address: 10.0.0.1:0", "metrics_address: host:9464", "metrics_address: 10.0.0.1:http"},
+		"retry_floor: 62\n":              {"retry_floor: 62\n---\ninstance: i-2\n", "retry_floor: 62\n--- [\n"},
+		"instance: i-1\n":                {"instance: i-1\ninstance: i-2\n", "instance: " + strings.Repeat("[", 20000) + "\n"},
+	} {
+		for _, value := range odd {
+			if _, err := ParseGateway([]byte(strings.Replace(gatewaySettings, old, value, 1))); !errors.Is(err, problem.Invalid) && !errors.Is(err, problem.Malformed) {
+				t.Errorf("%.40s: %v", value, err)
+			}
+		}
+	}
+}
