Send a request again on another connection than before

Cause: a faulty backend server may write an earlier refusal once more on a kept connection. Where the refused request was sent again to the same backend server, which is usual for keys, the copy had the right id and was taken for the answer: callers were told 'not run' of a request that ran, and could send it again. On the product's own interface, where a refusal need not name its request, the same happened with any next request.

Change: a connection carries a request id once; after 512 requests, or after a refusal on the product's own interface, it is replaced by a new one.

--- a/internal/backendserver/execute.go
+++ b/internal/backendserver/execute.go
@@ -33,6 +33,8 @@
 		Body:             r.Body,
 		MaxResponseBytes: c.maxResponseBytes,
 		CheckHead:        func(_ int, h http.Header) error { return checkHead(r, h) },
+		// A refusal need not name its request, so that a copy of it would be taken for the next answer.
+		RetireAfter: func(_ int, h http.Header) bool { return h.Get(httpwire.HeaderRefused) != "" },
 	})
 	if err != nil {
 		return failureAnswer(err)
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -41,6 +41,10 @@
 	// them to true.
 	reading, closed atomic.Bool
 	changed         chan struct{}
+	// retired is true if no exchange may begin any more. ids are the IDs of the requests that it has carried; only one
+	// exchange at a time uses them.
+	retired atomic.Bool
+	ids     map[string]struct{}
 	// readFailed is true after a read has failed, also at the end of the connection.
 	readFailed atomic.Bool
 }
@@ -67,6 +71,27 @@
 	return writes
 }
 
+// maxExchanges is the number of requests with an ID that a connection carries, so that it can hold their IDs.
+const maxExchanges = 512
+
+// mayCarry reports whether a request with the ID may be sent on the connection, and records that it is.
+func (c *writeTrackingConn) mayCarry(id string) bool {
+	if c.retired.Load() {
+		return false
+	}
+	if id == "" {
+		return true
+	}
+	if _, carried := c.ids[id]; carried || len(c.ids) == maxExchanges {
+		return false
+	}
+	if c.ids == nil {
+		c.ids = map[string]struct{}{}
+	}
+	c.ids[id] = struct{}{}
+	return true
+}
+
 // rejectWrites makes all writes of the exchange that begins on the connection fail.
 func (c *writeTrackingConn) rejectWrites() {
 	writes := &writeState{}
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -78,6 +78,12 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request; empty if nothing does. A request that is sent again uses another connection than before: a
+	// faulty server may write its first answer once more, and the ID in it would prove nothing.
+	ID string
+	// RetireAfter reports whether the connection is to carry no further exchange after an answer. It is nil if answers are
+	// told apart by their IDs.
+	RetireAfter func(status int, h http.Header) bool
 	// MaxResponseBytes is the maximum size of the response body, in bytes.
 	MaxResponseBytes int64
 	// AllowCloseDelimited accepts a response body that is delimited only by the close of the connection (RFC 9112,
@@ -120,7 +126,7 @@
 	if err != nil {
 		return Response{}, false, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
 	}
-	e := exchange{ctx: ctx}
+	e := exchange{ctx: ctx, id: c.ID}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
 	response, err := t.rt.RoundTrip(request)
 	if err != nil {
@@ -143,6 +149,12 @@
 		}
 		return Response{}, e.reused, err
 	}
+	if conn := e.connection.Load(); conn != nil && conn.retired.Load() {
+		// net/http began this exchange while the one before it ended, whose answer retired the connection.
+		return Response{}, e.reused, errNoAnswer(problem.New(problem.Malformed, "correct the server", "the answer may be a copy of an earlier one"))
+	} else if conn != nil && c.RetireAfter != nil && c.RetireAfter(response.StatusCode, response.Header) {
+		conn.retired.Store(true)
+	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, e.reused, nil
 }
 
@@ -182,7 +194,9 @@
 // TRACE without a body, or if no byte was written. A retry of the first kind could run a request twice that the
 // configuration declares non-idempotent. Its connection is therefore aborted before anything is written to it.
 type exchange struct {
-	ctx        context.Context
+	ctx context.Context
+	// id is Call.ID.
+	id         string
 	connection atomic.Pointer[writeTrackingConn]
 	// writes is the state of the writes of this exchange on connection.
 	writes atomic.Pointer[writeState]
@@ -203,6 +217,10 @@
 		return
 	}
 	e.reused = info.Reused
+	if !conn.mayCarry(e.id) {
+		conn.rejectWrites()
+		return
+	}
 	e.connection.Store(conn)
 	e.writes.Store(conn.beginExchange(e.ctx))
 }
