Give the last answers of a stop part of the margin before the process ends

Cause: requests that run when the shutdown time of a gateway ends are answered within 200 ms, and their connections are closed then, although 500 ms are left until the process would be killed.

Change: the last answers have up to 500 ms; 200 ms stay for the end of the process. The stop is no longer where all answers are written at once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -282,7 +282,10 @@
 	}
 	d.events.Emit(eventlog.ShutdownTimedOut)
 	d.gateway.EndRequests()
-	d.requestServers.writeAnswers(ctx)
+	// A busy machine may need part of the margin for the last answers; otherwise their connections end without one.
+	answersCtx, cancelAnswers := context.WithTimeout(context.Background(), min(finalAnswersTime+shutdownMargin*3/5, limit/2))
+	defer cancelAnswers()
+	d.requestServers.writeAnswers(answersCtx)
 	d.events.Flush()
 	return false
 }
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -222,6 +222,18 @@
 // node has.
 func TestCallerOfLongRequestIsAnsweredBeforeStopEnds(t *testing.T) {
 	t.Parallel()
+	checkLongRequestsAtStop(t, 0)
+}
+
+// Guards against the same on a busy machine, which takes longer to write the last answers.
+func TestLastAnswersAreAwaitedOnBusyMachine(t *testing.T) {
+	t.Parallel()
+	checkLongRequestsAtStop(t, 2*finalAnswersTime)
+}
+
+// checkLongRequestsAtStop stops a node while requests run, each of whose answers is written with a delay.
+func checkLongRequestsAtStop(t *testing.T, delay time.Duration) {
+	t.Helper()
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -238,6 +250,12 @@
 	callers := freeAddress(t)
 	d, stopServing := startDaemonAt(t, callers, backend.Addr().String(), newConfiguredStore(t, configuration))
 	defer d.close(stopServing)
+	handler := d.requestServers.callers.Handler
+	d.requestServers.callers.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		handler.ServeHTTP(w, req)
+		// The answer is written when the handler returns.
+		<-time.After(delay)
+	})
 	if _, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend.Addr().String(), Slots: 8, StartedUnixMS: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
@@ -269,9 +287,13 @@
 		})
 	}
 	conn := <-accepted
+	began := time.Now()
 	if d.drain() {
 		t.Error("the node reports that no request was in progress")
 	}
+	if took := time.Since(began); took > d.settings.ShutdownTimeout()-shutdownMargin/4 {
+		t.Errorf("the stop took %v of %v", took, d.settings.ShutdownTimeout())
+	}
 	// The process ends.
 	d.requestServers.callers.Close()
 	answered.Wait()
