Test each promise of grants by calls, and hold back a grant that a release overtook

The rapid state machine, which now also releases spans whose grant is in progress, found that such a grant counted as usable when it was accepted although the release may have ended it; the gateway makes no such calls today.

Change: tests for these; keyhold marks grants that a release overtakes.

--- a/internal/gateway/grant_calls_test.go
+++ b/internal/gateway/grant_calls_test.go
@@ -106,9 +106,13 @@
 		if _, err := inst.gateway.Heartbeat(message); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(900 * time.Millisecond)
+		// The backend server gets no requests from 1.5 s after its end on, and its holds would last for 3.4 s.
+		time.Sleep(1600 * time.Millisecond)
 		if got := sim.servedShare("f0"); got != 1 {
-			t.Errorf("%.2f of the keys are served 0.9 s after the announced end", got)
+			t.Errorf("%.2f of the keys are served 1.6 s after the announced end", got)
+		}
+		if table, _ := sim.instances["f0"].gateway.ranges.get("keyed"); table.Owns("k2") {
+			t.Error("the backend server that ended still owns keys")
 		}
 	})
 }
@@ -165,3 +169,92 @@
 		}
 	})
 }
+
+// Guards against a hold that outlasts the lease of the node: an instance that neither the store nor the others reach, but
+// whose backend server runs, must not hold keys that others claim.
+func TestHoldsByCallsEndWithLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startDirectFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		sim.disconnected["k1"] = true
+		sim.mu.Unlock()
+		sim.store.SetUnreachable("k1", true)
+		time.Sleep(13 * time.Second)
+		if got := sim.servedShare("f0"); got != 1 {
+			t.Errorf("%.2f of the keys are served 13 s after the loss", got)
+		}
+	})
+}
+
+// Guards against a grant of keys that a write of this node may just have given away, and against one that reaches a later
+// incarnation than it is meant for.
+func TestOutdatedGrantIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startDirectFleet(t)
+		defer sim.close()
+		inst := sim.instances["k0"]
+		g := inst.gateway
+		owner, _ := g.localOwner()
+		table, end := g.ranges.get("keyed")
+		span := keyhold.Merge(g.ranges.grantable(owner, "keyed"))[0]
+		next := table.Clone()
+		next.Drain("k0", g.ownerCandidates(next))
+		g.ranges.addPendingWrite(next, end)
+		grant := func() {
+			g.server.mu.Lock()
+			id := g.server.holds.Begin(span)
+			g.server.mu.Unlock()
+			g.grantByCall(id, g.keyCall(owner, span))
+		}
+		sim.mu.Lock()
+		before := sim.keyCalls.grants
+		sim.mu.Unlock()
+		grant()
+		g.ranges.dropPendingWrite(end)
+		if sim.keyCalls.grants != before {
+			t.Error("a grant was sent that a pending write takes away")
+		}
+		later := heartbeatOf(inst)
+		later.StartedUnixMS++
+		if !g.server.mayConnect(owner, g.deps.Now()) {
+			t.Error("no connection after a heartbeat")
+		}
+		g.server.applyHeartbeat(later, g.deps.Now(), time.Second)
+		if g.server.mayConnect(owner, g.deps.Now()) {
+			t.Error("a call for the former incarnation may open a connection to the later one")
+		}
+	})
+}
+
+// Guards against requests for keys that a backend server holds no more: after its restart, and where a lost call that is
+// applied late has ended a hold. The second is not to be noticed by callers.
+func TestRequestsAwaitGrantAfterHoldEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startDirectFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		s := sim.instances["k0"].server
+		key := s.granted[0].From
+		s.granted = nil
+		sim.mu.Unlock()
+		if a := sim.sendRequest("f0", "shortened", "/keyed/", int(key), time.Second); a.Outcome != request.Done || string(a.Body) != "k0" {
+			t.Errorf("after a hold was shortened: got %v %q by %q", a.Outcome, a.Reason, a.Body)
+		}
+		sim.mu.Lock()
+		sim.misdirected, sim.reuseServerIDs = 0, true
+		sim.mu.Unlock()
+		for range 2 {
+			sim.stopServer("k0")
+			time.Sleep(50 * time.Millisecond)
+			sim.startServer("k0")
+			time.Sleep(20 * time.Millisecond)
+			if a := sim.sendRequest("f0", fmt.Sprint("restarted-", time.Now().UnixNano()), "/keyed/", int(key), 3*time.Second); a.Outcome != request.Done {
+				t.Errorf("after a restart: got %v %q", a.Outcome, a.Reason)
+			}
+		}
+		if sim.misdirected > 0 {
+			t.Errorf("%d requests reached a backend server that did not hold their key", sim.misdirected)
+		}
+	})
+}
--- a/internal/gateway/simulation_keycalls_test.go
+++ b/internal/gateway/simulation_keycalls_test.go
@@ -67,6 +67,11 @@
 	}
 	until := time.Now().Add(hold * 102 / 100)
 	sim.mu.Lock()
+	if g := k.inst.gateway; g != nil {
+		if left := g.ranges.leaseRemaining(g.deps.Now()); hold*102/100 > left {
+			sim.t.Errorf("%s grants keys for %v, its lease ends in %v", k.inst.self.Instance, hold, left)
+		}
+	}
 	sim.keyCalls.grants++
 	lost := sim.orderLoss > 0 && sim.orderRandom.Float64() < sim.orderLoss
 	var lateBy time.Duration
--- a/internal/keyhold/calls.go
+++ b/internal/keyhold/calls.go
@@ -148,7 +148,10 @@
 	t.usable = slices.DeleteFunc(t.usable, func(u usableSpan) bool {
 		return u.until <= now || s.From <= u.From && u.To <= s.To
 	})
-	t.usable = append(t.usable, usableSpan{Span: s, until: sentAt.Add(hold)})
+	if !t.overtaken[id] {
+		t.usable = append(t.usable, usableSpan{Span: s, until: sentAt.Add(hold)})
+	}
+	delete(t.overtaken, id)
 	t.addPossible(possibleSpan{Span: s, until: keyrange.HoldExpiry(now, hold), settled: t.settled}, now)
 	return previous == 0
 }
@@ -215,9 +218,14 @@
 func (t *Tracker) BeginRelease(s Span) CallID {
 	t.lastCall++
 	if t.releases == nil {
-		t.releases, t.releaseBegan = map[CallID]Span{}, map[CallID]uint64{}
+		t.releases, t.releaseBegan, t.overtaken = map[CallID]Span{}, map[CallID]uint64{}, map[CallID]bool{}
 	}
 	t.releases[t.lastCall], t.releaseBegan[t.lastCall] = s, t.settled
+	for id, granted := range t.calls {
+		if granted.Overlaps(s.From, s.To) {
+			t.overtaken[id] = true
+		}
+	}
 	return t.lastCall
 }
 
--- a/internal/keyhold/keyhold.go
+++ b/internal/keyhold/keyhold.go
@@ -74,6 +74,8 @@
 	// calls are the grants by calls that have neither succeeded nor failed, and releases the releases.
 	calls, releases map[CallID]Span
 	lastCall        CallID
+	// overtaken are the grants in progress that a release may have ended.
+	overtaken map[CallID]bool
 	// settled counts the calls that were answered. releaseBegan is its value when a release began.
 	settled      uint64
 	releaseBegan map[CallID]uint64
--- a/internal/keyhold/keyhold_test.go
+++ b/internal/keyhold/keyhold_test.go
@@ -134,7 +134,12 @@
 	m.tracker.Retain(kept)
 	r := blockSpan(block, block, m.fence)
 	outgoing := []keyrange.Range{{From: r.From, To: r.To, Fence: r.Fence, Next: "other"}}
-	for _, s := range m.tracker.DueReleases(outgoing, m.now) {
+	due := m.tracker.DueReleases(outgoing, m.now)
+	if rapid.Bool().Draw(t, "early") {
+		// A release that does not wait for the grants in progress does not end them.
+		due = []Span{r}
+	}
+	for _, s := range due {
 		m.releases[m.tracker.BeginRelease(s)] = releaseModel{s, m.now}
 	}
 }
