Let no promise hang on the time of day

Cause, by reading for the trouble of clocks that jump: a departure applied to incarnations that had started before the node's time of day, so that after a jump back it lapsed; a backend server that started after a jump back was ignored for ever, as its start time was below that of the one before; the time while cold counted from the start time by the node's clock, and ended early after a jump ahead; a process that started after a jump back had a lower incarnation than the one before, and the others ignored its records.

Change: a departure names the start time of its incarnation; an incarnation with an earlier start time succeeds one that has been silent for the heartbeat timeout; the cold time counts from the first heartbeat on the steady clock; a process takes an incarnation above that of its stored record.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -285,7 +285,7 @@
 // mayBeCold reports whether the backend server is cold by its heartbeats or has started less than maxColdTime ago. The
 // caller holds mu.
 func (t *serverTracker) mayBeCold(now time.Time) bool {
-	return now.Before(t.coldUntil) || now.Sub(time.UnixMilli(t.lastHeartbeat.StartedUnixMS)) < maxColdTime
+	return now.Before(t.coldUntil) || now.Sub(t.startedAt) < maxColdTime
 }
 
 // suspectRestart records that nothing accepted connections at the address of a backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,8 +136,10 @@
 	self    Self
 	events  *eventlog.Logger
 
-	routes  *routeTable
-	members *memberTable
+	// incarnation is Self.Incarnation, or a higher number if the record of an earlier process has one that is not below it.
+	incarnation atomic.Int64
+	routes      *routeTable
+	members     *memberTable
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
 	ranges    *rangeTable
@@ -216,6 +218,7 @@
 func New(o Options, d Dependencies) *Gateway {
 	d.Store = observedStore{d.Store, d.Events, d.Metrics}
 	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal(), requestsEnded: newSignal()}
+	g.incarnation.Store(o.Self.Incarnation)
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -58,7 +58,7 @@
 
 // ownRecord returns the member record of the node as it should be.
 func (g *Gateway) ownRecord() registry.Member {
-	return registry.Member{Instance: g.self.Instance, Incarnation: g.self.Incarnation, Address: g.self.Address,
+	return registry.Member{Instance: g.self.Instance, Incarnation: g.incarnation.Load(), Address: g.self.Address,
 		DataCentre: g.self.DataCentre, Region: g.self.Region, Service: g.self.Service,
 		Server: g.server.registryServer(g.deps.Now()), Stopping: g.stoppingAnnounced.Load()}
 }
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -38,6 +38,16 @@
 	lastHeartbeatAt keyrange.Instant
 	// ended is set when the current incarnation has ended.
 	ended bool
+	// startedAt is when the current incarnation started, by the steady clock: its first heartbeat follows at once.
+	startedAt time.Time
+	// superseded is the incarnation before the current one. rival is one that may have succeeded the current one although
+	// its start time is earlier, with the first of its heartbeats that is considered.
+	superseded incarnation
+	rival      struct {
+		incarnation
+		sequence int64
+		at       keyrange.Instant
+	}
 	// coldUntil is when the backend server stops being cold. Until then coldLimiter limits its requests to coldRate per
 	// second.
 	coldUntil   time.Time
@@ -74,9 +84,9 @@
 // departure is the announced end, or start of draining, of one incarnation of a backend server. It stays in force for
 // that incarnation, whatever its later heartbeats say.
 type departure struct {
-	// learntAt is when the node learnt of it, in Unix milliseconds. It does not apply to an incarnation that started
-	// later.
-	learntAt int64
+	// startedUnixMS is the start time of the incarnation in Unix milliseconds. The departure does not apply to one that
+	// started later.
+	startedUnixMS int64
 	// serveUntil is when the backend server must get no more requests.
 	serveUntil keyrange.Instant
 	// stored is set when the member record in the store shows it, so that the next process of the node knows of it.
@@ -85,10 +95,10 @@
 
 // recordDeparture records that a backend server leaves, unless that is known already, and returns the departure. The
 // caller holds mu.
-func (t *serverTracker) recordDeparture(server string, serveUntil keyrange.Instant, learntAt time.Time) departure {
+func (t *serverTracker) recordDeparture(server string, serveUntil keyrange.Instant, startedUnixMS int64) departure {
 	d, known := t.departures[server]
 	if !known {
-		d = departure{learntAt: learntAt.UnixMilli(), serveUntil: serveUntil}
+		d = departure{startedUnixMS: startedUnixMS, serveUntil: serveUntil}
 		t.departures[server] = d
 	}
 	return d
@@ -101,7 +111,7 @@
 	if s.ID == "" || !s.Draining || t.lastHeartbeat.Server == s.ID && t.lastHeartbeat.StartedUnixMS != s.StartedUnixMS {
 		return
 	}
-	d := t.recordDeparture(s.ID, now, time.UnixMilli(s.StartedUnixMS))
+	d := t.recordDeparture(s.ID, now, s.StartedUnixMS)
 	if t.lastHeartbeat.Server == s.ID {
 		t.drainUntil = d.serveUntil
 		t.lastHeartbeat.Draining = true
@@ -248,27 +258,39 @@
 	sameIncarnation := m.Server == t.lastHeartbeat.Server && (m.StartedUnixMS == t.lastHeartbeat.StartedUnixMS || m.Ended)
 	switch {
 	case m.Ended && !sameIncarnation:
-		// This process has had no heartbeat of the incarnation that ends.
-		t.recordDeparture(m.Server, now.Add(drainTime), time.Now())
+		// This process has had no heartbeat of the incarnation that ends. Without a start time it is one that has started by
+		// now.
+		started := m.StartedUnixMS
+		if started == 0 {
+			started = time.Now().UnixMilli()
+		}
+		t.recordDeparture(m.Server, now.Add(drainTime), started)
 		return false, true
 	case m.Ended:
 		if t.ended {
 			return false, true
 		}
 		t.ended = true
-		t.drainUntil = t.recordDeparture(m.Server, now.Add(drainTime), time.Now()).serveUntil
+		t.drainUntil = t.recordDeparture(m.Server, now.Add(drainTime), t.lastHeartbeat.StartedUnixMS).serveUntil
 		return true, true
-	case !sameIncarnation && t.lastHeartbeat.Server != "" && m.StartedUnixMS <= t.lastHeartbeat.StartedUnixMS, sameIncarnation && m.Sequence <= t.lastHeartbeat.Sequence:
+	case sameIncarnation && m.Sequence <= t.lastHeartbeat.Sequence:
+		return false, false
+	case !sameIncarnation && t.lastHeartbeat.Server != "" && !t.succeeds(m, now):
 		return false, false
 	case !sameIncarnation:
 		t.ended, t.drainUntil = false, 0
+		t.startedAt = time.Now()
 		if t.lastHeartbeat.Server != "" {
 			t.holds.Reset()
+			t.superseded = incarnation{t.lastHeartbeat.Server, t.lastHeartbeat.StartedUnixMS}
+		} else if age := time.Since(time.UnixMilli(m.StartedUnixMS)); age > 0 {
+			// A new process of the node does not know how long the backend server has run.
+			t.startedAt = t.startedAt.Add(-age)
 		}
 		t.coldLimiter, t.slowdownMonitor, t.speedProbes = nil, contention.Monitor{}, 0
 		changed = true
 	}
-	if d, leaving := t.departures[m.Server]; leaving && m.StartedUnixMS <= d.learntAt {
+	if d, leaving := t.departures[m.Server]; leaving && m.StartedUnixMS <= d.startedUnixMS {
 		m.Draining = true
 	} else if leaving && !m.Draining {
 		delete(t.departures, m.Server)
@@ -278,7 +300,7 @@
 	t.version++
 	t.drainUntil = 0
 	if m.Draining {
-		t.drainUntil = t.recordDeparture(m.Server, now.Add(drainTime), time.Now()).serveUntil
+		t.drainUntil = t.recordDeparture(m.Server, now.Add(drainTime), m.StartedUnixMS).serveUntil
 	}
 	t.holds.Heartbeat(now)
 	for _, f := range m.Freed {
@@ -288,6 +310,34 @@
 	return changed, true
 }
 
+// incarnation identifies one incarnation of a backend server.
+type incarnation struct {
+	server        string
+	startedUnixMS int64
+}
+
+// successorInterval is the least time between two heartbeats that show that an incarnation with an earlier start time has
+// succeeded the present one.
+const successorInterval = 500 * time.Millisecond
+
+// succeeds reports whether a heartbeat is of a later incarnation than the last one. Usually its start time is later. After
+// the time of day jumped back it need not be: then the present incarnation sends no heartbeats any more, and the other one
+// sends several. Single heartbeats of an earlier incarnation may arrive late. The caller holds mu.
+func (t *serverTracker) succeeds(m heartbeat.Message, now keyrange.Instant) bool {
+	sender := incarnation{m.Server, m.StartedUnixMS}
+	if sender != t.superseded && m.StartedUnixMS > t.lastHeartbeat.StartedUnixMS {
+		return true
+	}
+	if now.Sub(t.lastHeartbeatAt) <= heartbeatTimeout {
+		return false
+	}
+	if sender != t.rival.incarnation || m.Sequence <= t.rival.sequence || t.rival.at <= t.lastHeartbeatAt {
+		t.rival.incarnation, t.rival.sequence, t.rival.at = sender, m.Sequence, now
+		return false
+	}
+	return now.Sub(t.rival.at) >= successorInterval
+}
+
 // setCold records for how long the backend server stays cold. The caller holds mu.
 func (t *serverTracker) setCold(coldFor time.Duration) {
 	if coldFor <= 0 {
@@ -308,7 +358,7 @@
 		keyed = service.Keyed
 		g.server.coldRate = service.ColdRate
 		// A backend server is cold from its start on, whatever its first heartbeats say.
-		if until := time.UnixMilli(g.server.lastHeartbeat.StartedUnixMS).Add(service.ColdFor); until.After(g.server.coldUntil) {
+		if until := g.server.startedAt.Add(service.ColdFor); until.After(g.server.coldUntil) {
 			g.server.coldUntil = until
 		}
 	}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -354,7 +354,14 @@
 		return
 	}
 	g.members.putStored(m)
-	if m.Instance == g.self.Instance && m.Incarnation < g.self.Incarnation {
+	if m.Instance != g.self.Instance {
+		return
+	}
+	if m.Incarnation > g.incarnation.Load() {
+		// The time of day has jumped back since an earlier process started.
+		g.incarnation.Store(m.Incarnation + 1)
+	}
+	if m.Incarnation < g.incarnation.Load() {
 		g.server.restoreDeparture(m.Server, g.deps.Now())
 	}
 }
