Count and show the calls that grant and release keys

The metric heatherreel_key_calls_total by operation and result; heatherreelctl gateway shows the spans held, the time left of the first hold, the least that was left at a renewal, and the calls of the process.

--- a/cmd/heatherreelctl/gateway.go
+++ b/cmd/heatherreelctl/gateway.go
@@ -30,6 +30,7 @@
 		{"ready", strconv.FormatBool(s.Ready)}, {"configuration", fmt.Sprintf("%d, %d routes", s.Revision, s.Routes)},
 		{"evacuated", orDash(strings.Join(s.Evacuated, " "))}, {"lease", fmt.Sprintf("%d ms left", s.LeaseLeftMS)},
 		{"suspected", orDash(strings.Join(s.Suspected, " "))}, {"lost", orDash(strings.Join(s.Lost, " "))},
+		{"grants", grantsCell(s.Grants)},
 		nil, {"INSTANCE", "DATA CENTRE", "SERVICE", "BACKEND SERVER", "DRAINING", "RUNNING", "WAITING", "SLOTS", "REPORT AGE", "FAILURES"},
 	}
 	for _, m := range s.Members {
@@ -50,3 +51,12 @@
 	}
 	return rows
 }
+
+// grantsCell describes the grants by calls.
+func grantsCell(g *operator.GatewayGrants) string {
+	if g == nil {
+		return "by heartbeats"
+	}
+	return fmt.Sprintf("by calls: %d spans held, %d ms left, at least %d ms at renewals; %d granted, %d released, %d refused, %d unanswered, %d not sent",
+		g.Spans, g.HoldLeftMS, g.MinHoldLeftMS, g.Granted, g.Released, g.Refused, g.Unanswered, g.NotSent)
+}
--- a/internal/gateway/grant_calls.go
+++ b/internal/gateway/grant_calls.go
@@ -8,6 +8,8 @@
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/operator"
+	"heatherreel/internal/telemetry"
 )
 
 // Sizes of the pool for grants. Releases wait for the requests that run on their keys, and therefore cannot take the
@@ -112,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, keyhold.CallTimeout)
 	defer cancel()
 	reply := g.deps.KeyCalls.Grant(ctx, c)
-	g.logKeyCall("grant", c, reply)
+	g.recordKeyCall(telemetry.GrantKeys, c, reply)
 	if g.server.endGrant(id, reply, sentAt, hold, g.deps.Now()) {
 		g.server.wakeKeyWaiters()
 	}
@@ -127,19 +129,20 @@
 	ctx, cancel := context.WithTimeout(g.ctx, keyhold.ReleaseTimeout)
 	defer cancel()
 	reply := g.deps.KeyCalls.Release(ctx, c)
-	g.logKeyCall("release", c, reply)
+	g.recordKeyCall(telemetry.ReleaseKeys, c, reply)
 	g.server.endRelease(id, reply, g.deps.Now())
 	if reply.Result == keyhold.Accepted {
 		g.reconcileTrigger.Fire()
 	}
 }
 
-// logKeyCall logs a call that was not accepted, and each release.
-func (g *Gateway) logKeyCall(operation string, c keyhold.Call, r keyhold.Reply) {
-	fields := []eventlog.Field{eventlog.Name("operation", operation), eventlog.Name("server", c.Server), eventlog.Count("from", int(c.Span.From)),
+// recordKeyCall counts a call, and logs it if it was not accepted or released keys.
+func (g *Gateway) recordKeyCall(operation telemetry.KeyOperation, c keyhold.Call, r keyhold.Reply) {
+	g.deps.Metrics.CountKeyCall(operation, r.Result)
+	fields := []eventlog.Field{eventlog.Name("operation", operation.String()), eventlog.Name("server", c.Server), eventlog.Count("from", int(c.Span.From)),
 		eventlog.Count("to", int(c.Span.To)), eventlog.Count("fence", int(c.Span.Fence))}
 	if r.Result == keyhold.Accepted {
-		if operation == "release" {
+		if operation == telemetry.ReleaseKeys {
 			g.events.Emit(eventlog.KeysReleased, fields...)
 		}
 		return
@@ -230,3 +233,13 @@
 	defer g.server.mu.Unlock()
 	return g.server.holds.UsableFence(keyhold.Span{From: r.From, To: r.To, Fence: r.Fence}, g.deps.Now())
 }
+
+// grantState returns the state of the grants by calls for operators.
+func (t *serverTracker) grantState(now keyrange.Instant) *operator.GatewayGrants {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	spans, until := t.holds.Usables(now)
+	s := t.holds.Stats()
+	return &operator.GatewayGrants{Spans: len(spans), HoldLeftMS: max(0, until.Sub(now)).Milliseconds(), MinHoldLeftMS: s.MinHoldLeft.Milliseconds(),
+		Granted: s.Grants, Released: s.Releases, Refused: s.Refused, Unanswered: s.Unanswered, NotSent: s.NotSent}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -20,6 +20,9 @@
 	for topic, served := range g.served {
 		served.addState(&s, topic, time.Now())
 	}
+	if g.grantsByCalls() {
+		s.Grants = g.server.grantState(g.deps.Now())
+	}
 	g.ranges.addState(&s, g.self.Service, g.deps.Now())
 	return s
 }
--- a/internal/keyhold/call.go
+++ b/internal/keyhold/call.go
@@ -29,6 +29,8 @@
 	Refused
 	// Unanswered means that the call may have arrived before its connection was given up, and may be applied later.
 	Unanswered
+	// ResultCount is the number of results.
+	ResultCount
 )
 
 // String returns the name of the result in logs.
--- a/internal/operator/gateway.go
+++ b/internal/operator/gateway.go
@@ -28,6 +28,23 @@
 	Lost      []string `json:"lost"`
 	// Sources are where the gateway reads the topics of the store from.
 	Sources []GatewaySource `json:"sources"`
+	// Grants is the state of the grants by calls; nil if keys are granted in the replies to heartbeats.
+	Grants *GatewayGrants `json:"grants,omitempty"`
+}
+
+// GatewayGrants is the state of the grants that a gateway makes by calls to its backend server. The counts are those of
+// calls since the start of the process.
+type GatewayGrants struct {
+	// Spans is the number of spans of keys that the backend server holds for certain. The first of their holds ends in
+	// HoldLeftMS milliseconds; MinHoldLeftMS is the shortest time that was left of one when it was renewed.
+	Spans         int   `json:"spans"`
+	HoldLeftMS    int64 `json:"hold_left_ms"`
+	MinHoldLeftMS int64 `json:"min_hold_left_ms"`
+	Granted       int64 `json:"granted"`
+	Released      int64 `json:"released"`
+	Refused       int64 `json:"refused"`
+	Unanswered    int64 `json:"unanswered"`
+	NotSent       int64 `json:"not_sent"`
 }
 
 // GatewaySource is where a gateway reads a topic from.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -17,6 +17,8 @@
 	labelDirection = "direction"
 	labelStep      = "step"
 	labelSource    = "source"
+	labelOperation = "operation"
+	labelResult    = "result"
 )
 
 // otherValue replaces a service or reason that is not in its fixed set of label values.
@@ -113,6 +115,19 @@
 // String returns the label value of s.
 func (s ReadSource) String() string { return [...]string{"store", "node"}[s] }
 
+// KeyOperation is a call to the backend server about keys.
+type KeyOperation uint8
+
+// Operations on keys.
+const (
+	GrantKeys KeyOperation = iota
+	ReleaseKeys
+	keyOperationCount
+)
+
+// String returns the label value of o.
+func (o KeyOperation) String() string { return [...]string{"grant", "release"}[o] }
+
 // Direction is the direction of traffic or moves relative to this node.
 type Direction uint8
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/exemplar"
 
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/request"
 )
 
@@ -42,7 +43,7 @@
 	duration                      metric.Float64Histogram
 	appends, claims, moves        metric.Int64Counter
 	storeReceived, storeDiscarded metric.Int64Counter
-	topicReads                    metric.Int64Counter
+	topicReads, keyCalls          metric.Int64Counter
 
 	// services is replaced, never modified, by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -51,6 +52,7 @@
 	claimOptions  [claimStepCount][]metric.AddOption
 	moveOptions   [directionCount][]metric.AddOption
 	readOptions   [readSourceCount][]metric.AddOption
+	keyOptions    [keyOperationCount][keyhold.ResultCount][]metric.AddOption
 }
 
 // NewMetrics returns metrics with their own registry.
@@ -89,6 +91,7 @@
 		{&m.moves, "moved_slices", "Slices that moved to this node (in) or away from it (out)."},
 		{&m.storeReceived, "store_received_bytes", "Bytes of answers of the platform store that arrived, with those of calls that failed."},
 		{&m.topicReads, "topic_reads", "Completed reads of the topics of the platform store, by source: the store, or a node of the region that had read the records."},
+		{&m.keyCalls, "key_calls", "Calls to the backend server that grant or release keys, by result."},
 		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
 	for _, c := range counters {
@@ -120,6 +123,11 @@
 	for s := range readSourceCount {
 		m.readOptions[s] = addOptions(attribute.String(labelSource, s.String()))
 	}
+	for o := range keyOperationCount {
+		for r := range keyhold.ResultCount {
+			m.keyOptions[o][r] = addOptions(attribute.String(labelOperation, o.String()), attribute.String(labelResult, r.String()))
+		}
+	}
 }
 
 // addOptions returns the options for a counter with the labels.
@@ -178,6 +186,11 @@
 	m.topicReads.Add(context.Background(), 1, m.readOptions[source]...)
 }
 
+// CountKeyCall counts a call that grants or releases keys.
+func (m *Metrics) CountKeyCall(operation KeyOperation, result keyhold.Result) {
+	m.keyCalls.Add(context.Background(), 1, m.keyOptions[operation][result]...)
+}
+
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"heatherreel/internal/keyspace"
+	"heatherreel/internal/keyhold"
 	"heatherreel/internal/request"
 )
 
@@ -40,6 +41,7 @@
 	m.CountStoreAnswer(20, true)
 	m.CountTopicRead(FromStore)
 	m.CountTopicRead(FromNode)
+	m.CountKeyCall(GrantKeys, keyhold.Accepted)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
