--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"heatherreel/internal/keyspace"
 	"heatherreel/internal/keyhold"
+	"heatherreel/internal/keyspace"
 	"heatherreel/internal/request"
 )
 
