Choose among many backend servers by a random sample

Cause: the choice compared the reports of all candidates and took the cheapest. With 72 backend servers and 195 ingress nodes that each send two requests a second to the service, nearly all reports are older than the second for which they count, and what remains, distance and service time, is the same for all nodes: they choose the same few.

Change: of more than 8 candidates, two of the own region and one of the others are compared, without those that failed or are cold. Up to 8 nothing changes, so that small deployments keep their choice.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -117,21 +117,72 @@
 	return cost + time.Duration(float64(serviceTime)*(1+max(0, load-1)+load*load/4))
 }
 
-// Choose returns the index of the candidate to use, or -1 without candidates. It picks a random candidate if that costs
-// at most 10 % more than the cheapest one, and the cheapest one otherwise. The random pick keeps nodes with the same
-// reports from all choosing the same candidate. draw returns a random number from 0 to n-1.
+// maxScanned is the number of candidates up to which all are compared. An ingress node has recent reports of so many.
+const maxScanned = 8
+
+// Numbers of candidates that are compared if there are more than maxScanned. Of many candidates most reports are old, and
+// differences between old reports say little: if all were compared, all nodes with the same reports would choose the same
+// few. Two are enough to avoid a busy one.
+const (
+	nearSamples = 2
+	farSamples  = 1
+)
+
+// Choose returns the index of the candidate to use, or -1 without candidates. Of many candidates it compares a random
+// sample, which covers the own region and the others. draw returns a random number from 0 to n-1.
 func Choose(candidates []Candidate, draw func(n int) int) int {
-	if len(candidates) == 0 {
+	switch {
+	case len(candidates) == 0:
 		return -1
+	case len(candidates) <= maxScanned:
+		return chooseOfAll(candidates, draw)
 	}
-	cheapest := 0
+	near, far := usableByDistance(candidates)
+	chosen, lowest := -1, time.Duration(0)
+	compare := func(from []int, samples int) {
+		for range min(samples, len(from)) {
+			i := from[draw(len(from))]
+			if cost := candidates[i].Cost(); chosen < 0 || cost < lowest {
+				chosen, lowest = i, cost
+			}
+		}
+	}
+	compare(near, nearSamples)
+	compare(far, farSamples)
+	return chosen
+}
+
+// usableByDistance returns the indexes of the candidates of the own region and of the others, without those that failed or
+// are cold if there are others.
+func usableByDistance(candidates []Candidate) (near, far []int) {
+	for _, all := range []bool{false, true} {
+		for i, c := range candidates {
+			switch {
+			case !all && (c.Failures > 0 || c.Load.ColdFor > c.Age):
+			case c.Distance == OtherRegion:
+				far = append(far, i)
+			default:
+				near = append(near, i)
+			}
+		}
+		if len(near)+len(far) > 0 {
+			break
+		}
+	}
+	return near, far
+}
+
+// chooseOfAll picks a random candidate if that costs at most 10 % more than the cheapest one, and the cheapest one
+// otherwise. The random pick keeps nodes with the same reports from all choosing the same candidate.
+func chooseOfAll(candidates []Candidate, draw func(n int) int) int {
+	cheapest, lowest := 0, candidates[0].Cost()
 	for i := range candidates {
-		if candidates[i].Cost() < candidates[cheapest].Cost() {
-			cheapest = i
+		if cost := candidates[i].Cost(); cost < lowest {
+			cheapest, lowest = i, cost
 		}
 	}
 	picked := draw(len(candidates))
-	if limit := candidates[cheapest].Cost(); candidates[picked].Cost() <= limit+limit/10 {
+	if candidates[picked].Cost() <= lowest+lowest/10 {
 		return picked
 	}
 	return cheapest
