Ask a random sample of owners for their load before keys move

Cause: the owners were asked in the order of their names, one after the other, within 400 ms in all. Of 91 owners in two regions the first few dozen were reached, so that busy keys always moved to these.

Change: eight owners, chosen at random, are asked. Services of up to nine owners ask all of them as before.

--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"heatherreel/internal/eventlog"
@@ -81,16 +83,28 @@
 	return keyload.Load{Instance: g.self.Instance, Rate: l.KeyRate, ServiceTime: serviceTime, Slots: l.Slots, Waiting: l.Waiting}
 }
 
-// peerKeyLoads asks the other candidates of the service for their load. It leaves out those that do not answer, are
-// cold or have not read the range tables recently. For a backend server that has not run a request yet it assumes
+// maxLoadProbes is the number of other owners that are asked for their load before keys move. They are asked one after the
+// other, within probeTimeout in all; 8 in another region take 0.13 s.
+const maxLoadProbes = 8
+
+// sampleOwners returns up to count of the candidates, chosen at random, without the instance self. Of many owners a fixed
+// order would always ask, and load, the first ones.
+func sampleOwners(candidates []keyrange.Candidate, self string, count int, shuffle func(n int, swap func(i, j int))) []keyrange.Candidate {
+	others := slices.DeleteFunc(slices.Clone(candidates), func(c keyrange.Candidate) bool { return c.Owner.Instance == self })
+	shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
+
+// peerKeyLoads asks a sample of the other candidates of the service for their load. It leaves out those that do not answer,
+// are cold or have not read the range tables recently. For a backend server that has not run a request yet it assumes
 // serviceTime.
 func (g *Gateway) peerKeyLoads(table *keyrange.Table, serviceTime time.Duration) []keyload.Load {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
 	var loads []keyload.Load
-	for _, c := range g.ownerCandidates(table) {
+	for _, c := range sampleOwners(g.ownerCandidates(table), g.self.Instance, maxLoadProbes, rand.Shuffle) {
 		member, known := g.members.get(c.Owner.Instance)
-		if !known || member.Instance == g.self.Instance {
+		if !known {
 			continue
 		}
 		_, load, err := g.deps.Peers.Probe(ctx, member.Address, g.ranges.currentEnd())
