--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # Number of random fault schedules of each mode in a soak run.
 SOAK_SCHEDULES ?= 200
 
-.PHONY: all build generate check format-check vet staticcheck generate-check test demo measure soak clean
+.PHONY: all build generate check format-check vet staticcheck generate-check test fuzz demo measure soak clean
 
 all: check test
 
@@ -54,6 +54,17 @@
 	GO="$(GO)" $(GO) run ./scripts/knownred -race -- $(filter-out $(RAPID_PACKAGES),$(shell $(GO) list ./...))
 	HEATHERREEL_CHAOS_SEEDS=1 GO="$(GO)" $(GO) run ./scripts/knownred -tags lockcheck -- $(LOCK_PACKAGES)
 
+# Time for each fuzz target. CI uses the default.
+FUZZ_TIME ?= 5s
+FUZZ_TARGETS := ./platform/caller:FuzzHeartbeat ./platform/store:FuzzStoreAnswers ./platform/backend:FuzzAnswer \
+	./internal/registry:FuzzRecords ./internal/node:FuzzMessagesOfNodes
+
+# Runs each fuzz target for FUZZ_TIME. Failing inputs are written to testdata/fuzz of the package.
+fuzz:
+	@for target in $(FUZZ_TARGETS); do \
+		$(GO) test -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZ_TIME) "$${target%%:*}" || exit 1; \
+	done
+
 # Runs the property tests with many cases, and TestChaos with many schedules. SEED=n repeats the run with that seed.
 soak:
 	@seed="$${SEED:-$$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')}"; \
