--- a/internal/keyhold/keyhold_test.go
+++ b/internal/keyhold/keyhold_test.go
@@ -19,7 +19,6 @@
 	answered bool
 	// appliedAt is when an answered grant took effect.
 	appliedAt keyrange.Instant
-	released  bool
 }
 
 // latestEnd is when the hold ends on a clock that is 2 % slow.
