Run the subtests of broken-off answers one after the other

Cause: 22 parallel subtests kept all processors busy while other tests of the package, which have time limits, ran beside them.

--- a/internal/daemon/cut_answer_test.go
+++ b/internal/daemon/cut_answer_test.go
@@ -133,7 +133,6 @@
 					continue // The end of such an answer is the end of its connection.
 				}
 				t.Run(fmt.Sprintf("%s, kept connection %v, through a node %v", name, kept, relayed), func(t *testing.T) {
-					t.Parallel()
 					checkCuts(t, answer, kept, relayed, strings.HasSuffix(name, "length") && name[:7] == "without")
 				})
 			}
