--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -38,6 +38,9 @@
 	at         time.Time
 }
 
+// drainTime is drain_ms.
+const drainTime = 2 * time.Second
+
 // checker compares what clients sent and got with what targets ran.
 type checker struct {
 	rec *recorder
@@ -74,6 +77,12 @@
 
 // ran records that a target began to work on a request.
 func (c *checker) ran(t *target, id string, r *http.Request, body []byte, key int, fence uint64) {
+	t.mu.Lock()
+	leftAt := t.leftAt
+	t.mu.Unlock()
+	if late := time.Since(leftAt); !leftAt.IsZero() && late > drainTime {
+		c.fault("DRAIN", "target %s ran %s %v after its leaving was acknowledged", t.id, id, late.Round(time.Millisecond))
+	}
 	c.rec.log("run: %s at %s (%s) key %d fence %d", id, t.id, t.service, key, fence)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -67,7 +67,9 @@
 	server   *http.Server
 	client   *http.Client
 	stop     chan struct{}
-	acked    time.Time
+	// leaving is set once the target reports that it is draining, and leftAt when that was acknowledged.
+	leaving bool
+	leftAt  time.Time
 }
 
 func newTarget(c *target) *target {
@@ -218,7 +220,7 @@
 			return
 		}
 		began := time.Now()
-		again := t.sendHeartbeat("ready")
+		again := t.sendHeartbeat()
 		next = heartbeatInterval - time.Since(began) + time.Duration(rand.IntN(20)-10)*time.Millisecond
 		if again {
 			next = 80 * time.Millisecond
@@ -228,9 +230,13 @@
 }
 
 // sendHeartbeat sends one heartbeat and applies its reply. It reports whether another one is due at once.
-func (t *target) sendHeartbeat(state string) bool {
+func (t *target) sendHeartbeat() bool {
 	sent := time.Now()
 	t.mu.Lock()
+	state := "ready"
+	if t.leaving {
+		state = "draining"
+	}
 	t.sequence++
 	t.expire(sent)
 	holds, freed := [][3]uint64{}, [][3]any{}
@@ -272,7 +278,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.acked = time.Now()
+	if state == "draining" && t.leftAt.IsZero() {
+		t.leftAt = time.Now()
+		t.rec.log("target %s: its leaving is acknowledged", t.id)
+	}
 	t.freed = t.freed[min(reported, len(t.freed)):]
 	if reply.Holds == nil {
 		return false
