--- a/review/standin/check.go
+++ b/review/standin/check.go
@@ -116,16 +116,15 @@
 	cl.check.mu.Lock()
 	cl.check.sent[s.id] = s
 	cl.check.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
 	// The client attempt is written once: net/http must not repeat it by itself.
-	wrote := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		if wrote {
-			panic("the stand-in client sent an attempt twice")
+	connections := 0
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if connections++; connections > 1 {
+			cancel()
 		}
-		wrote = true
-	}}
-	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), deadline)
-	defer cancel()
+	}})
 	r, _ := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", cl.m.ip, outboundPort, path), nil)
 	if body != "" {
 		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
