Grant nothing before writes of an earlier process are ruled out

Cause: a node that gave its keys to others by a write without an answer keeps that write in memory and grants nothing that it takes away. If its process ends, the next one reads a table in which the write is not done yet and grants the same keys again; the write, whose condition still holds, is done afterwards, and the others grant the keys at once.

Change: a write is conditional on an end of the topic that the earlier process had read, hence not above the end of the first read of the new one. The lease of a process therefore begins with the first read that shows a record after that. If there is none, the node appends a record without a table. Replies to heartbeats wait for that, within the time for which they wait for moving keys.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -238,6 +238,8 @@
 		Remedy: "if this repeats, check the backend server on this instance"})
 	KeysReleased = define(Event{Number: 419, Name: "keys_released", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "the backend server of this node has released keys that move to another instance"})
+	RangesSettled = define(Event{Number: 420, Name: "ranges_settled", Level: zerolog.InfoLevel,
+		Text: "this process wrote a record after its start, so that no write of the process before it can change the key ownership any more; it may grant keys now"})
 )
 
 // decisionRate limits each event that records what was decided on a request, in events per second. Under overload,
--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -23,6 +23,9 @@
 	silent map[string]bool
 	// loseReplies makes appends take effect but return an error.
 	loseReplies bool
+	// lateAppend, if set, decides for each append under a condition by how much it is late: it gets no answer and takes
+	// effect that much later if its condition still holds. Zero is an append as usual.
+	lateAppend func(instance, topic string) time.Duration
 	// missWakeups makes waiting reads miss the records that are appended meanwhile.
 	missWakeups bool
 	// links holds the link to each instance that does not get its answers at once.
@@ -83,6 +86,13 @@
 	s.loseReplies = loseReplies
 }
 
+// SetLateAppend sets which appends under a condition get no answer and take effect later if the condition still holds.
+func (s *PlatformStore) SetLateAppend(late func(instance, topic string) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateAppend = late
+}
+
 // SetMissWakeups sets whether waiting reads miss the records appended meanwhile and return nothing until their wait is
 // over.
 func (s *PlatformStore) SetMissWakeups(missWakeups bool) {
@@ -310,20 +320,50 @@
 
 // Append implements registry.Store.
 func (c *platformStoreClient) Append(ctx context.Context, topic string, at int64, r registry.Record) (int64, error) {
-	err := c.beginCall(ctx)
+	started := time.Now()
+	end, late, err := c.append(ctx, topic, at, r)
+	if late {
+		_, err = c.awaitSilence(ctx, started.Add(storeSilenceLimit))
+	}
+	return end, err
+}
+
+// append makes an append, unless it is late: then it gets no answer.
+func (c *platformStoreClient) append(ctx context.Context, topic string, at int64, r registry.Record) (end int64, late bool, err error) {
+	err = c.beginCall(ctx)
 	defer c.store.mu.Unlock()
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	t := c.store.topic(topic)
 	if at != registry.AnyOffset && at != int64(len(t.records)) {
-		return 0, problem.New(problem.Conflict, "read again", "the end of the partition is %d", len(t.records))
+		return 0, false, problem.New(problem.Conflict, "read again", "the end of the partition is %d", len(t.records))
 	}
+	if at != registry.AnyOffset && c.store.lateAppend != nil {
+		if delay := c.store.lateAppend(c.instance, topic); delay > 0 {
+			time.AfterFunc(delay, func() { c.store.appendLate(t, at, r) })
+			return 0, true, nil
+		}
+	}
+	t.append(r)
+	if c.store.loseReplies {
+		return 0, false, problem.New(problem.Unavailable, "read again", "the reply was lost")
+	}
+	return int64(len(t.records)), false, nil
+}
+
+// appendLate makes an append that got no answer, if its condition still holds.
+func (s *PlatformStore) appendLate(t *storeTopic, at int64, r registry.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at == int64(len(t.records)) {
+		t.append(r)
+	}
+}
+
+// append adds a record and wakes the reads that wait. The caller holds PlatformStore.mu.
+func (t *storeTopic) append(r registry.Record) {
 	t.records = append(t.records, r)
 	close(t.changed)
 	t.changed = make(chan struct{})
-	if c.store.loseReplies {
-		return 0, problem.New(problem.Unavailable, "read again", "the reply was lost")
-	}
-	return int64(len(t.records)), nil
 }
--- a/internal/gateway/grant_reply.go
+++ b/internal/gateway/grant_reply.go
@@ -13,8 +13,9 @@
 // acknowledgement only within 1 s. Without the delay the keys would be granted with the next heartbeat, 870 ms later.
 const maxReplyDelay = 700 * time.Millisecond
 
-// awaitIncomingRanges waits until no keys are about to be assigned to the backend server, for at most maxReplyDelay.
-func (g *Gateway) awaitIncomingRanges(m heartbeat.Message) {
+// awaitGrantableRanges waits until the ownership is settled and no keys are about to be assigned to the backend server,
+// for at most maxReplyDelay.
+func (g *Gateway) awaitGrantableRanges(m heartbeat.Message) {
 	if !g.serviceKeyed() {
 		return
 	}
@@ -23,7 +24,7 @@
 	for {
 		changed := g.ranges.changes()
 		table, _ := g.ranges.get(g.self.Service)
-		if !table.HasIncoming(keyrange.Owner{Instance: g.self.Instance, Server: m.Server, StartedUnixMS: m.StartedUnixMS}) {
+		if g.ranges.isSettled() && !table.HasIncoming(keyrange.Owner{Instance: g.self.Instance, Server: m.Server, StartedUnixMS: m.StartedUnixMS}) {
 			return
 		}
 		select {
@@ -43,7 +44,7 @@
 		return heartbeat.Reply{}
 	}
 	if !m.Ended && !m.Draining {
-		g.awaitIncomingRanges(m)
+		g.awaitGrantableRanges(m)
 	}
 	return g.grantByReply(m, now)
 }
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -19,12 +19,13 @@
 	// suspicionSeenAt is when each open suspicion was first read.
 	suspicionSeenAt map[suspicionKey]keyrange.Instant
 	lease           keyrange.Lease
-	// changed is closed and replaced when a table changes.
+	// changed is closed and replaced when a table changes or the ownership is settled.
 	changed chan struct{}
 	// unreadable are the services whose newest record cannot be decoded.
 	unreadable map[string]bool
-	// readEnd is the end offset of the topic up to which the tables are read; -1 before the first read.
-	readEnd int64
+	// readEnd is the end offset of the topic up to which the tables are read; -1 before the first read. firstEnd is its
+	// value after the first read.
+	readEnd, firstEnd int64
 	// pendingWrites are the tables that this node has tried to write at the offset pendingEnd and that may still take
 	// effect. Ranges that one of them takes away are not granted any more, since it is unknown when the write takes
 	// effect.
@@ -40,7 +41,7 @@
 
 func newRangeTable() *rangeTable {
 	return &rangeTable{mu: lockorder.New(lockorder.KeyRanges), tables: map[string]*keyrange.Table{},
-		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), unreadable: map[string]bool{}, readEnd: -1}
+		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), unreadable: map[string]bool{}, readEnd: -1, firstEnd: -1}
 }
 
 // put sets the table of a service. A table in the map is never modified.
@@ -49,8 +50,7 @@
 	defer t.mu.Unlock()
 	t.tables[table.Service] = table
 	delete(t.unreadable, table.Service)
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.notifyChange()
 	open := map[suspicionKey]bool{}
 	for instance, s := range table.Suspicions {
 		key := suspicionKey{table.Service, instance, s.Number}
@@ -81,14 +81,24 @@
 }
 
 // confirmRead records a completed read. All records that the store had at the time asOf are applied: the lease is
-// extended to LeaseDuration after that, unless the table suspects the instance.
+// extended to LeaseDuration after that, unless the table suspects the instance or the ownership is not settled yet.
 func (t *rangeTable) confirmRead(self Self, asOf keyrange.Instant, readEnd int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	settledBefore := t.settled()
 	t.readEnd = readEnd
+	if t.firstEnd < 0 {
+		t.firstEnd = readEnd
+	}
 	if readEnd > t.pendingEnd {
 		t.pendingWrites = nil
 	}
+	if !t.settled() {
+		return
+	}
+	if !settledBefore {
+		t.notifyChange()
+	}
 	if table := t.tables[self.Service]; table != nil {
 		if _, suspected := table.Suspicions[self.Instance]; suspected {
 			return
@@ -97,6 +107,25 @@
 	t.lease.Extend(asOf)
 }
 
+// settled reports whether no write of an earlier process of the node can take effect any more. Such a write is
+// conditional on an end that the topic had before the first read, and may be done seconds after its process ended; any
+// record since then rules it out. Until then the node grants nothing, as the write may give the keys to others, which
+// would not wait for these grants. The caller holds mu.
+func (t *rangeTable) settled() bool { return t.readEnd > t.firstEnd }
+
+// isSettled reports the same as settled.
+func (t *rangeTable) isSettled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.settled()
+}
+
+// notifyChange wakes those that wait for a change. The caller holds mu.
+func (t *rangeTable) notifyChange() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // get returns the table of a service, nil if there is none, and the end offset up to which the tables are read.
 func (t *rangeTable) get(service string) (*keyrange.Table, int64) {
 	t.mu.Lock()
@@ -144,7 +173,7 @@
 	return kept
 }
 
-// changes returns a channel that is closed when a table changes.
+// changes returns a channel that is closed when a table changes or the ownership is settled.
 func (t *rangeTable) changes() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -157,6 +157,10 @@
 		return
 	}
 	changed := g.applyDueChanges(next) || unreadable
+	if !changed && table.Initialized() && !g.ranges.isSettled() {
+		g.settleRanges(end)
+		return
+	}
 	// A write with an unknown outcome may still take effect until any other write does. The table is then written
 	// unchanged to settle it.
 	if !changed && !(g.ranges.hasPendingWrites() && time.Since(g.reconciled.rangesWrittenAt) > writeTimeout) {
@@ -198,6 +202,23 @@
 	g.refreshTopic(registry.RangesTopic)
 }
 
+// settleRanges appends a record without a table at the end of the last read, so that no write of an earlier process of
+// the node can take effect any more. If another record came first, that one has the same effect.
+func (g *Gateway) settleRanges(end int64) {
+	ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
+	defer cancel()
+	g.reconciled.rangesWrittenAt = time.Now()
+	var err error
+	g.reconciled.rangesEnd, err = g.store.Append(ctx, registry.RangesTopic, end, registry.Record{Key: registry.SettlingKey})
+	switch {
+	case err == nil:
+		g.events.Emit(eventlog.RangesSettled, eventlog.Count("end", int(g.reconciled.rangesEnd)))
+	case problem.KindOf(err) != problem.Conflict:
+		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
+	}
+	g.refreshTopic(registry.RangesTopic)
+}
+
 // notifyOwners tells instances that their ownership of keys has changed. Other nodes read the change within the batch
 // delay of their reader, or when a request shows it to them.
 func (g *Gateway) notifyOwners(instances []string, end int64) {
--- /dev/null
+++ b/internal/gateway/restart_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/registry"
+)
+
+// holdHeartbeats sets whether the heartbeats of the backend server of an instance do not arrive.
+func (sim *simulation) holdHeartbeats(name string, held bool) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.heldHeartbeats[name] = held
+}
+
+// randomTime returns a time between from and to.
+func randomTime(random *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(random.Int64N(int64(to-from)))
+}
+
+// Guards against a new process that grants keys which a write of the process before it, done late, gives to others.
+func TestLateWriteOfEarlierProcessTakesNoGrantedKeys(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		for seed := range 2 * scheduleCount(t) {
+			t.Run(fmt.Sprintf("direct=%v/seed=%d", direct, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(uint64(seed), 5))
+					sim := newSimulation(t)
+					defer sim.close()
+					sim.direct, sim.orderRandom = direct, rand.New(rand.NewPCG(uint64(seed), 6))
+					sim.startFleet(4)
+					sim.writeLateAndRestart(random, fmt.Sprintf("k%d", random.IntN(4)))
+				})
+			})
+		}
+	}
+}
+
+// writeLateAndRestart holds back the heartbeats of a backend server until its node gives its keys away by a write that
+// gets no answer and is done late, and restarts the process of the node in between.
+func (sim *simulation) writeLateAndRestart(random *rand.Rand, name string) {
+	lateBy := randomTime(random, 500*time.Millisecond, 6*time.Second)
+	written := make(chan struct{})
+	lost := false
+	sim.store.SetLateAppend(func(instance, topic string) time.Duration {
+		if lost || instance != name || topic != registry.RangesTopic {
+			return 0
+		}
+		lost = true
+		close(written)
+		return lateBy
+	})
+	sim.holdHeartbeats(name, true)
+	<-written
+	time.Sleep(randomTime(random, 0, 500*time.Millisecond))
+	sim.killGateway(name)
+	time.Sleep(randomTime(random, 100*time.Millisecond, time.Second))
+	if random.IntN(2) == 0 {
+		sim.holdHeartbeats(name, false)
+	}
+	sim.startGateway(name)
+	time.Sleep(randomTime(random, 0, 500*time.Millisecond))
+	sim.holdHeartbeats(name, false)
+	time.Sleep(lateBy + 12*time.Second)
+	if got := sim.servedShare("f0"); got != 1 {
+		sim.t.Errorf("%.2f of the keys are served after the write, which was %v late", got, lateBy)
+	}
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -40,6 +40,8 @@
 	// answer of each such read; nil for no delay.
 	silentFeeds map[string]bool
 	topicDelay  func() time.Duration
+	// heldHeartbeats are the instances whose backend servers' heartbeats do not arrive.
+	heldHeartbeats map[string]bool
 	// clockOffsets are what the clocks of instances show more than that of the test.
 	clockOffsets map[string]time.Duration
 	// loseAnswerEvery makes every n-th answer of a backend server get lost; 0 for none.
@@ -132,7 +134,7 @@
 
 func newSimulation(t *testing.T) *simulation {
 	return &simulation{t: t, store: fake.NewPlatformStore(), instances: map[string]*simulatedInstance{}, runs: map[string]int{}, disconnected: map[string]bool{},
-		silentFeeds: map[string]bool{}, clockOffsets: map[string]time.Duration{}, stop: make(chan struct{})}
+		silentFeeds: map[string]bool{}, heldHeartbeats: map[string]bool{}, clockOffsets: map[string]time.Duration{}, stop: make(chan struct{})}
 }
 
 // close stops everything, so that the synctest bubble of the test can end.
@@ -312,7 +314,7 @@
 	sent := time.Now()
 	sim.mu.Lock()
 	g := inst.gateway
-	if inst.server != s {
+	if inst.server != s || sim.heldHeartbeats[inst.self.Instance] {
 		sim.mu.Unlock()
 		return false
 	}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -373,6 +373,9 @@
 
 // applyRanges applies the range table of one service.
 func (g *Gateway) applyRanges(r registry.Record) {
+	if r.Key == registry.SettlingKey {
+		return
+	}
 	t, err := registry.DecodeRanges(r)
 	if err != nil {
 		g.events.Emit(eventlog.RangesRecordRefused, eventlog.Name("key", r.Key), eventlog.Cause(err))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,6 +22,10 @@
 	RangesTopic  = "keyed.heatherreel-ranges"
 )
 
+// SettlingKey is the key of the records in RangesTopic that hold no table. Such a record only moves the end of the topic,
+// so that a write which is conditional on the end before it cannot take effect any more. No service has this name.
+const SettlingKey = "heatherreel/settled"
+
 // AnyOffset is the expected offset of an append that does not depend on the end of the partition.
 const AnyOffset = -1
 
