Assume grants of an earlier process also where they travel in replies

Backend servers would see: two of them hold the same keys for up to 2.6 s after a restart of a node during a short outage of the store, if the backend server announces its end then.

Cause: the same class as the late write of an earlier process, found by looking for it: what a process granted is known to that process only. Where keys are granted by calls, a new process counts all keys as held for the longest hold; in the other way it counted none, and gave the keys of a backend server that has announced its end to others at once, although it still serves under the earlier grants.

The first incarnation after the start keeps the assumption too, as the earlier process may have granted keys to it.

Change: both ways assume the earlier grants, each for its longest hold.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,8 +245,8 @@
 	if g.grantsByCalls() {
 		g.grantPool = worker.NewPool("grants", 1+maxGrantCalls+maxReleaseCalls, grantQueue)
 		g.grantTrigger = worker.NewTrigger(g.grantPool, g.scheduleKeyCalls)
-		g.server.assumeEarlierGrants(g.deps.Now())
 	}
+	g.server.assumeEarlierGrants(g.deps.Now(), g.maxHold())
 	g.events.Emit(eventlog.Started)
 	g.topicReaders = []*topicReader{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, batchDelay: func() time.Duration { return 0 }, onSnapshot: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
--- a/internal/gateway/grant_calls.go
+++ b/internal/gateway/grant_calls.go
@@ -23,6 +23,14 @@
 // grantsByCalls reports whether keys are granted by calls rather than in the replies to heartbeats.
 func (g *Gateway) grantsByCalls() bool { return g.deps.KeyCalls != nil }
 
+// maxHold returns the longest hold that the node grants.
+func (g *Gateway) maxHold() time.Duration {
+	if g.grantsByCalls() {
+		return keyhold.MaxHold
+	}
+	return keyrange.MaxHold
+}
+
 // scheduleKeyCalls begins the grants and releases that are due. It runs after each change of the table, the lease or the
 // backend server, and after each call.
 func (g *Gateway) scheduleKeyCalls() {
@@ -209,11 +217,11 @@
 	return owner.Server == t.lastHeartbeat.Server && owner.StartedUnixMS == t.lastHeartbeat.StartedUnixMS && t.holds.MayConnect(now)
 }
 
-// assumeEarlierGrants records that an earlier process of the node may have granted keys until now.
-func (t *serverTracker) assumeEarlierGrants(now keyrange.Instant) {
+// assumeEarlierGrants records that an earlier process of the node may have granted keys until now, for hold at most.
+func (t *serverTracker) assumeEarlierGrants(now keyrange.Instant, hold time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.holds.AssumeEarlierGrants(now)
+	t.holds.AssumeEarlierGrants(now, hold)
 }
 
 // refusedSpans returns the spans that the backend server has refused.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/heartbeat"
 	"heatherreel/internal/registry"
 )
 
@@ -70,3 +71,46 @@
 		sim.t.Errorf("%.2f of the keys are served after the write, which was %v late", got, lateBy)
 	}
 }
+
+// Guards against a new process that gives away the keys of a backend server which has announced its end, while the grants
+// of the process before it are in force.
+func TestGrantsOfEarlierProcessOutliveIt(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		for seed := range scheduleCount(t) {
+			t.Run(fmt.Sprintf("direct=%v/seed=%d", direct, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(uint64(seed), 7))
+					sim := newSimulation(t)
+					defer sim.close()
+					sim.direct, sim.orderRandom = direct, rand.New(rand.NewPCG(uint64(seed), 8))
+					sim.startFleet(4)
+					sim.restartAndEndServer(random, fmt.Sprintf("k%d", random.IntN(4)))
+				})
+			})
+		}
+	}
+}
+
+// restartAndEndServer restarts the process of an instance during a short outage of the store. Its backend server sends a
+// heartbeat to the new process, announces its end and still serves.
+func (sim *simulation) restartAndEndServer(random *rand.Rand, name string) {
+	time.Sleep(randomTime(random, 0, heartbeatInterval))
+	sim.killGateway(name)
+	sim.store.SetDown(true)
+	time.Sleep(randomTime(random, 100*time.Millisecond, 400*time.Millisecond))
+	sim.startGateway(name)
+	sim.mu.Lock()
+	inst := sim.instances[name]
+	g, alive := inst.gateway, heartbeatOf(inst)
+	sim.mu.Unlock()
+	_, _ = g.Heartbeat(alive)
+	sim.holdHeartbeats(name, true)
+	_, _ = g.Heartbeat(heartbeat.Message{Server: alive.Server, Ended: true})
+	sim.store.SetDown(false)
+	for range 50 {
+		time.Sleep(100 * time.Millisecond)
+		sim.mu.Lock()
+		sim.checkOwners()
+		sim.mu.Unlock()
+	}
+}
--- a/internal/keyhold/keyhold.go
+++ b/internal/keyhold/keyhold.go
@@ -83,7 +83,7 @@
 	released []Released
 	// refused are the spans that the backend server refused because it has seen a higher fence.
 	refused []Span
-	// anyUntil is until when the backend server may hold any key, by calls of an earlier process of the node.
+	// anyUntil is until when the backend server may hold any key, by grants of an earlier process of the node.
 	anyUntil keyrange.Instant
 	// notBefore is when the next call may be made, after one that could not be sent.
 	notBefore keyrange.Instant
@@ -113,14 +113,15 @@
 	settled uint64
 }
 
-// Reset forgets everything about an incarnation that has ended.
+// Reset discards what is known about an incarnation that has ended. An earlier process of the node may have granted keys
+// to the next incarnation too.
 func (t *Tracker) Reset() {
-	*t = Tracker{lastCall: t.lastCall, stats: t.stats}
+	*t = Tracker{lastCall: t.lastCall, stats: t.stats, anyUntil: t.anyUntil}
 }
 
-// AssumeEarlierGrants records that an earlier process of the node may have granted any key by calls until now.
-func (t *Tracker) AssumeEarlierGrants(now keyrange.Instant) {
-	t.anyUntil = max(t.anyUntil, keyrange.HoldExpiry(now, MaxHold))
+// AssumeEarlierGrants records that an earlier process of the node may have granted any key until now, for hold at most.
+func (t *Tracker) AssumeEarlierGrants(now keyrange.Instant, hold time.Duration) {
+	t.anyUntil = max(t.anyUntil, keyrange.HoldExpiry(now, hold))
 }
 
 // Usable reports whether the backend server holds a key for certain.
--- a/internal/keyhold/keyhold_test.go
+++ b/internal/keyhold/keyhold_test.go
@@ -270,7 +270,7 @@
 	now := keyrange.Instant(time.Hour)
 	s := Span{From: 0, To: 9, Fence: 3}
 	var tracker Tracker
-	tracker.AssumeEarlierGrants(now)
+	tracker.AssumeEarlierGrants(now, MaxHold)
 	if !tracker.MayHold(40000, 40000, now.Add(MaxHold)) || tracker.HoldsNothing(now.Add(MaxHold)) || tracker.MayHold(40000, 40000, keyrange.HoldExpiry(now, MaxHold)) {
 		t.Error("the grants of an earlier process do not end with the longest hold")
 	}
