End store calls through a node that has lost power

Cause: a call of the store through another node was not watched for silence, unlike requests and reads of feeds. On an idle connection to a node that had lost power, or through a node that lost it meanwhile, it lasted until its timeout, which grows to 12.6 s plus the wait of the read.

Evidence: TestLostNodeEndsStoreCall before this change: ended after 14.0 and 13.7 s, the timeout of the test.

Change: the connection is verified before the call, and the peer is checked after each 400 ms without data. A peer that does not answer another connection ends the call. One that answers is waited for, as before: TestSlowNodeCompletesStoreCall, a read of 3 s. A total limit instead of a check was ruled out: it would end reads of large records over slow links, which begin again then.

--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -21,16 +21,25 @@
 	return encodePage(page), nil
 }
 
-// StoreCall makes a call to the platform's store through the node at address. Errors are those of registry.Store.
+// storeCheckInterval is the time without data from a node that calls the store after which that node is checked. A check
+// takes checkTimeout at most.
+const storeCheckInterval = 400 * time.Millisecond
+
+// StoreCall makes a call to the platform's store through the node at address. Errors are those of registry.Store, and
+// wrap a SilenceError if the node stopped responding. The call lasts as long as the node answers other connections: it
+// may read a large record over a slow link.
 func (c *Client) StoreCall(ctx context.Context, address string, call registry.Call) (registry.Page, error) {
-	conn, err := c.connPool.take(ctx, address, false)
+	conn, err := c.connPool.take(ctx, address, true)
 	if err != nil {
 		return registry.Page{}, err
 	}
+	sent := time.Now()
 	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
+	conn.watchdog.arm(silenceRule{checkAfter: storeCheckInterval, lastChance: storeCheckInterval, patience: untilUnanswered}, sendTime(len(call.Record.Value)))
 	response, err := nodepb.NewDRPCRouterClient(conn).StoreCall(ctx, encodeStoreCall(call))
+	conn.watchdog.disarm()
 	conn.watchdog.transfer.Store(nil)
-	if err = c.finishCall(address, conn, err); err != nil {
+	if err = c.finishCall(address, conn, c.explainSilence(address, conn, sent, storeCheckInterval, err)); err != nil {
 		return registry.Page{}, err
 	}
 	if response.Failure != "" {
--- a/internal/node/watchdog.go
+++ b/internal/node/watchdog.go
@@ -22,6 +22,9 @@
 	untilDead
 	// untilRefused gives up a silent connection only when the peer refuses new ones.
 	untilRefused
+	// untilUnanswered gives up a silent connection as soon as the peer does not answer another one. As long as it does, it
+	// is checked again for each further silence of the length checkAfter.
+	untilUnanswered
 )
 
 // silenceRule is when a connection counts as silent and when it is given up.
@@ -170,6 +173,8 @@
 	case c.rule.patience == untilLimit:
 		step, deadline = c.awaitLimit(now)
 	case !c.silence.known:
+	case c.rule.patience == untilUnanswered:
+		step, deadline = c.awaitNextCheck(now)
 	case c.silence.result.state == PeerSilent:
 		if deadline = c.silence.result.ended.Add(checkPause); !now.Before(deadline) {
 			c.silence = newSilence(now, PeerSilent)
@@ -229,6 +234,22 @@
 	return giveUpAll, time.Time{}
 }
 
+// awaitNextCheck returns the step and the deadline for a connection that is kept while its peer answers. The caller holds
+// mu.
+func (c *watchdogConn) awaitNextCheck(now time.Time) (silenceStep, time.Time) {
+	r := c.silence.result
+	switch due := r.ended.Add(c.rule.checkAfter); {
+	case r.state == PeerRefuses:
+		return giveUpAll, time.Time{}
+	case r.state == PeerSilent:
+		return giveUp, time.Time{}
+	case now.Before(due):
+		return keepReading, due
+	}
+	c.silence = newSilence(now, r.state)
+	return requestCheck, time.Time{}
+}
+
 // firstDeadline returns when the connection counts as silent. The caller holds mu.
 func (c *watchdogConn) firstDeadline() time.Time {
 	if c.rule.lastChance == 0 {
