End reads through other nodes once the store is reachable again

Cause: only the readers themselves find out that the store is back, each before its next call. A reader that reads through another node waits for that node meanwhile, up to 12.6 s plus the wait of the read, and a read that follows an interrupted one cannot be ended by the reader of another topic. A direct call that began during the outage and failed after it made the store count as unreachable again.

Change: while the store is unreachable, a probe calls it each 0.7 s, for 0.6 s at most. When any direct call is answered, reads through other nodes of which nothing has arrived end and begin again at the store. A call that began before the last answered one no longer makes the store unreachable. Readers do not try the store themselves any more, which delayed a relayed read by up to 1.5 s each 0.7 s.

The fake store gives no answer to any call of a silent instance; before it answered appends and reads of the newest records.

--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -19,7 +19,7 @@
 	down   bool
 	// unreachable holds the instances whose calls fail.
 	unreachable map[string]bool
-	// silent holds the instances whose reads get no answer until storeSilenceLimit after their wait.
+	// silent holds the instances whose calls get no answer until storeSilenceLimit after their wait.
 	silent map[string]bool
 	// loseReplies makes appends take effect but return an error.
 	loseReplies bool
@@ -69,7 +69,7 @@
 	s.unreachable[instance] = unreachable
 }
 
-// SetSilent sets whether the reads of one instance, also those in progress, get no answer.
+// SetSilent sets whether the calls of one instance, also reads in progress, get no answer. Appends have no effect.
 func (s *PlatformStore) SetSilent(instance string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,7 +221,11 @@
 
 // Newest implements registry.Store.
 func (c *platformStoreClient) Newest(ctx context.Context, topic string) (registry.Page, error) {
+	silentUntil := time.Now().Add(storeSilenceLimit)
 	page, err := c.newest(ctx, topic)
+	if c.isSilent() {
+		return c.awaitSilence(ctx, silentUntil)
+	}
 	if err != nil {
 		return page, err
 	}
@@ -321,20 +325,23 @@
 // Append implements registry.Store.
 func (c *platformStoreClient) Append(ctx context.Context, topic string, at int64, r registry.Record) (int64, error) {
 	started := time.Now()
-	end, late, err := c.append(ctx, topic, at, r)
-	if late {
+	end, unanswered, err := c.append(ctx, topic, at, r)
+	if unanswered {
 		_, err = c.awaitSilence(ctx, started.Add(storeSilenceLimit))
 	}
 	return end, err
 }
 
-// append makes an append, unless it is late: then it gets no answer.
-func (c *platformStoreClient) append(ctx context.Context, topic string, at int64, r registry.Record) (end int64, late bool, err error) {
+// append makes an append. unanswered is set if it gets no answer.
+func (c *platformStoreClient) append(ctx context.Context, topic string, at int64, r registry.Record) (end int64, unanswered bool, err error) {
 	err = c.beginCall(ctx)
 	defer c.store.mu.Unlock()
 	if err != nil {
 		return 0, false, err
 	}
+	if c.store.silent[c.instance] {
+		return 0, true, nil
+	}
 	t := c.store.topic(topic)
 	if at != registry.AnyOffset && at != int64(len(t.records)) {
 		return 0, false, problem.New(problem.Conflict, "read again", "the end of the partition is %d", len(t.records))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,8 @@
 	grantTrigger *worker.Trigger
 	// slowdownTrigger runs pollSlowdown, which queries whether the machine of the backend server is still slow.
 	slowdownTrigger *worker.Trigger
+	// storeProbeTrigger runs relay.Store.Probe while the store is unreachable.
+	storeProbeTrigger *worker.Trigger
 	// reconciled belongs to the reconcile job.
 	reconciled reconcileState
 	// successorProbe belongs to the probe job. suspect is the instance that reconcile is to open a suspicion against.
@@ -210,7 +212,7 @@
 
 // Sizes of the control pool, whose jobs are rare.
 const (
-	controlWorkers = 4
+	controlWorkers = 5
 	controlQueue   = 64
 )
 
@@ -225,7 +227,7 @@
 	g.ranges = newRangeTable()
 	g.server = newServerTracker()
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
-	g.store = relay.New(d.Store, relayNodes{g}, d.Events)
+	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
 	return g
 }
 
@@ -242,6 +244,7 @@
 	g.controlPool = worker.NewPool("control", controlWorkers, controlQueue)
 	g.reconcileTrigger = worker.NewTrigger(g.controlPool, g.reconcile)
 	g.slowdownTrigger = worker.NewTrigger(g.controlPool, g.pollSlowdown)
+	g.storeProbeTrigger = worker.NewTrigger(g.controlPool, func() { g.store.Probe(g.ctx) })
 	if g.grantsByCalls() {
 		g.grantPool = worker.NewPool("grants", 1+maxGrantCalls+maxReleaseCalls, grantQueue)
 		g.grantTrigger = worker.NewTrigger(g.grantPool, g.scheduleKeyCalls)
@@ -344,6 +347,7 @@
 	g.readerGoroutines.Wait()
 	g.reconcileTrigger.Stop()
 	g.slowdownTrigger.Stop()
+	g.storeProbeTrigger.Stop()
 	if g.grantsByCalls() {
 		g.grantTrigger.Stop()
 		g.grantPool.Stop()
--- a/internal/gateway/simulation_peers_test.go
+++ b/internal/gateway/simulation_peers_test.go
@@ -42,11 +42,16 @@
 	p.sim.mu.Lock()
 	inst := p.sim.instances[instance]
 	disconnected := p.sim.disconnected[instance] || p.sim.disconnected[p.from]
+	withoutPower := p.sim.withoutPower[instance]
 	var g *Gateway
 	if inst != nil {
 		g = inst.gateway
 	}
 	p.sim.mu.Unlock()
+	if withoutPower {
+		<-ctx.Done()
+		return nil, problem.New(problem.Unavailable, "check the node", "no answer of %s: %w", instance, &node.SilenceError{Peer: node.PeerSilent, Cause: ctx.Err()})
+	}
 	if disconnected {
 		sleep(ctx, 300*time.Millisecond)
 	}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -36,6 +36,8 @@
 	runs map[string]int
 	// disconnected are the instances that no other instance can reach.
 	disconnected map[string]bool
+	// withoutPower are the instances that answer no call of another instance; each ends with its timeout.
+	withoutPower map[string]bool
 	// silentFeeds are the instances that do not answer reads of other instances, and topicDelay delays the request and the
 	// answer of each such read; nil for no delay.
 	silentFeeds map[string]bool
@@ -134,7 +136,7 @@
 
 func newSimulation(t *testing.T) *simulation {
 	return &simulation{t: t, store: fake.NewPlatformStore(), instances: map[string]*simulatedInstance{}, runs: map[string]int{}, disconnected: map[string]bool{},
-		silentFeeds: map[string]bool{}, heldHeartbeats: map[string]bool{}, clockOffsets: map[string]time.Duration{}, stop: make(chan struct{})}
+		silentFeeds: map[string]bool{}, heldHeartbeats: map[string]bool{}, withoutPower: map[string]bool{}, clockOffsets: map[string]time.Duration{}, stop: make(chan struct{})}
 }
 
 // close stops everything, so that the synctest bubble of the test can end.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,11 +19,15 @@
 )
 
 const (
-	// directInterval is the interval at which the store is tried directly while it is unreachable.
+	// directInterval is the interval at which the store is tried directly while it is unreachable. It is longer than
+	// probeTimeout.
 	directInterval = 700 * time.Millisecond
 	// maxNodes bounds the nodes that are tried for one call. While no node reaches the store, each call causes up to
 	// this many further calls.
 	maxNodes = 3
+	// probeTimeout bounds a probe of the unreachable store. The store counts as reachable if it is 60 times slower than
+	// usual, at 4 ms.
+	probeTimeout = 600 * time.Millisecond
 	// relayTimeout is the timeout of a relayed call, in addition to the wait of a read. It is longer than the time after
 	// which the other node's own call ends if the store is silent.
 	relayTimeout = 1800 * time.Millisecond
@@ -45,6 +50,8 @@
 	direct registry.Store
 	nodes  Nodes
 	events *eventlog.Logger
+	// scheduleProbe schedules a call of Probe after a delay.
+	scheduleProbe func(time.Duration)
 	// unreachable is set while direct calls fail. lastTried is the time of the last attempt to reach the store
 	// directly, in Unix nanoseconds.
 	unreachable atomic.Bool
@@ -55,13 +62,32 @@
 	// the reads in a row that exceeded theirs.
 	slowNode atomic.Pointer[string]
 	timeouts atomic.Int32
+	// answeredAt is when the last direct call began that the store answered, in Unix nanoseconds.
+	answeredAt atomic.Int64
+	// nextRead is the read that continues the last completed one; nil before the first.
+	nextRead atomic.Pointer[registry.Call]
+
+	// mu guards detours.
+	mu sync.Mutex
+	// detours are the reads in progress that began while the store was unreachable. They end when it is reachable again.
+	detours map[*detour]struct{}
+}
+
+// detour is a read that is given up for a direct one once the store is reachable, unless its answer already arrives.
+type detour struct {
+	giveUp   context.CancelCauseFunc
+	transfer *registry.Transfer
 }
 
+// errReachable is the cause of the end of a detour.
+var errReachable = errors.New("the store is reachable")
+
 var _ registry.Store = (*Store)(nil)
 
-// New returns a Store that calls direct, or the nodes while direct calls fail.
-func New(direct registry.Store, nodes Nodes, events *eventlog.Logger) *Store {
-	return &Store{direct: direct, nodes: nodes, events: events}
+// New returns a Store that calls direct, or the nodes while direct calls fail. scheduleProbe schedules a call of Probe; it
+// must not block.
+func New(direct registry.Store, nodes Nodes, events *eventlog.Logger, scheduleProbe func(time.Duration)) *Store {
+	return &Store{direct: direct, nodes: nodes, events: events, scheduleProbe: scheduleProbe, detours: map[*detour]struct{}{}}
 }
 
 // Newest implements registry.Store.
@@ -83,28 +109,111 @@
 // Unreachable reports whether the last direct call failed.
 func (s *Store) Unreachable() bool { return s.unreachable.Load() }
 
-// do makes a call directly if the store is reachable or a new attempt is due, and through other nodes otherwise.
+// do makes a call directly if the store is reachable or a new attempt is due, and through other nodes otherwise. It
+// begins a read again if the store has become reachable meanwhile.
 func (s *Store) do(ctx context.Context, c registry.Call) (registry.Page, error) {
+	for {
+		page, err := s.doOnce(ctx, c)
+		if errors.Is(err, errReachable) && ctx.Err() == nil {
+			continue
+		}
+		if err == nil && c.Operation != registry.OperationAppend {
+			s.nextRead.Store(&registry.Call{Operation: registry.OperationRead, Topic: c.Topic, From: page.End})
+		}
+		return page, err
+	}
+}
+
+// doOnce makes a call. The error of a read that is to begin again is errReachable.
+func (s *Store) doOnce(ctx context.Context, c registry.Call) (registry.Page, error) {
 	if s.tryDirect(time.Now()) {
-		direct := c
+		direct, started := c, time.Now()
+		callCtx, end := ctx, func() {}
 		if s.unreachable.Load() {
 			// This call only checks whether the store is reachable; waiting would delay the relayed call.
 			direct.Wait = 0
+			callCtx, end = s.beginDetour(ctx, c)
 		}
-		page, err := direct.Do(ctx, s.direct)
-		if !s.recordDirect(ctx, err) || !mayRepeat(c, err) {
+		page, err := direct.Do(callCtx, s.direct)
+		end()
+		if err != nil && context.Cause(callCtx) == errReachable {
+			return registry.Page{}, errReachable
+		}
+		if !s.recordDirect(ctx, started, err) {
+			return page, err
+		}
+		s.lastTried.Store(time.Now().UnixNano())
+		if !mayRepeat(c, err) {
 			return page, err
 		}
 	}
 	return s.relay(ctx, c)
 }
 
-// tryDirect reports whether a call goes to the store directly: always while the store is reachable, and once per
-// directInterval while it is not.
+// Probe makes a short direct call if the store is unreachable, and schedules the next one. While all readers wait for
+// other nodes, no other call finds out that the store is reachable again.
+func (s *Store) Probe(ctx context.Context) {
+	if !s.unreachable.Load() {
+		return
+	}
+	started := time.Now()
+	defer func() { s.scheduleProbe(time.Until(started.Add(directInterval))) }()
+	read := s.nextRead.Load()
+	if read == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := read.Do(ctx, s.direct)
+	s.recordDirect(ctx, started, err)
+}
+
+// beginDetour returns the context of a call that begins while the store is unreachable. It ends with the cause
+// errReachable when the store is reachable again, except for an append, which must not be repeated. end must be called
+// after the call.
+func (s *Store) beginDetour(ctx context.Context, c registry.Call) (callCtx context.Context, end func()) {
+	if c.Operation == registry.OperationAppend {
+		return ctx, func() {}
+	}
+	ctx, transfer := registry.TrackTransfer(ctx)
+	ctx, giveUp := context.WithCancelCause(ctx)
+	d := &detour{giveUp, transfer}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unreachable.Load() {
+		giveUp(errReachable)
+		return ctx, func() {}
+	}
+	s.detours[d] = struct{}{}
+	return ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.detours, d)
+		giveUp(nil)
+	}
+}
+
+// endDetours ends the detours of whose answers nothing has arrived.
+func (s *Store) endDetours() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for d := range s.detours {
+		if d.transfer.Received() == 0 {
+			d.giveUp(errReachable)
+		}
+	}
+}
+
+// tryDirect reports whether a call goes to the store directly: always while the store is reachable. While it is not,
+// probes find out when it is again. Before the first completed read there is nothing to probe with, and one call per
+// directInterval does so.
 func (s *Store) tryDirect(now time.Time) bool {
 	if !s.unreachable.Load() {
 		return true
 	}
+	if s.nextRead.Load() != nil {
+		return false
+	}
 	previous := s.lastTried.Load()
 	return now.UnixNano()-previous > int64(directInterval) && s.lastTried.CompareAndSwap(previous, now.UnixNano())
 }
@@ -115,23 +224,31 @@
 	return ctx.Err() == nil && problem.KindOf(err) == problem.Unavailable && errors.Is(err, context.DeadlineExceeded)
 }
 
-// recordDirect updates the reachability of the store after a direct call, and reports whether the store was
-// unreachable.
-func (s *Store) recordDirect(ctx context.Context, err error) bool {
-	switch problem.KindOf(err) {
-	case problem.Unavailable, problem.NotSent, problem.Overloaded:
+// recordDirect updates the reachability of the store after a direct call that began at started, and reports whether the
+// store was unreachable.
+func (s *Store) recordDirect(ctx context.Context, started time.Time, err error) bool {
+	switch kind := problem.KindOf(err); {
+	case kind == problem.Unavailable || kind == problem.NotSent || kind == problem.Overloaded:
+	case err != nil && kind != problem.Conflict && kind != problem.PastRetention:
+		return false
 	default:
-		if err == nil && s.unreachable.Swap(false) {
+		s.answeredAt.Store(max(s.answeredAt.Load(), started.UnixNano()))
+		if s.unreachable.Swap(false) {
 			s.events.Emit(eventlog.StoreDirect)
+			s.endDetours()
 		}
 		return false
 	}
 	if errors.Is(ctx.Err(), context.Canceled) || isSlow(ctx, err) {
 		return false
 	}
-	s.lastTried.Store(time.Now().UnixNano())
+	if s.answeredAt.Load() > started.UnixNano() {
+		// The store was unreachable when this call began, and has answered a later one.
+		return false
+	}
 	if !s.unreachable.Swap(true) {
 		s.events.Emit(eventlog.StoreRelayed, eventlog.Cause(err))
+		s.scheduleProbe(directInterval)
 	}
 	return true
 }
@@ -157,6 +274,9 @@
 			s.timeouts.Store(0)
 			return page, nil
 		}
+		if errors.Is(err, errReachable) {
+			return registry.Page{}, err
+		}
 		s.lastNode.Store(nil)
 		kind := problem.KindOf(err)
 		if kind == problem.Conflict || kind == problem.PastRetention || ctx.Err() != nil || !mayRepeat(c, err) {
@@ -195,8 +315,13 @@
 	if c.Operation != registry.OperationAppend {
 		timeout <<= min(s.timeouts.Load(), maxTimeoutDoublings)
 	}
+	ctx, end := s.beginDetour(ctx, c)
+	defer end()
 	ctx, cancel := context.WithTimeout(ctx, c.Wait+timeout)
 	defer cancel()
 	page, err = s.nodes.StoreCall(ctx, address, c)
+	if err != nil && context.Cause(ctx) == errReachable {
+		return registry.Page{}, false, errReachable
+	}
 	return page, err != nil && ctx.Err() != nil && problem.KindOf(err) != problem.NotSent, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -39,7 +39,11 @@
 func newTestStore() (*fake.PlatformStore, *fakeNodes, *Store) {
 	store := fake.NewPlatformStore()
 	n := &fakeNodes{addresses: []string{"gone", "other"}, stores: map[string]registry.Store{"other": store.ClientFor("other")}}
-	return store, n, New(store.ClientFor("self"), n, eventlog.Discard())
+	var s *Store
+	s = New(store.ClientFor("self"), n, eventlog.Discard(), func(delay time.Duration) {
+		time.AfterFunc(delay, func() { s.Probe(context.Background()) })
+	})
+	return store, n, s
 }
 
 // Guards against a node that cannot continue when the store refuses only its connections, and against one that still
@@ -124,7 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, n, _ := newTestStore()
 		slow := problem.New(problem.Unavailable, "check the link", "the answer is not complete: %w", context.DeadlineExceeded)
-		s := New(failingStore{store.ClientFor("self"), slow}, n, eventlog.Discard())
+		s := New(failingStore{store.ClientFor("self"), slow}, n, eventlog.Discard(), func(time.Duration) {})
 		if _, err := s.Newest(context.Background(), "t"); problem.KindOf(err) != problem.Unavailable || n.calls != 0 || s.Unreachable() {
 			t.Errorf("%v, %d calls of nodes, unreachable %v", err, n.calls, s.Unreachable())
 		}
@@ -136,7 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, n, _ := newTestStore()
 		unreachable := problem.New(problem.NotSent, "check the link", "dial: %w", context.DeadlineExceeded)
-		s := New(failingStore{store.ClientFor("self"), unreachable}, n, eventlog.Discard())
+		s := New(failingStore{store.ClientFor("self"), unreachable}, n, eventlog.Discard(), func(time.Duration) {})
 		if _, err := s.Newest(context.Background(), "t"); err != nil || n.calls == 0 || !s.Unreachable() {
 			t.Errorf("%v, %d calls of nodes, unreachable %v", err, n.calls, s.Unreachable())
 		}
@@ -194,3 +198,53 @@
 		}
 	})
 }
+
+// Guards against a reader that waits for another node while the store has become reachable again.
+func TestReadThroughNodeEndsWhenStoreIsReachable(t *testing.T) {
+	for _, outage := range []time.Duration{100 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			store, n, s := newTestStore()
+			n.addresses = []string{"silent"}
+			n.stores["silent"] = store.ClientFor("silent")
+			store.SetLink(1, 14<<10, "silent")
+			ctx := context.Background()
+			record := registry.Record{Key: "k", Value: make([]byte, 100)}
+			if _, err := s.Append(ctx, "t", 0, record); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.Read(ctx, "t", 0, 0); err != nil {
+				t.Fatal(err)
+			}
+			store.SetUnreachable("self", true)
+			for range maxTimeoutDoublings {
+				_, _ = s.Newest(ctx, "t")
+			}
+			if _, err := store.ClientFor("operator").Append(ctx, "t", 1, record); err != nil {
+				t.Fatal(err)
+			}
+			time.AfterFunc(outage, func() { store.SetUnreachable("self", false) })
+			started := time.Now()
+			page, err := s.Read(ctx, "t", 1, time.Second)
+			if took := time.Since(started); err != nil || page.End != 2 || took > outage+directInterval+100*time.Millisecond {
+				t.Errorf("an outage of %v: %+v, %v after %v", outage, page, err, took)
+			}
+		})
+	}
+}
+
+// Guards against a store that counts as unreachable because a call fails that began before its outage ended.
+func TestCallOfBeforeDoesNotMakeStoreUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, s := newTestStore()
+		lost := problem.New(problem.Unavailable, "check the store", "no answer")
+		began := time.Now()
+		time.Sleep(time.Millisecond)
+		if s.recordDirect(t.Context(), time.Now(), nil); s.recordDirect(t.Context(), began, lost) || s.Unreachable() {
+			t.Error("the store is unreachable after a later call was answered")
+		}
+		time.Sleep(time.Millisecond)
+		if !s.recordDirect(t.Context(), time.Now(), lost) || !s.Unreachable() {
+			t.Error("the store is reachable although the last call failed")
+		}
+	})
+}
