Record failed store calls against the node that did not answer

Cause: a node that did not answer a call of the store stayed among those that are called; only requests recorded such failures. After a zone lost its power, half of the nodes of a region that a reader could choose were of that kind, and up to three are tried for a call.

Evidence: TestLostNodeIsNotAskedForStoreCallsAgain fails without the change after each of four failures.

Change: a silent or refused call backs off the node as a failed request does, 0.3 to 2 s. Calls that fail at a node that answers do not.

--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -247,6 +247,17 @@
 	}
 }
 
+// recordFailureAt does the same as recordFailure for the instance whose node has the address.
+func (t *memberTable) recordFailureAt(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.Address == address {
+			p.recordFailure(now)
+		}
+	}
+}
+
 func (p *peer) recordFailure(now time.Time) {
 	p.failures++
 	p.retryAt = now.Add(min(minUnreachableBackoff<<min(p.failures-1, 4), maxUnreachableBackoff))
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -8,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"heatherreel/internal/registry"
 )
 
 // inForceAfterOutage is the time from the end of an outage of the store until the newest configuration must be in force.
@@ -59,3 +62,29 @@
 		}
 	}
 }
+
+// Guards against calls of the store through a node that has lost power, one after the other, although it did not answer
+// the first one.
+func TestLostNodeIsNotAskedForStoreCallsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		sim.mu.Lock()
+		sim.withoutPower["k0"] = true
+		sim.mu.Unlock()
+		n := relayNodes{sim.instances["k2"].gateway}
+		address := nodeAddress("k0")
+		for failures := range 4 {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			_, _ = n.StoreCall(ctx, address, registry.Call{Operation: registry.OperationNewest, Topic: "operators"})
+			cancel()
+			if slices.Contains(n.Addresses(), address) {
+				t.Errorf("the node is asked again after %d failures", failures+1)
+			}
+			time.Sleep(maxUnreachableBackoff)
+			if !slices.Contains(n.Addresses(), address) {
+				t.Errorf("the node is not asked %v after %d failures", maxUnreachableBackoff, failures+1)
+			}
+		}
+	})
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -9,6 +9,7 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/routed"
@@ -90,9 +91,13 @@
 	return append(near, far...)
 }
 
-// StoreCall implements relay.Nodes.
+// StoreCall implements relay.Nodes. A node that has stopped responding is not called again for a while.
 func (n relayNodes) StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
-	return n.g.deps.Peers.StoreCall(ctx, address, c)
+	page, err := n.g.deps.Peers.StoreCall(ctx, address, c)
+	if state := node.PeerStateOf(err); state == node.PeerSilent || state == node.PeerRefuses {
+		n.g.members.recordFailureAt(address, time.Now())
+	}
+	return page, err
 }
 
 // maxOwnershipAge is the age of the last read of the range tables up to which a node may take over keys: the poll
