Log how each node gets records of the operators

A configuration that takes effect late on one node can have come late from its feed, or from the store after an interrupted read; the logs did not tell these apart. Event 224 names the source, the time of the read and whether it followed a failed or interrupted one.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -210,6 +210,8 @@
 	FeedFailed = define(Event{Number: 223, Name: "feed_failed", Level: zerolog.InfoLevel, PerSecond: peerRate,
 		Text:   "the node in the field peer_instance, through which this node reads a topic, did not answer or does not read the topic from the platform store; this node reads the topic from the store and then uses another node for a while",
 		Remedy: "if this repeats for one node, check that node and its connection to the platform store"})
+	OperatorRecordsRead = define(Event{Number: 224, Name: "operator_records_read", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "a read of the operators' topic returned records; peer_instance is the node through which it was read, empty for the store, and again is 1 after a read that failed or was interrupted"})
 )
 
 // Events of the ownership of keys.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -258,7 +258,7 @@
 	}
 	tr.g.members.recordFeed(f.Instance, 0, time.Now())
 	tr.g.deps.Metrics.CountTopicRead(telemetry.FromNode)
-	return topicRead{page: answer.Page, snapshot: answer.Snapshot, asOf: asOf, followed: true}, nil
+	return topicRead{page: answer.Page, snapshot: answer.Snapshot, asOf: asOf, followed: true, through: f.Instance}, nil
 }
 
 // recordFeedFailure stops the use of a feed for a while, by all readers.
--- a/internal/gateway/simulation_peers_test.go
+++ b/internal/gateway/simulation_peers_test.go
@@ -152,7 +152,7 @@
 		return feed.Answer{}, err
 	}
 	p.sim.mu.Lock()
-	silent, delay := p.sim.silentFeeds[address], p.sim.topicDelay
+	silent, delay := p.sim.silentFeeds[address] || p.sim.withoutPower[address], p.sim.topicDelay
 	p.sim.mu.Unlock()
 	if silent {
 		sleep(ctx, r.Wait+feedSilenceLimit)
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -80,9 +80,11 @@
 	page registry.Page
 	// snapshot is set if the page holds the newest records of all keys.
 	snapshot bool
-	// asOf is when the read was sent to the store, and followed is set if a feed had sent it.
+	// asOf is when the read was sent to the store, and followed is set if a feed had sent it. through is the instance of
+	// the feed.
 	asOf     keyrange.Instant
 	followed bool
+	through  string
 }
 
 // run reads until ctx ends.
@@ -94,10 +96,11 @@
 	from, storeLost, backoff, noWait := int64(-1), false, minBackoff, false
 	var asOf keyrange.Instant
 	for ctx.Err() == nil {
+		started := time.Now()
 		read, err := tr.read(ctx, from, noWait)
-		noWait = false
 		switch {
 		case err == nil:
+			tr.logRecords(read, noWait, time.Since(started))
 			// Followers need not wait until this node has decoded the records.
 			tr.served.apply(read)
 			if read.snapshot {
@@ -120,6 +123,7 @@
 			if len(read.page.Records) > 0 && !read.page.Partial && !read.followed {
 				tr.delayForBatch(ctx)
 			}
+			noWait = false
 			continue
 		case ctx.Err() != nil:
 			return
@@ -129,9 +133,10 @@
 			noWait = true
 			continue
 		case problem.KindOf(err) == problem.PastRetention:
-			from = -1
+			from, noWait = -1, false
 			continue
 		}
+		noWait = false
 		tr.served.recordFailure()
 		if !storeLost {
 			tr.g.events.Emit(eventlog.StoreLost, eventlog.Name("topic", tr.topic), eventlog.Cause(err))
@@ -142,6 +147,16 @@
 	}
 }
 
+// logRecords logs a read of the operators' topic that returned records. again is set if it followed one that failed or was
+// interrupted.
+func (tr *topicReader) logRecords(r topicRead, again bool, took time.Duration) {
+	if tr.topic != tr.g.deps.OperatorTopic || len(r.page.Records) == 0 {
+		return
+	}
+	tr.g.events.Emit(eventlog.OperatorRecordsRead, eventlog.Name("peer_instance", r.through), eventlog.Count("records", len(r.page.Records)),
+		eventlog.Count("again", boolCount(again)), eventlog.Duration("took", took))
+}
+
 // maxMembersWait is how long the first read of a topic waits until the feeds are known. It is many times the duration of
 // a read between regions.
 const maxMembersWait = 500 * time.Millisecond
