Pass ownership records on at once instead of reading them from the store

That this is the cause of the late configuration is suspected and not shown.

Cause: a node at which requests wait for a key that moves read each version of the ownership from the store, past its feed. On a fleet of 195 nodes with eight versions a second most nodes have such requests, and each version crosses the link between the regions once for each of them, the more so the later it makes the answers.

TestOwnershipRecordsCrossLinkForFewNodes: 19.7 MB for 90 nodes with waiting requests before, 2.18 MB after, which is once for each feed.

Change: a node asks its feed to hurry. The feed skips its batch delay while any follower does, and answers after 0.4 s that nothing is new, so that a feed which has failed is noticed within 0.7 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -23,6 +23,9 @@
 	From int64
 	// Wait is how long the feed waits for a read of the store that ends after the request has arrived.
 	Wait time.Duration
+	// Urgent is set while requests wait for a record at the follower. The feed then passes on new records at once, and
+	// answers after Wait that there are none.
+	Urgent bool
 }
 
 // Answer is the answer of a feed.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// unchanged returns the answer that the last read, which is not older than maxAge, has shown no records that are new to
+// the follower. ok is false if there is no such read.
+func (s *servedTopic) unchanged(r feed.Request, arrived, now keyrange.Instant, maxAge time.Duration) (a feed.Answer, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.serving || s.failed || !s.current || !s.records.Held() || s.records.End() != r.From || now.Sub(s.readAt) > maxAge {
+		return feed.Answer{}, false
+	}
+	return feed.Answer{Page: registry.Page{End: r.From}, ReadOffset: s.readAt.Sub(arrived)}, true
+}
+
 // ReadTopic implements node.RouterService.
 func (g *Gateway) ReadTopic(ctx context.Context, r feed.Request) (feed.Answer, error) {
 	// A later reading of the clock only makes the answer seem older.
@@ -180,6 +191,9 @@
 	}
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
+	if r.Urgent {
+		defer g.skipBatchDelay(r.Topic)()
+	}
 	for {
 		answer, result, changed := s.answer(r, readsBefore, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge())
 		switch result {
@@ -192,6 +206,11 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			if r.Urgent {
+				if answer, ok := s.unchanged(r, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge()); ok {
+					return answer, nil
+				}
+			}
 			return feed.Answer{}, problem.New(problem.Unavailable, "read from the store", "no read of the store was completed in %v", r.Wait)
 		case <-ctx.Done():
 			return feed.Answer{}, problem.New(problem.Unavailable, "read from the store", "the read was given up: %w", ctx.Err())
@@ -235,19 +254,28 @@
 		// A feed has the records already, and the node cannot serve without them.
 		wait = feedGrace
 	}
+	urgent := tr.waiters.Load() > 0
+	if urgent {
+		// A feed that has failed is noticed soon.
+		wait = min(wait, feedGrace)
+	}
 	ctx, transfer := registry.TrackTransfer(ctx)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	tr.poll.Store(&poll{cancel, transfer, f.Instance})
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	tr.poll.Store(&poll{cancel: cancel, transfer: transfer, feed: f.Instance, urgent: urgent})
 	defer tr.poll.Store(nil)
+	if !urgent && tr.waiters.Load() > 0 {
+		// A request began to wait before the poll could be interrupted.
+		return topicRead{}, errBecameUrgent
+	}
 	callCtx, stop := context.WithTimeout(ctx, wait+followTimeout)
 	defer stop()
 	sent := tr.g.deps.Now()
-	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait})
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent})
 	asOf := sent.Add(answer.ReadOffset)
 	switch {
 	case ctx.Err() != nil:
-		return topicRead{}, ctx.Err()
+		return topicRead{}, context.Cause(ctx)
 	case err == nil && (answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
 		err = problem.New(problem.Malformed, "run the same version on all nodes", "records up to %d for a reader at %d, read %v after the request arrived",
 			answer.Page.End, from, answer.ReadOffset)
@@ -270,8 +298,8 @@
 	}
 	g.members.recordFeed(instance, failedFeedDelay, time.Now())
 	for _, tr := range g.topicReaders {
-		if p := tr.poll.Load(); tr != reader && p != nil && p.feed == instance && p.transfer.Received() == 0 {
-			p.cancel()
+		if p := tr.poll.Load(); tr != reader && p != nil && p.feed == instance {
+			p.interrupt(context.Canceled)
 		}
 	}
 }
@@ -280,8 +308,8 @@
 // the shortest: its reader notices that a feed has failed, but that of another topic would wait for its whole poll timeout.
 func (g *Gateway) endPollsOfOtherFeeds(instance string) {
 	for _, tr := range g.topicReaders {
-		if p := tr.poll.Load(); p != nil && p.feed != "" && p.feed != instance && p.transfer.Received() == 0 {
-			p.cancel()
+		if p := tr.poll.Load(); p != nil && p.feed != "" && p.feed != instance {
+			p.interrupt(context.Canceled)
 		}
 	}
 }
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -338,3 +338,39 @@
 		}
 	})
 }
+
+// Guards against ownership records that cross the link to a region once for each node, because requests wait for keys that
+// move: the link would be full, and a configuration would come late.
+func TestOwnershipRecordsCrossLinkForFewNodes(t *testing.T) {
+	const span, interval = 10 * time.Second, 125 * time.Millisecond
+	for _, n := range []int{30, 90}[:withoutRaceDetector(2)] {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sim := newSimulation(t)
+				defer sim.close()
+				far := startRegion(sim, n)
+				table, _ := sim.instances["far-0"].gateway.ranges.get("keyed")
+				record, err := registry.EncodeRanges(table)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, name := range far {
+					defer sim.instances[name].gateway.skipBatchDelay(registry.RangesTopic)()
+				}
+				before := sim.store.CarriedBytes("far-0")
+				for range span / interval {
+					if _, err := sim.store.ClientFor("other").Append(t.Context(), registry.RangesTopic, registry.AnyOffset, record); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(interval)
+				}
+				readers := int(math.Ceil(math.Sqrt(float64(n))))
+				carried, want := sim.store.CarriedBytes("far-0")-before, readers*int(span/interval)*(len(record.Key)+len(record.Value))
+				t.Logf("the link carried %d bytes to %d nodes", carried, n)
+				if carried > want+want/5 {
+					t.Errorf("the link carried %d bytes, want about %d for %d of %d nodes", carried, want, readers, n)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -61,18 +61,26 @@
 	poll            atomic.Pointer[poll]
 	lastRefreshNS   atomic.Int64
 	outdatedSinceNS atomic.Int64
-	// waiters counts the requests that wait for a record; the reader skips its batch delay meanwhile. cancelDelay ends
-	// a batch delay in progress.
+	// waiters counts the requests, and the urgent reads of followers, that wait for a record; the reader skips its batch
+	// delay meanwhile. cancelDelay ends a batch delay in progress.
 	waiters     atomic.Int64
 	cancelDelay atomic.Pointer[context.CancelFunc]
 }
 
 // poll is a read that waits for records.
 type poll struct {
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	transfer *registry.Transfer
-	// feed is the instance through which the topic is read; empty for the store.
-	feed string
+	// feed is the instance through which the topic is read, empty for the store. urgent is feed.Request.Urgent.
+	feed   string
+	urgent bool
+}
+
+// interrupt ends the poll with the cause, unless its answer is arriving.
+func (p *poll) interrupt(cause error) {
+	if p != nil && p.transfer.Received() == 0 {
+		p.cancel(cause)
+	}
 }
 
 // topicRead is a completed read.
@@ -127,6 +135,9 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errBecameUrgent):
+			noWait = false
+			continue
 		case errors.Is(err, errNotFollowed) || errors.Is(err, context.Canceled):
 			// The feed failed, or the read was interrupted. The next one goes to the store and does not wait for records:
 			// reads that are interrupted one after the other would never complete, and the lease would expire.
@@ -173,19 +184,22 @@
 	}
 }
 
+// errBecameUrgent is the cause of the end of a read through a feed that begins again as an urgent one.
+var errBecameUrgent = errors.New("requests wait for a record")
+
 // errNotFollowed means that a read through a feed failed, which is recorded.
 var errNotFollowed = errors.New("the feed failed")
 
 // read reads the next records, or the newest records of all keys if from is negative, through a feed or from the store.
-// It waits for new records unless noWait is set. A read that does not wait goes to the store, as do those while requests
-// wait for a record: its answer holds what the store had when it was sent.
+// It waits for new records unless noWait is set. A read that does not wait goes to the store: its answer holds what the
+// store had when it was sent.
 func (tr *topicReader) read(ctx context.Context, from int64, noWait bool) (topicRead, error) {
 	f, found := tr.chooseFeed()
-	if !found || noWait || tr.waiters.Load() > 0 || from < 0 && tr.ownRecords {
+	if !found || noWait || from < 0 && tr.ownRecords {
 		return tr.readStore(ctx, from, noWait)
 	}
 	read, err := tr.follow(ctx, f, from)
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, errBecameUrgent) {
 		return topicRead{}, errNotFollowed
 	}
 	return read, err
@@ -202,9 +216,9 @@
 		read.page, err = tr.g.store.Read(ctx, tr.topic, from, 0)
 	default:
 		ctx, transfer := registry.TrackTransfer(ctx)
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		tr.poll.Store(&poll{cancel, transfer, ""})
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		tr.poll.Store(&poll{cancel: cancel, transfer: transfer})
 		defer tr.poll.Store(nil)
 		wait := tr.wait()
 		if tr.served.hasFollowers(time.Now()) {
@@ -233,8 +247,9 @@
 	sleep(ctx, delay)
 }
 
-// skipBatchDelay ends the batch delay of the reader of a topic, and makes it skip further ones, and read from the store,
-// until release is called.
+// skipBatchDelay ends the batch delay of the reader of a topic, and makes it and its feed skip further ones, until release
+// is called. Reading from the store instead would take each version of the ownership over the link between the regions
+// once for each node with waiting requests.
 func (g *Gateway) skipBatchDelay(topic string) (release func()) {
 	for _, tr := range g.topicReaders {
 		if tr.topic != topic {
@@ -242,9 +257,9 @@
 		}
 		tr.waiters.Add(1)
 		tr.endBatchDelay()
-		if p := tr.poll.Load(); p != nil && p.feed != "" && p.transfer.Received() == 0 {
+		if p := tr.poll.Load(); p != nil && p.feed != "" && !p.urgent {
 			// The feed may be in a batch delay.
-			p.cancel()
+			p.interrupt(errBecameUrgent)
 		}
 		return func() { tr.waiters.Add(-1) }
 	}
@@ -280,9 +295,7 @@
 // nothing has arrived. Any other read returns the newest records soon, and beginning it again would transfer them twice.
 func (tr *topicReader) interrupt() {
 	tr.endBatchDelay()
-	if p := tr.poll.Load(); p != nil && p.transfer.Received() == 0 {
-		p.cancel()
-	}
+	tr.poll.Load().interrupt(context.Canceled)
 }
 
 // minRefreshInterval bounds the rate of reads that are caused by other nodes.
--- a/internal/node/topic_messages.go
+++ b/internal/node/topic_messages.go
@@ -20,7 +20,7 @@
 // ReadTopic implements nodepb.DRPCRouterServer. An error of the service is encoded in the response, so that it does not
 // count as an error of the connection.
 func (e *routerEndpoint) ReadTopic(ctx context.Context, m *nodepb.TopicRequest) (*nodepb.TopicResponse, error) {
-	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait)})
+	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait), Urgent: m.Urgent})
 	if err != nil {
 		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
 	}
@@ -42,7 +42,7 @@
 	sent := time.Now()
 	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
 	conn.watchdog.arm(silenceRule{limit: r.Wait + topicSilenceLimit, patience: untilLimit}, 0)
-	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait)})
+	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait), Urgent: r.Urgent})
 	conn.watchdog.disarm()
 	conn.watchdog.transfer.Store(nil)
 	if err = c.finishCall(address, conn, c.explainSilence(address, conn, sent, r.Wait, err)); err != nil {
--- a/internal/node/topic_test.go
+++ b/internal/node/topic_test.go
@@ -38,7 +38,7 @@
 	server, err := node.NewRouterServer(router)
 	requireNoError(t, err)
 	f := newFixtureFor(t, server.Serve)
-	want := feed.Request{Topic: "operators", From: -1, Wait: 1200 * time.Millisecond}
+	want := feed.Request{Topic: "operators", From: -1, Wait: 1200 * time.Millisecond, Urgent: true}
 	for _, offset := range []time.Duration{-1499999 * time.Nanosecond, 0, 700*time.Millisecond + 1} {
 		router.answer = feed.Answer{Snapshot: true, ReadOffset: offset, Page: registry.Page{End: 7,
 			Records: []registry.Record{{Key: "config", Value: []byte("v")}, {Key: "gone"}, {Key: "large", Value: bytes.Repeat([]byte("route "), 40<<10)}}}}
