Ignore only failed calls that were lost in an earlier outage

Only a call that began before the store was last regained is ignored now. The test has both cases; the first failed before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,8 +62,8 @@
 	// the reads in a row that exceeded theirs.
 	slowNode atomic.Pointer[string]
 	timeouts atomic.Int32
-	// answeredAt is when the last direct call began that the store answered, in Unix nanoseconds.
-	answeredAt atomic.Int64
+	// regainedAt is when the store was last found reachable again, in Unix nanoseconds.
+	regainedAt atomic.Int64
 	// nextRead is the read that continues the last completed one; nil before the first.
 	nextRead atomic.Pointer[registry.Call]
 
@@ -232,8 +232,8 @@
 	case err != nil && kind != problem.Conflict && kind != problem.PastRetention:
 		return false
 	default:
-		s.answeredAt.Store(max(s.answeredAt.Load(), started.UnixNano()))
 		if s.unreachable.Swap(false) {
+			s.regainedAt.Store(time.Now().UnixNano())
 			s.events.Emit(eventlog.StoreDirect)
 			s.endDetours()
 		}
@@ -242,8 +242,8 @@
 	if errors.Is(ctx.Err(), context.Canceled) || isSlow(ctx, err) {
 		return false
 	}
-	if s.answeredAt.Load() > started.UnixNano() {
-		// The store was unreachable when this call began, and has answered a later one.
+	if s.regainedAt.Load() > started.UnixNano() {
+		// This call was lost in an outage that has ended.
 		return false
 	}
 	if !s.unreachable.Swap(true) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -237,10 +237,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, _, s := newTestStore()
 		lost := problem.New(problem.Unavailable, "check the store", "no answer")
+		before := time.Now()
+		time.Sleep(time.Millisecond)
+		s.recordDirect(t.Context(), time.Now(), nil)
+		if !s.recordDirect(t.Context(), before, lost) || !s.Unreachable() {
+			t.Error("the store is reachable although a call failed, and there was no outage before")
+		}
 		began := time.Now()
 		time.Sleep(time.Millisecond)
 		if s.recordDirect(t.Context(), time.Now(), nil); s.recordDirect(t.Context(), began, lost) || s.Unreachable() {
-			t.Error("the store is unreachable after a later call was answered")
+			t.Error("the store is unreachable after a call was lost in an outage that has ended")
 		}
 		time.Sleep(time.Millisecond)
 		if !s.recordDirect(t.Context(), time.Now(), lost) || !s.Unreachable() {
