--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -50,12 +50,25 @@
 	RetryRatio   float64 `yaml:"retry_ratio"`
 	RetryWindowS float64 `yaml:"retry_window_s"`
 	RetryFloor   float64 `yaml:"retry_floor"`
+	// MaxFDs is the limit of open file descriptors of the process; 0 if it is not known.
+	MaxFDs int `yaml:"max_fds"`
+	// RevocationMS is the time after the acknowledgement of a configuration, in milliseconds, from which a key that it
+	// removed admits no request at any node; 0 if such a time is not guaranteed.
+	RevocationMS int `yaml:"revocation_ms"`
+	// PipelineDepth is the number of requests on one connection that are in progress at the same time; 0 means the
+	// default, DefaultPipelineDepth.
+	PipelineDepth int `yaml:"pipeline_depth"`
+	// LearnCapacity makes the node measure the concurrency up to which the backend server keeps its speed.
+	LearnCapacity bool `yaml:"learn_capacity"`
 	// TraceOutput is where spans are written: none, stderr or the path of a file; empty means none. TraceRatio is the
 	// fraction of requests whose spans are written.
 	TraceOutput string  `yaml:"trace_output"`
 	TraceRatio  float64 `yaml:"trace_ratio"`
 }
 
+// DefaultPipelineDepth is the default of Gateway.PipelineDepth.
+const DefaultPipelineDepth = 16
+
 // Values of Gateway.GrantDelivery.
 const (
 	// GrantsByHeartbeat grants keys in the replies to heartbeats.
@@ -134,6 +147,16 @@
 			faults = append(faults, fmt.Errorf("%s must be positive and at most %d", f.name, int(maxSetting)))
 		}
 	}
+	for _, f := range []struct {
+		name  string
+		value int
+	}{
+		{"max_fds", s.MaxFDs}, {"revocation_ms", s.RevocationMS}, {"pipeline_depth", s.PipelineDepth},
+	} {
+		if f.value < 0 || f.value > maxSetting {
+			faults = append(faults, fmt.Errorf("%s must be from 0 to %d", f.name, int(maxSetting)))
+		}
+	}
 	if s.GrantDelivery != "" && s.GrantDelivery != GrantsByHeartbeat && s.GrantDelivery != GrantsDirect {
 		faults = append(faults, fmt.Errorf("grant_delivery %q is neither %s nor %s", s.GrantDelivery, GrantsByHeartbeat, GrantsDirect))
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -30,6 +30,9 @@
 retry_ratio: 0.2
 retry_window_s: 10
 retry_floor: 62
+max_fds: 4100
+revocation_ms: 5000
+learn_capacity: true
 `
 
 // Guards against accepting settings with which a node could not run, and against reporting only the first fault.
@@ -69,6 +72,8 @@
 		"cpu_share: 0.32":                {"cpu_share: .nan", "cpu_share: .inf"},
 		"shutdown_s: 6":                  {"shutdown_s: .inf", "shutdown_s: 1e18"},
 		"drain_ms: 2000":                 {"drain_ms: 9223372036854775807", "drain_ms: 99999999999999999999"},
+		"max_fds: 4100":                  {"max_fds: -1", "max_fds: 1e300"},
+		"revocation_ms: 5000":            {"revocation_ms: -1", "revocation_ms: soon"},
 		"metrics_address: 10.0.0.1:9464": {"metrics_address: 10.0.0.1:70000", "metrics_address: 10.0.0.1:0", "metrics_address: host:9464", "metrics_address: 10.0.0.1:http"},
 		"retry_floor: 62\n":              {"retry_floor: 62\n---\ninstance: i-2\n", "retry_floor: 62\n--- [\n"},
 		"instance: i-1\n":                {"instance: i-1\ninstance: i-2\n", "instance: " + strings.Repeat("[", 20000) + "\n"},
