Pace large answers to the link of the instance

Its six nodes have links of 10 Mbit/s, and the downloads alone need 60 Mbit/s: small answers and handshakes waited behind them. Ruled out: the processor (0.04 of 0.16 cores at most) and the slots (36, a fifth of them in use).

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -47,6 +47,11 @@
 			answer.Owner = owned.Owner.Instance
 		}
 	}
+	return g.withNodeState(answer)
+}
+
+// withNodeState returns the answer with the state that this node reports in all answers.
+func (g *Gateway) withNodeState(answer routed.Answer) routed.Answer {
 	answer.Instance = g.self.Instance
 	answer.Load = g.loadReport()
 	answer.Revision = g.routes.revision()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,9 @@
 	IngressWorkers, IngressQueue int
 	// BackendWorkers is the number of exchanges with the backend server at once.
 	BackendWorkers int
-	Limits         Limits
+	// LinkMbps is the bandwidth of the link to other instances in Mbit/s; 0 if large answers are not paced.
+	LinkMbps float64
+	Limits   Limits
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
@@ -144,6 +146,8 @@
 	drainTime atomic.Int64
 	ranges    *rangeTable
 	server    *serverTracker
+	// egress is nil if large answers are not paced.
+	egress *egressTable
 
 	// store is the platform's store. Calls go through other nodes while this node cannot reach it.
 	store *relay.Store
@@ -226,6 +230,9 @@
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
 	g.server = newServerTracker()
+	if o.LinkMbps > 0 {
+		g.egress = newEgressTable(o.LinkMbps)
+	}
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
 	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
 	return g
@@ -389,7 +396,10 @@
 // Dispatch implements node.RouterService.
 func (g *Gateway) Dispatch(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	r.Deadline = g.limitToStop(r.Deadline)
-	return g.execute(ctx, r, p)
+	if g.egress == nil {
+		return g.execute(ctx, r, p)
+	}
+	return g.executePaced(ctx, r, p)
 }
 
 // Probe implements node.RouterService.
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -27,6 +27,8 @@
 	Serving Rank = 30
 	// Backend guards what is known about the backend server of this node.
 	Backend Rank = 40
+	// Egress guards the pacing of large answers.
+	Egress Rank = 45
 	// Admission guards the concurrency limits and queues of requests.
 	Admission Rank = 50
 	// Outcomes guards the retained outcomes of requests.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -52,6 +52,8 @@
 	RetryFloor   float64 `yaml:"retry_floor"`
 	// MaxFDs is the limit of open file descriptors of the process; 0 if it is not known.
 	MaxFDs int `yaml:"max_fds"`
+	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0 if large answers are not paced.
+	LinkMbps float64 `yaml:"link_mbps"`
 	// RevocationMS is the time after the acknowledgement of a configuration, in milliseconds, from which a key that it
 	// removed admits no request at any node; 0 if such a time is not guaranteed.
 	RevocationMS int `yaml:"revocation_ms"`
@@ -160,6 +162,9 @@
 	if s.GrantDelivery != "" && s.GrantDelivery != GrantsByHeartbeat && s.GrantDelivery != GrantsDirect {
 		faults = append(faults, fmt.Errorf("grant_delivery %q is neither %s nor %s", s.GrantDelivery, GrantsByHeartbeat, GrantsDirect))
 	}
+	if !(s.LinkMbps >= 0 && s.LinkMbps <= maxSetting) {
+		faults = append(faults, fmt.Errorf("link_mbps must be from 0 to %d", int(maxSetting)))
+	}
 	if !(s.TraceRatio >= 0 && s.TraceRatio <= 1) {
 		faults = append(faults, errors.New("trace_ratio must be from 0 to 1"))
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -31,6 +31,7 @@
 retry_window_s: 10
 retry_floor: 62
 max_fds: 4100
+link_mbps: 10
 revocation_ms: 5000
 learn_capacity: true
 `
@@ -73,6 +74,7 @@
 		"shutdown_s: 6":                  {"shutdown_s: .inf", "shutdown_s: 1e18"},
 		"drain_ms: 2000":                 {"drain_ms: 9223372036854775807", "drain_ms: 99999999999999999999"},
 		"max_fds: 4100":                  {"max_fds: -1", "max_fds: 1e300"},
+		"link_mbps: 10":                  {"link_mbps: -1", "link_mbps: .nan", "link_mbps: .inf"},
 		"revocation_ms: 5000":            {"revocation_ms: -1", "revocation_ms: soon"},
 		"metrics_address: 10.0.0.1:9464": {"metrics_address: 10.0.0.1:70000", "metrics_address: 10.0.0.1:0", "metrics_address: host:9464", "metrics_address: 10.0.0.1:http"},
 		"retry_floor: 62\n":              {"retry_floor: 62\n---\ninstance: i-2\n", "retry_floor: 62\n--- [\n"},
