Identify tenants by API keys, with a bound on revoked keys

Cause: the configuration has tenants with API keys, and a key that was removed must stop working everywhere within revocation_ms, also at nodes that have lost the store or were suspended.

internal/tenantauth decides the tenant or the refusal from the Authorization values, the route and the age of the proof that the configuration is the newest. The proof dates from the send of the last complete read of the operators' topic, here or at the feed (asOf of topicReader), by a clock that counts suspended time. The answer is 401 from a proof of up to 2 s, otherwise 503 configuration_stale.

The proof is one to two polls old in calm conditions, not zero to one: the last complete read was sent a poll before its end, and the next one ends a poll later. With polls of 1.5 s it was up to 3.0 s old, so that unknown keys got 503 instead of 401 and nodes without the store refused known keys after 1.5 s. While there are tenants, polls of this topic take 0.7 s; known keys are then served for 3 s without the store.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -267,6 +267,15 @@
 		Text: "a node is silent during a call for a request; its answer is awaited, and the request is sent again as well if the retry budget and the state of other nodes allow that"})
 )
 
+// Events of tenants.
+var (
+	ConfigurationStale = define(Event{Number: 520, Name: "configuration_stale", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the node cannot prove any more that its configuration is recent enough to decide on an API key; it refuses requests that need a key until it has read the operators' records again",
+		Remedy: "check the platform's store and the path from this node to it"})
+	ConfigurationProved = define(Event{Number: 521, Name: "configuration_proved", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "the node has read the operators' records again and decides on API keys"})
+)
+
 // Events of the load of the machine of the backend server.
 var (
 	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -353,6 +353,7 @@
 	}
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.lastHeartbeat.Server}
 	g.server.mu.Unlock()
+	e.HasTenants = hasTenants(g.routes.current())
 	result := make(chan routed.Answer, 1)
 	err := g.backendPool.Submit(func() { result <- g.exchange(ctx, e, ticket) })
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,9 @@
 	// BackendWorkers is the number of exchanges with the backend server at once.
 	BackendWorkers int
 	Limits         Limits
+	// Revocation is the time after the acknowledgement of a configuration from which an API key that it removed admits no
+	// request; zero if no such time is guaranteed.
+	Revocation time.Duration
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
@@ -140,6 +143,7 @@
 	incarnation atomic.Int64
 	routes      *routeTable
 	members     *memberTable
+	proof       configurationProof
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
 	ranges    *rangeTable
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -80,6 +80,7 @@
 
 // route finds the route of a request and serves it.
 func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
+	proofAsOf := g.proof.asOf()
 	table, matched, service := g.routes.find(r.Host, r.Path)
 	switch {
 	case g.requestsEnded.isSet():
@@ -94,6 +95,9 @@
 	}
 	r.Service, r.Route, r.Idempotent, r.Priority = service, matched.Name, matched.Idempotent, matched.Priority
 	r.HomeRegions, r.Revision, r.OriginService = matched.HomeRegions, table.Revision, g.self.Service
+	if refused := g.identify(&r, table.Tenants, matched, proofAsOf); refused != nil {
+		return g.finishRequest(&activeRequest{request: r, route: matched, started: time.Now()}, *refused)
+	}
 	now := time.Now()
 	if matched.Timeout > 0 {
 		if limit := now.Add(matched.Timeout); limit.Before(r.Deadline) {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -81,6 +81,10 @@
 	reuseServerIDs bool
 	// decodeTime is how long a configuration takes to decode.
 	decodeTime time.Duration
+	// events gets the events of the gateways that are started; they are discarded if it is nil. revocation is
+	// Options.Revocation of these gateways.
+	events     *eventlog.Logger
+	revocation time.Duration
 	// tables are the published configurations, by the number in their record.
 	tables []*route.Table
 	stop   chan struct{}
@@ -96,6 +100,8 @@
 	incarnation int64
 	// earlierFence is what highestFence was in the earlier incarnations of the backend server.
 	earlierFence [64]uint64
+	// suspended is the time for which the machine of the instance was suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
 // fakeBackendServer holds the ranges that heartbeat replies grant, by a clock that runs 2% slow.
@@ -233,10 +239,16 @@
 	if sim.direct {
 		keyCalls = &simulatedKeyCalls{inst: inst}
 	}
-	g := New(Options{Self: self, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
+	events := sim.events
+	if events == nil {
+		events = eventlog.Discard()
+	}
+	g := New(Options{Self: self, Revocation: sim.revocation, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
 		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, MinPerSecond: 1, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
-			Backend: inst, KeyCalls: keyCalls, Events: eventlog.Discard(), Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant { return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset) }})
+			Backend: inst, KeyCalls: keyCalls, Events: events, Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant {
+				return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset + time.Duration(inst.suspended.Load()))
+			}})
 	sim.mu.Unlock()
 	g.Start()
 	sim.mu.Lock()
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -223,6 +223,9 @@
 		if tr.served.hasFollowers(time.Now()) {
 			wait = tr.g.feedTimes(tr.topic).poll
 		}
+		if tr.topic == tr.g.deps.OperatorTopic && hasTenants(tr.g.routes.current()) {
+			wait = min(wait, tenantPollTimeout)
+		}
 		read.page, err = tr.g.store.Read(ctx, tr.topic, from, wait)
 	}
 	if err == nil {
@@ -364,7 +367,8 @@
 	return 0
 }
 
-func (g *Gateway) operatorSynced(keyrange.Instant, int64) {
+func (g *Gateway) operatorSynced(asOf keyrange.Instant, _ int64) {
+	g.extendProof(asOf)
 	g.applyServiceLimits()
 	g.reconcileTrigger.Fire()
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -124,6 +124,12 @@
 	MayHaveRun Reason = "may_have_run"
 	// NoRoute means that the configuration has no route for the request.
 	NoRoute Reason = "no_route"
+	// Unauthenticated means that the request has no API key of a tenant, and its route needs one.
+	Unauthenticated Reason = "unauthenticated"
+	// ConfigurationStale means that the configuration may be too old to decide on the API key of the request.
+	ConfigurationStale Reason = "configuration_stale"
+	// NoCommonRegion means that no region may serve both the route and the tenant of the request.
+	NoCommonRegion Reason = "no_common_region"
 	// NoServer means that no backend server may serve the request now.
 	NoServer Reason = "no_server"
 	// BackendFull means that the backend server had no free slot for the request.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"heatherreel/internal/problem"
+	"heatherreel/internal/tenantauth"
 )
 
 // WeightedService is one service of a route, with the weight that determines its share of the requests.
@@ -37,6 +38,8 @@
 	MaxAttempts int
 	// HomeRegions are the regions that may serve the route; empty for all.
 	HomeRegions []string
+	// AllowAnonymous is set if requests need no API key of a tenant.
+	AllowAnonymous bool
 }
 
 // Service is the configuration of a service.
@@ -64,6 +67,8 @@
 	Revision uint64
 	Services map[string]Service
 	Limits   Limits
+	// Tenants is nil if requests belong to no tenants. It is set before the table is in use.
+	Tenants *tenantauth.Table
 	// hosts holds the routes of each host in lower case, the longest prefix first.
 	hosts map[string][]*Route
 	// homes holds, for each service, the home regions of all its routes.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -24,6 +24,11 @@
 	Path   string
 	Header []Field
 	Body   []byte
+	// Authorization are the values of the header field with that name. They and Identity are not sent to other nodes.
+	Authorization []string
+	// Identity are the header fields with which callers state who they are: they are added to Header if the configuration
+	// has no tenants, and dropped otherwise.
+	Identity []Field
 	// Deadline is when the caller stops waiting, or when the timeout of the route ends.
 	Deadline time.Time
 	// Objective is the time by which an answer is on time; zero if the route has none.
@@ -34,6 +39,8 @@
 	// OriginService is the service of the instance at which the request entered the fleet.
 	OriginService string
 
+	// Tenant is the tenant that the request belongs to; empty if it has none.
+	Tenant  string
 	Service string
 	// Route is the name of the route.
 	Route      string
@@ -135,4 +142,6 @@
 	// Address and Server are the address and ID of the backend server that is to execute the request.
 	Address string
 	Server  string
+	// HasTenants is set if the configuration has tenants. The backend server then gets no identity but Request.Tenant.
+	HasTenants bool
 }
