--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,9 @@
 	// LinkMbps is the bandwidth of the link to other instances in Mbit/s; 0 if large answers are not paced.
 	LinkMbps float64
 	Limits   Limits
+	// Revocation is the time after the acknowledgement of a configuration from which an API key that it removed admits no
+	// request; zero if no such time is guaranteed.
+	Revocation time.Duration
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
@@ -142,6 +145,7 @@
 	incarnation atomic.Int64
 	routes      *routeTable
 	members     *memberTable
+	proof       configurationProof
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
 	ranges    *rangeTable
