Serve pipelined requests of callers at the same time

net/http handles the requests of a connection one after the other: four sent at once to a handler of 100 ms were answered after 101 to 402 ms. Nothing in its server changes that; a proxy in the process before it was ruled out, as it parses and copies each request twice.

Package pipeline is a server on http.ReadRequest that hands requests to the handler while earlier ones of the connection are unanswered, up to the setting pipeline_depth, and writes the answers in order. Requests that are not idempotent run alone; the router tells by the route. Heads and trailers are checked before they are parsed, because http.ReadRequest accepts bare LF, folded fields, spaces before a colon and a length beside chunks.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 # Time for each fuzz target. CI uses the default.
 FUZZ_TIME ?= 5s
 FUZZ_TARGETS := ./platform/caller:FuzzHeartbeat ./platform/store:FuzzStoreAnswers ./platform/backend:FuzzAnswer \
-	./internal/registry:FuzzRecords ./internal/node:FuzzMessagesOfNodes
+	./internal/registry:FuzzRecords ./internal/node:FuzzMessagesOfNodes ./internal/pipeline:FuzzHead
 
 # Runs each fuzz target for FUZZ_TIME. Failing inputs are written to testdata/fuzz of the package.
 fuzz:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,7 @@
 	leases   *node.LeaseSocket
 	engine   *engine.Engine
 
-	requestServers requestServers
+	requestServers requestServers[*http.Server]
 	// otherServers receive announcements and operators' requests.
 	otherServers []*http.Server
 	// serveLoops waits for the accept loops and the datagram reader.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/operator"
+	"heatherreel/internal/pipeline"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/settings"
 	"heatherreel/internal/telemetry"
@@ -72,8 +74,8 @@
 	// keyCalls is nil if keys are granted in the replies to heartbeats.
 	keyCalls *backend.KeyCalls
 
-	requestServers requestServers
-	servers        []*http.Server
+	requestServers requestServers[*pipeline.Server]
+	servers        []*pipeline.Server
 	serveLoops     sync.WaitGroup
 }
 
@@ -236,6 +238,7 @@
 		}
 		server := caller.NewServer(h.handler)
 		if d.requestServers.callers == nil {
+			server.Depth = cmp.Or(d.settings.PipelineDepth, settings.DefaultPipelineDepth)
 			d.requestServers.callers, d.requestServers.callerListener = server, httpwire.NewListener(listener)
 			listener = d.requestServers.callerListener
 		}
--- a/internal/daemon/request_servers.go
+++ b/internal/daemon/request_servers.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"heatherreel/internal/httpwire"
 	"heatherreel/internal/node"
 )
 
+// callerServer is a server for the requests of callers.
+type callerServer interface {
+	// Shutdown closes idle connections at once and waits until the requests in progress have finished, or ctx ends.
+	Shutdown(ctx context.Context) error
+}
+
 // requestServers are the servers through which a process receives requests: those for callers and for other nodes.
-type requestServers struct {
-	callers *http.Server
+type requestServers[S callerServer] struct {
+	callers S
 	// callerListener accepts the connections of callers.
 	callerListener *httpwire.Listener
 	nodes          *node.Server
@@ -19,9 +24,8 @@
 
 // finish waits until no request is in progress or on its way from another node, and all answers are written. The process
 // refuses requests since closedAt. finish returns false if ctx ends first.
-func (s requestServers) finish(ctx context.Context, closedAt time.Time) bool {
+func (s requestServers[S]) finish(ctx context.Context, closedAt time.Time) bool {
 	s.callerListener.CloseUnused()
-	// Shutdown closes idle connections at once and waits until the requests in progress have finished.
 	if s.callers.Shutdown(ctx) != nil {
 		return false
 	}
@@ -32,7 +36,7 @@
 }
 
 // writeAnswers waits until the answers to all requests are written, or ctx ends. The requests have been ended.
-func (s requestServers) writeAnswers(ctx context.Context) {
+func (s requestServers[S]) writeAnswers(ctx context.Context) {
 	// Without an error the answers are written; with one, their time is over.
 	_ = s.callers.Shutdown(ctx)
 	s.nodes.AwaitIdle(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -379,6 +379,9 @@
 	return answer
 }
 
+// LookUp returns what the configuration in force says about the requests for a host and path.
+func (g *Gateway) LookUp(host, path string) routed.Target { return g.routes.lookUp(host, path) }
+
 // errRequestsEnded is why a request ends at the end of a planned stop.
 var errRequestsEnded = problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
 
--- a/internal/gateway/route_table.go
+++ b/internal/gateway/route_table.go
@@ -5,6 +5,7 @@
 
 	"heatherreel/internal/lockorder"
 	"heatherreel/internal/route"
+	"heatherreel/internal/routed"
 )
 
 // routeTable holds the configuration in force. mu guards all fields; it has rank lockorder.Routes.
@@ -101,6 +102,16 @@
 	return t.table, r, t.splitter.Pick(r)
 }
 
+// lookUp returns what the configuration says about the requests for a host and path.
+func (t *routeTable) lookUp(host, path string) routed.Target {
+	table := t.current()
+	if table == nil {
+		return routed.Target{}
+	}
+	r := table.Match(host, path)
+	return routed.Target{Known: true, Found: r != nil, Idempotent: r != nil && r.Idempotent}
+}
+
 // defaultAnswerBytes is the size that is assumed for an answer before the first one is measured.
 const defaultAnswerBytes = 1000
 
--- a/internal/httpwire/listener.go
+++ b/internal/httpwire/listener.go
@@ -105,6 +105,9 @@
 	return nil
 }
 
+// NetConn returns the accepted connection.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // closeIfUnused closes the connection if nothing has arrived on it.
 func (c *callerConn) closeIfUnused() {
 	if c.state.CompareAndSwap(connUnused, connClosed) {
--- /dev/null
+++ b/internal/pipeline/body.go
@@ -0,0 +1,163 @@
+package pipeline
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"time"
+)
+
+// body is the body of a request, read from the connection by the handler. The reader of the connection waits meanwhile.
+//
+// mu guards the fields below it.
+type body struct {
+	conn *conn
+	// expected is set if the caller awaits an interim answer before it sends the body.
+	expected bool
+
+	mu sync.Mutex
+	// remaining is the rest of a body with a length, in bytes.
+	remaining int64
+	// chunks decodes a body without a length; nil for one with a length.
+	chunks io.Reader
+	// err is the result of all further reads; io.EOF after the end of the body.
+	err error
+	// over is set when the reader of the connection has it back.
+	over bool
+}
+
+// arrivedBody is a body that arrived together with its head.
+type arrivedBody struct{ bytes.Reader }
+
+// Close implements io.Closer.
+func (*arrivedBody) Close() error { return nil }
+
+// newBody returns the body of a request and what the handler reads from. The body is nil if nothing of it is left to be read
+// from the connection, so that the reader of the connection need not wait for the handler.
+func newBody(c *conn, req *http.Request) (*body, io.ReadCloser) {
+	if req.ContentLength == 0 {
+		return nil, http.NoBody
+	}
+	if size := req.ContentLength; size > 0 && size <= int64(c.buffered.Buffered()) {
+		data := make([]byte, size)
+		// All bytes are in the buffer.
+		_, _ = io.ReadFull(c.buffered, data)
+		arrived := &arrivedBody{}
+		arrived.Reset(data)
+		return nil, arrived
+	}
+	b := &body{conn: c, remaining: req.ContentLength, expected: expectsContinue(req)}
+	if req.ContentLength < 0 {
+		b.chunks = httputil.NewChunkedReader(c.buffered)
+	}
+	return b, b
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.over && b.err == nil {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if b.expected {
+		b.expected = false
+		if err := b.conn.writeContinue(); err != nil {
+			return 0, b.fail(err)
+		}
+	}
+	n, err := b.read(p)
+	if err != nil && err != io.EOF {
+		return n, b.fail(err)
+	}
+	if err == io.EOF {
+		b.err = io.EOF
+		b.handBack()
+	}
+	return n, err
+}
+
+// read reads from the connection. It returns io.EOF at the end of the body, also together with its last bytes.
+func (b *body) read(p []byte) (int, error) {
+	if b.chunks != nil {
+		n, err := b.chunks.Read(p)
+		if err == io.EOF {
+			err = b.conn.readTrailers()
+		}
+		return n, err
+	}
+	if int64(len(p)) > b.remaining {
+		p = p[:b.remaining]
+	}
+	n, err := b.conn.buffered.Read(p)
+	b.remaining -= int64(n)
+	switch {
+	case b.remaining == 0:
+		err = io.EOF
+	case err == io.EOF:
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// fail records why the body cannot be read further. The caller has gone unless the body is late or malformed.
+func (b *body) fail(err error) error {
+	b.err = err
+	var netErr net.Error
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) && !netErr.Timeout() {
+		b.conn.cancel()
+	}
+	return err
+}
+
+// handBack lets the reader of the connection continue.
+func (b *body) handBack() {
+	if !b.over {
+		b.over = true
+		b.conn.bodyOver <- struct{}{}
+	}
+}
+
+// Close implements io.Closer. The handler need not call it.
+func (b *body) Close() error { return nil }
+
+// finish ends the reading when the handler has returned. It reports whether the body was read to its end; a rest that has
+// arrived already is skipped.
+func (b *body) finish() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.over {
+		// The reader of the connection uses the buffer again.
+		return b.err == io.EOF
+	}
+	if buffered := b.conn.buffered; b.err == nil && b.chunks == nil && !b.expected && b.remaining <= int64(buffered.Buffered()) {
+		_, _ = buffered.Discard(int(b.remaining))
+		b.err = io.EOF
+	}
+	complete := b.err == io.EOF
+	b.handBack()
+	return complete
+}
+
+// setDeadline sets the deadline for reads of the body, until its end.
+func (b *body) setDeadline(t time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.over {
+		return nil
+	}
+	b.conn.mu.Lock()
+	defer b.conn.mu.Unlock()
+	b.conn.setDeadline(t)
+	return nil
+}
--- /dev/null
+++ b/internal/pipeline/limits.go
@@ -0,0 +1,29 @@
+package pipeline
+
+import "time"
+
+// Limits bound what one connection may cost. All are positive.
+type Limits struct {
+	// MaxHeaderBytes is the largest head, and MaxFields the largest number of its fields.
+	MaxHeaderBytes, MaxFields int
+	// HeaderTimeout is the time from the first byte of a head to its last one.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without requests is kept.
+	IdleTimeout time.Duration
+	// WriteTimeout is the interval at which the progress of an answer is checked that waits for its caller, and
+	// MinBytesPerSecond the rate at which the caller must have read in it. The system takes bytes in large pieces from an
+	// answer that waits, so that a short interval would cut callers that read steadily.
+	WriteTimeout      time.Duration
+	MinBytesPerSecond int64
+}
+
+// DefaultLimits returns the limits of a server that sets none.
+func DefaultLimits() Limits {
+	return Limits{MaxHeaderBytes: 64 << 10, MaxFields: 1024, HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second,
+		WriteTimeout: 10 * time.Second, MinBytesPerSecond: 1 << 10}
+}
+
+// progresses reports whether bytes in a time are enough for the caller to be kept.
+func (l Limits) progresses(bytes int64, took time.Duration) bool {
+	return bytes > 0 && float64(bytes) >= float64(l.MinBytesPerSecond)*took.Seconds()
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -72,6 +72,14 @@
 	RepeatedElsewhere
 )
 
+// Target is what is known about a request before it is routed.
+type Target struct {
+	// Known is false without a configuration. Found reports whether a route matches.
+	Known, Found bool
+	// Idempotent reports whether the request may run more than once.
+	Idempotent bool
+}
+
 // Load is what a node reports about the backend server on its instance.
 type Load struct {
 	// Known is false for a node without a backend server.
--- a/internal/shape/goroutines_test.go
+++ b/internal/shape/goroutines_test.go
@@ -22,6 +22,8 @@
 	{"internal/gateway/gateway.go:startReader", "one reader blocks in the long poll of each topic of the store"},
 	{"internal/daemon/gateway.go:goServe", "accept loops block in the operating system"},
 	{"internal/daemon/daemon.go:goServe", "accept loops and the datagram reader block in the operating system"},
+	{"internal/pipeline/server.go:Serve", "one reader blocks on each connection of a caller"},
+	{"internal/pipeline/conn.go:readRequests", "the handler of a request runs while further requests are read"},
 	{"internal/fake", "fakes serve and announce outside the node that is tested"},
 	{"cmd/heatherreel-standin/log.go:runLog", "closes the server of the stand-in when its context ends"},
 	{"internal/launch", "waits for the end of each process that the demo or the measuring program starts"},
