--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -3,6 +3,7 @@
 // decisionPackages compute typed values from typed values and the current time. They do no I/O.
 var decisionPackages = []string{
 	"internal/admission",
+	"internal/callroom",
 	"internal/choice",
 	"internal/contention",
 	"internal/config",
