Give calls a reserve and classes a floor in the admission queue

Parents in a cycle of services filled all slots and waited for calls to each other until these expired, so that almost all work was lost. An urgent class starved the others, and the starts that ignore classes could serve a class better than a more urgent one.

Calls go before new work of their own or a lower rank, have slots reserved by their measured need, and are refused when they are offered or not at all. Each class has a floor of a third of what a more urgent one is served.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -41,6 +41,11 @@
 	j.startedAt, j.slowdown = now, max(1, q.slowdown)
 	j.tenant.running++
 	j.key.running++
+	j.share.decay(now)
+	j.share.started++
+	if j.Call {
+		q.runningCalls++
+	}
 	q.running[j.ticket] = j
 }
 
@@ -48,6 +53,10 @@
 func (q *Queue) enqueue(j *job) {
 	j.tenant.waiting++
 	j.key.waiting++
+	j.share.waiting++
+	if j.Call {
+		q.waitingCalls++
+	}
 	q.waiting = append(q.waiting, j)
 }
 
@@ -65,6 +74,10 @@
 	}
 	j.tenant.waiting--
 	j.key.waiting--
+	j.share.waiting--
+	if j.Call {
+		q.waitingCalls--
+	}
 }
 
 // refuse removes a waiting job and returns its refusal.
@@ -97,9 +110,14 @@
 	byClass := (q.startedFromQueue+1)%classBlindInterval != 0
 	tenantShare := fairShare(q.options.Limit, len(q.tenants))
 	keyShare := fairShare(q.options.Limit, len(q.keys))
+	slotForWork, slotForCall := q.hasSlot(now, false), q.hasSlot(now, true)
 	var best *job
 	for _, j := range q.waiting {
-		if q.mayStart(now, j) && (best == nil || q.precedes(now, j, best, byClass, tenantShare, keyShare)) {
+		hasSlot := slotForWork
+		if j.Call {
+			hasSlot = slotForCall
+		}
+		if hasSlot && q.mayStart(now, j) && (best == nil || q.precedes(now, j, best, byClass, tenantShare, keyShare)) {
 			best = j
 		}
 	}
@@ -114,8 +132,18 @@
 
 // precedes reports whether a starts before b.
 func (q *Queue) precedes(now time.Time, a, b *job, byClass bool, tenantShare, keyShare int) bool {
-	if byClass && a.Class != b.Class {
-		return a.Class < b.Class
+	if aFirst, decided := callPrecedes(a, b); decided {
+		return aFirst
+	}
+	if a.Call && b.Call && a.Class == b.Class {
+		// The wait of a call was estimated from the calls before it, so that later ones must not overtake it.
+		return earlierDeadline(a, b)
+	}
+	if aRank, bRank := a.rank(), b.rank(); byClass && aRank != bRank {
+		return aRank < bRank
+	}
+	if a.share.aboveUrgent != b.share.aboveUrgent {
+		return b.share.aboveUrgent
 	}
 	if aOver, bOver := a.tenant.running >= tenantShare, b.tenant.running >= tenantShare; aOver != bOver {
 		return bOver
@@ -167,7 +195,7 @@
 	for q.overloaded() {
 		var oldest *job
 		for _, j := range q.waiting {
-			if !q.onTime(now, j.Job) && (oldest == nil || j.ticket < oldest.ticket) {
+			if !j.Call && !q.onTime(now, j.Job) && (oldest == nil || j.ticket < oldest.ticket) {
 				oldest = j
 			}
 		}
@@ -199,15 +227,18 @@
 	return candidate
 }
 
-// evictedBefore reports whether a is refused before b when the queue is full: first jobs of tenants above their fair
+// evictedBefore reports whether a is refused before b when the queue is full: calls last, first jobs of tenants above their fair
 // share of the queue, then the less urgent class, then the key with more waiting jobs, then the later deadline. The
 // tenant is compared before the class, so that a tenant that marks all its requests as urgent cannot fill the queue.
 func evictedBefore(a, b *job, tenantQueueShare int) bool {
+	if a.Call != b.Call {
+		return b.Call
+	}
 	if aOver, bOver := a.tenant.waiting > tenantQueueShare, b.tenant.waiting > tenantQueueShare; aOver != bOver {
 		return aOver
 	}
-	if a.Class != b.Class {
-		return a.Class > b.Class
+	if aRank, bRank := a.rank(), b.rank(); aRank != bRank {
+		return aRank > bRank
 	}
 	if a.key.waiting != b.key.waiting {
 		return a.key.waiting > b.key.waiting
@@ -231,13 +262,17 @@
 
 // cannotFinish reports whether an offered job is not expected to finish by its deadline. While no job runs, only the
 // deadline itself counts, since the estimated service time could not fall otherwise.
-func (q *Queue) cannotFinish(now time.Time, offered Job) bool {
+func (q *Queue) cannotFinish(now time.Time, offered Job, served *share) bool {
 	if !offered.Deadline.After(now) {
 		return true
 	}
 	if len(q.running) == 0 {
 		return false
 	}
+	if offered.Call || served.belowFloor {
+		// Waiting jobs of other classes do not go first; callMustWaitTooLong estimates the wait of a call.
+		return now.Add(q.ExpectedServiceTime(offered.Kind)).After(offered.Deadline)
+	}
 	return now.Add(q.expectedWait(now, offered) + q.ExpectedServiceTime(offered.Kind)).After(offered.Deadline)
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -28,6 +28,13 @@
 	// slowSince is when the queue began to hold jobs because of it; zero while jobs are not held.
 	slowdown  float64
 	slowSince time.Time
+	// callNeed is the measured need of calls; runningCalls and waitingCalls count the jobs that are calls.
+	callNeed                   callNeed
+	runningCalls, waitingCalls int
+	// shares are the recent services of the classes of tenants.
+	shares map[shareKey]*share
+	// classifiedAt is when the shares were last compared.
+	classifiedAt time.Time
 }
 
 // tenantKey identifies a key of a tenant; equal keys of two tenants are different.
@@ -49,6 +56,7 @@
 	// slowdown is the queue's slowdown, at least 1, when the job started.
 	slowdown    float64
 	tenant, key *jobCounts
+	share       *share
 }
 
 // NewQueue returns an empty queue.
@@ -59,6 +67,7 @@
 		tenants:          map[string]*jobCounts{},
 		keys:             map[tenantKey]*jobCounts{},
 		kindServiceTimes: map[string]time.Duration{},
+		shares:           map[shareKey]*share{},
 	}
 }
 
@@ -72,18 +81,33 @@
 func (q *Queue) Offer(now time.Time, offered Job) Decision {
 	q.lastTicket++
 	d := Decision{Ticket: q.lastTicket}
-	if q.cannotFinish(now, offered) {
+	served := q.shareOf(now, offered)
+	if offered.Call {
+		q.callNeed.add(now, q.ExpectedServiceTime(offered.Kind))
+	}
+	q.classify(now)
+	if q.cannotFinish(now, offered, served) {
 		d.Reason = request.DeadlineTooClose
 		return d
 	}
+	if offered.Call && q.callMustWaitTooLong(now, offered) {
+		d.Reason = request.QueueFull
+		return d
+	}
 	j := q.newJob(now, offered)
-	if len(q.running) < q.options.Limit && q.mayStart(now, j) {
+	j.share = served
+	// Slots are free while jobs wait only if the reserve for calls has just become smaller. The order then decides.
+	outranked := len(q.waiting) > 0 && !q.HoldingJobs() && q.next(now) != nil
+	if q.hasSlot(now, j.Call) && q.mayStart(now, j) && !outranked {
 		q.startJob(now, j)
 		d.Verdict = Started
 		return d
 	}
 	q.enqueue(j)
 	d.Verdict = Queued
+	if outranked {
+		d.Change = q.fillSlots(now)
+	}
 	if len(q.waiting) <= q.options.QueueLimit {
 		return d
 	}
@@ -94,7 +118,7 @@
 		d.Verdict, d.Reason = Refused, request.QueueFull
 		return d
 	}
-	d.Change.Refuse = []Refusal{{Ticket: evicted.ticket, Reason: request.QueueFull}}
+	d.Change.Refuse = append(d.Change.Refuse, Refusal{Ticket: evicted.ticket, Reason: request.QueueFull})
 	return d
 }
 
@@ -108,6 +132,9 @@
 	delete(q.running, ticket)
 	j.tenant.running--
 	j.key.running--
+	if j.Call {
+		q.runningCalls--
+	}
 	q.dropUnusedCounts(j)
 	if measured {
 		q.recordServiceTime(j.Kind, time.Duration(float64(now.Sub(j.startedAt))/j.slowdown))
@@ -186,6 +213,7 @@
 func (q *Queue) fillSlots(now time.Time) Change {
 	change := q.expireOrProbe(now)
 	change.Refuse = append(change.Refuse, q.refuseLate(now)...)
+	q.classify(now)
 	for len(q.running) < q.options.Limit {
 		j := q.next(now)
 		if j == nil {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -3,7 +3,9 @@
 // A queue keeps the requests above the concurrency limit of one backend server waiting. It orders them by class, then
 // puts tenants and keys below their fair share of the slots first, then requests that can still meet their objective,
 // then sorts by deadline. Requests that cannot finish in time are refused early. Only requests that were not sent to
-// the backend server are refused. The package does no I/O and reads no clock; callers must serialize access.
+// the backend server are refused. Calls that backend servers make while they execute a request go before new work of
+// their own or a lower rank, have slots reserved, and are refused when they are offered or not at all. Where several
+// classes compete, each has a floor, and none is served better than a more urgent one. The package does no I/O and reads no clock; callers must serialize access.
 package admission
 
 import (
@@ -25,10 +27,12 @@
 // Job holds the properties of a request that admission depends on.
 type Job struct {
 	// Kind groups jobs with similar service times, such as those of one route; empty if unknown.
-	Kind     string
-	Tenant   string
-	Key      string
-	Class    request.Class
+	Kind   string
+	Tenant string
+	Key    string
+	Class  request.Class
+	// Call is set for a job that a backend server sent while it executed another one, and that keeps a slot there.
+	Call     bool
 	Deadline time.Time
 	// Objective is the latency objective as a point in time: an answer after it is late. It is zero if an answer has
 	// the same value until the deadline.
