Send calls with their mark, and refuse parents whose calls are refused

The queue knew how to treat calls, but no node told it which requests are calls. Parents ran although the services that they call refused their calls, and a backend server that shed every request got all of them.

The ingress node recognizes the calls of its backend server and marks them in DispatchRequest; the node that runs them passes the mark to its queue. A parent whose calls are being refused is refused with the reason calls_refused, which is not tried at other nodes. A backend server that sheds all gets probes only. Refused callers get appointments where classes compete or calls are made.

--- a/internal/callroom/parents.go
+++ b/internal/callroom/parents.go
@@ -16,12 +16,13 @@
 	minCallsPerRun = 0.1
 	// minCredit is the number of credited calls from which calls per run count.
 	minCredit = 3
-	// The part of the parents that is admitted falls by cutFactor at a refused call, at most once in cutInterval, and
-	// grows by growthPerSecond otherwise. Half of the parents are admitted again after half a second without refusals,
-	// and all of them after 2 s, whatever the part was before.
-	cutFactor       = 0.7
+	// The part of the parents that is admitted falls by cutFactor at a refused call, at most once in cutInterval. It stays
+	// for holdTime after that, and then grows by growthPerSecond: from a twentieth to all in 1.7 s. While all calls are
+	// refused, about two calls a second find out whether they are served again, whatever the rate of the parents.
+	cutFactor       = 0.5
 	cutInterval     = 50 * time.Millisecond
-	growthPerSecond = 1.5
+	holdTime        = 200 * time.Millisecond
+	growthPerSecond = 2.0
 	// minAdmitted is the part of the parents that is admitted in any case: their calls find out whether calls are served
 	// again.
 	minAdmitted = 0.05
@@ -116,7 +117,7 @@
 	if c.cutAt.IsZero() {
 		return 1
 	}
-	return math.Min(1, c.cutShare*math.Exp(growthPerSecond*now.Sub(c.cutAt).Seconds()))
+	return math.Min(1, c.cutShare*math.Exp(growthPerSecond*max(0, now.Sub(c.cutAt)-holdTime).Seconds()))
 }
 
 // RecordRefusal records that a call of the route was refused.
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -267,6 +267,15 @@
 		Text: "a node is silent during a call for a request; its answer is awaited, and the request is sent again as well if the retry budget and the state of other nodes allow that"})
 )
 
+// Events of overload.
+var (
+	CallsRecognized = define(Event{Number: 555, Name: "calls_recognized", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "requests of the route arrive only while the backend server of this node executes others; they are treated as calls from now on"})
+	ServerShedding = define(Event{Number: 556, Name: "server_shedding", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the backend server of this node sheds every request; it gets only probes until it runs one",
+		Remedy: "check the backend server on this instance"})
+)
+
 // Events of the load of the machine of the backend server.
 var (
 	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
--- /dev/null
+++ b/internal/gateway/calls.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"time"
+
+	"heatherreel/internal/eventlog"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+	"heatherreel/internal/telemetry"
+)
+
+// tenantOf returns the tenant that a request counts for in the queue. Routed requests carry none yet.
+func tenantOf(routed.Request) string { return "" }
+
+// recognizeCall records a request that arrived at this node, and reports whether it is a call of the local backend
+// server.
+func (g *Gateway) recognizeCall(route string) bool {
+	g.server.mu.Lock()
+	known := g.server.calls.IsCall(route)
+	call := g.server.calls.Arrive(time.Now(), route)
+	recognized := !known && g.server.calls.IsCall(route)
+	g.server.mu.Unlock()
+	if recognized {
+		g.events.Emit(eventlog.CallsRecognized, eventlog.Name("route", route))
+	}
+	return call
+}
+
+// recordCallResult records the result of a call of the local backend server. A parent fails by a call that was not
+// served in time as it does by one that was refused.
+func (g *Gateway) recordCallResult(r routed.Request, a routed.Answer) {
+	if !r.Call || a.Outcome != request.NotRun && a.Reason != request.DeadlineExceeded {
+		return
+	}
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	g.server.calls.RecordRefusal(time.Now(), r.Route)
+}
+
+// overloadRefusal returns why the backend server is not to get a request now, and when the caller is to return; empty if
+// it may get it.
+func (g *Gateway) overloadRefusal(r routed.Request) (request.Reason, time.Duration) {
+	now := time.Now()
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	switch {
+	case !g.server.shedGate.Allow(now):
+		return request.BackendFull, g.server.shedGate.RetryAfter(now)
+	case !r.Call && !g.server.calls.AdmitParent(now, r.Route):
+		return request.CallsRefused, g.server.retryAfter(now, g.server.loadLocked(now))
+	}
+	return "", 0
+}
+
+// beginRun records that the backend server begins to execute a request of the route.
+func (t *serverTracker) beginRun(route string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls.Begin(time.Now(), route)
+}
+
+// endRun records that the backend server ended a request of the route, and reports whether it is left alone from now on
+// because it sheds all requests.
+func (t *serverTracker) endRun(route string, a routed.Answer) (leftAlone bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.calls.End(now, route)
+	shed := a.ReachedServer && a.Outcome == request.NotRun && a.Reason == request.BackendFull
+	closed := t.shedGate.Closed()
+	if shed && (closed || t.queue.Contended(now)) || a.Outcome == request.Done {
+		t.shedGate.Record(now, shed)
+	}
+	return !closed && t.shedGate.Closed()
+}
+
+// retryAfter returns when a caller that is refused now is to return. Where classes compete or calls are made, callers
+// get times of their own. The caller holds mu.
+func (t *serverTracker) retryAfter(now time.Time, l routed.Load) time.Duration {
+	wait := expectedSlotWait(l)
+	if !t.queue.Contended(now) || l.ServiceTime <= 0 {
+		return wait
+	}
+	return t.appointments.Give(now, wait, l.ServiceTime, l.Slots)
+}
+
+// refusalCause returns the cause by which a refusal is counted; false if it is not counted.
+func refusalCause(r routed.Request, reason request.Reason) (telemetry.RefusalCause, bool) {
+	switch reason {
+	case request.CallsRefused:
+		return telemetry.RefusedForCalls, true
+	case request.BackendFull:
+		return telemetry.RefusedByServer, true
+	case request.QueueFull, request.DeadlineTooClose:
+		switch {
+		case r.Call:
+			return telemetry.RefusedCall, true
+		case reason == request.QueueFull:
+			return telemetry.RefusedQueueFull, true
+		}
+		return telemetry.RefusedLate, true
+	}
+	return 0, false
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -80,6 +80,11 @@
 			return g.refuse(r, reason)
 		}
 	}
+	if reason, retryAfter := g.overloadRefusal(r); reason != "" {
+		answer := g.refuse(r, reason)
+		answer.RetryAfter = retryAfter
+		return answer
+	}
 	g.refreshWorkFigure(ctx)
 	if g.shouldDivert(r) {
 		return g.refuse(r, request.MachineSlow)
@@ -116,7 +121,14 @@
 
 // refuse logs a refusal and returns its answer.
 func (g *Gateway) refuse(r routed.Request, reason request.Reason) routed.Answer {
-	load := g.server.load(time.Now())
+	g.server.mu.Lock()
+	now := time.Now()
+	load := g.server.loadLocked(now)
+	retryAfter := g.server.retryAfter(now, load)
+	g.server.mu.Unlock()
+	if cause, counted := refusalCause(r, reason); counted {
+		g.deps.Metrics.CountRefusal(cause)
+	}
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting),
 		eventlog.Duration("delay", r.Delay))
@@ -124,7 +136,7 @@
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
 	}
-	return routed.NotRun(reason, expectedSlotWait(load))
+	return routed.NotRun(reason, retryAfter)
 }
 
 // expectedSlotWait estimates when a slot is free for a request that is refused now and retried.
@@ -240,11 +252,12 @@
 	now := time.Now()
 	g.server.applyChange(g.server.queue.SetSlowdown(now, g.server.slowdownMonitor.Slowdown(now)))
 	giveUpAt := r.Deadline.Add(-max(minRunTime, g.server.queue.ExpectedServiceTime(r.Route)))
-	if waitLimit := now.Add(r.Deadline.Sub(now) * queueWaitPercent / 100); waitLimit.Before(giveUpAt) {
+	// A call that waits is not refused before its latest start: its parent has done work that would be lost.
+	if waitLimit := now.Add(r.Deadline.Sub(now) * queueWaitPercent / 100); waitLimit.Before(giveUpAt) && !r.Call {
 		giveUpAt = waitLimit
 	}
-	decision := g.server.queue.Offer(now, admission.Job{Kind: r.Route, Class: request.Class(min(r.Priority, 255)), Deadline: r.Deadline,
-		Objective: r.Objective})
+	decision := g.server.queue.Offer(now, admission.Job{Kind: r.Route, Tenant: tenantOf(r), Class: request.Class(min(r.Priority, 255)),
+		Call: r.Call, Deadline: r.Deadline, Objective: r.Objective})
 	var waiter chan request.Reason
 	if decision.Verdict == admission.Queued {
 		waiter = make(chan request.Reason, 1)
@@ -392,7 +405,11 @@
 	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
 	defer cancel()
 	ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
+	g.server.beginRun(e.Request.Route)
 	answer := g.deps.Backend.Exchange(ctx, e)
+	if g.server.endRun(e.Request.Route, answer) {
+		g.events.Emit(eventlog.ServerShedding, eventlog.Name("server", e.Server))
+	}
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
 	if answer.ConnectionRefused {
@@ -413,6 +430,9 @@
 		eventlog.Name("outcome", a.Outcome.String()), eventlog.Name("reason", string(a.Reason)),
 		eventlog.Duration("remaining", max(0, time.Until(r.Deadline))), eventlog.Duration("delay", r.Delay))
 	if a.Outcome == request.NotRun && a.RetryAfter == 0 {
-		a.RetryAfter = expectedSlotWait(g.server.load(time.Now()))
+		g.server.mu.Lock()
+		defer g.server.mu.Unlock()
+		now := time.Now()
+		a.RetryAfter = g.server.retryAfter(now, g.server.loadLocked(now))
 	}
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -94,6 +94,7 @@
 	}
 	r.Service, r.Route, r.Idempotent, r.Priority = service, matched.Name, matched.Idempotent, matched.Priority
 	r.HomeRegions, r.Revision, r.OriginService = matched.HomeRegions, table.Revision, g.self.Service
+	r.Call = g.recognizeCall(matched.Name)
 	now := time.Now()
 	if matched.Timeout > 0 {
 		if limit := now.Add(matched.Timeout); limit.Before(r.Deadline) {
@@ -292,6 +293,10 @@
 	if !retry.Allowed(now, a.request.Deadline, a.lastAnswer.Outcome, a.request.Idempotent) || a.serverAttempts >= a.route.MaxAttempts {
 		return false
 	}
+	if a.lastAnswer.Reason == request.CallsRefused {
+		// The calls go to all nodes of their service, so that they are refused at other nodes of this one as well.
+		return false
+	}
 	if a.lastAnswer.ReachedServer {
 		// Only a retry after a send that reached a backend server is charged to the retry budget of the service.
 		if !g.members.takeRetry(a.request.Service, now) {
@@ -383,6 +388,7 @@
 
 // finishRequest logs the result of a request and returns its answer.
 func (g *Gateway) finishRequest(a *activeRequest, answer routed.Answer) routed.Answer {
+	g.recordCallResult(a.request, answer)
 	g.deps.Metrics.RecordRequest(telemetry.Ingress, a.request.Service, answer.Outcome, answer.Reason, time.Since(a.started))
 	event := eventlog.RequestServed
 	if answer.Outcome != request.Done {
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"heatherreel/internal/admission"
+	"heatherreel/internal/callroom"
 	"heatherreel/internal/contention"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/heartbeat"
@@ -76,8 +77,13 @@
 	queryingWorkFigure  bool
 	workFigureQueriedAt time.Time
 	// speedProbes counts the queries of measureSpeed in the current incarnation.
-	speedProbes  int
-	waiters      map[admission.Ticket]chan request.Reason
+	speedProbes int
+	waiters     map[admission.Ticket]chan request.Reason
+	// calls knows the calls of the backend server, shedGate leaves it alone while it sheds all requests, and appointments
+	// spreads the times at which refused callers return.
+	calls        *callroom.Room
+	shedGate     admission.ShedGate
+	appointments admission.Appointments
 	queueOptions admission.Options
 }
 
@@ -120,7 +126,8 @@
 
 func newServerTracker() *serverTracker {
 	return &serverTracker{mu: lockorder.New(lockorder.Backend), departures: map[string]departure{}, rangesChanged: make(chan struct{}),
-		queue: admission.NewQueue(admission.Options{}), waiters: map[admission.Ticket]chan request.Reason{}}
+		queue: admission.NewQueue(admission.Options{}), waiters: map[admission.Ticket]chan request.Reason{},
+		calls: callroom.New()}
 }
 
 // registryServer returns the part of the member record that describes the backend server.
@@ -150,6 +157,11 @@
 func (t *serverTracker) load(now time.Time) routed.Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.loadLocked(now)
+}
+
+// loadLocked does the same for a caller that holds mu.
+func (t *serverTracker) loadLocked(now time.Time) routed.Load {
 	u := t.queue.Usage()
 	return routed.Load{Known: t.lastHeartbeat.Server != "" && !t.ended, Running: u.Running, Waiting: u.Waiting, Slots: u.Limit,
 		ServiceTime: u.ServiceTime, ColdFor: max(0, t.coldUntil.Sub(now)), KeyRate: t.keyMeter.Rate(),
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -66,6 +66,7 @@
 		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
 		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: []byte(r.Traceparent),
 		Clock: t.clock, SentUs: encodeDuration(t.sent), PathDelayUs: encodeDuration(t.pathDelay), ArriveWithinUs: encodeDuration(r.ArriveWithin),
+		Call: r.Call,
 	}
 }
 
@@ -98,6 +99,7 @@
 		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
 		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert, Route: m.Route, Traceparent: string(m.Traceparent),
 		Delay: delay, ArriveWithin: decodeDuration(m.ArriveWithinUs),
+		Call: m.Call,
 	}
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -134,6 +134,8 @@
 	// MachineSlow means that the machine of the backend server is slow at present, so another backend server may be
 	// faster.
 	MachineSlow Reason = "machine_slow"
+	// CallsRefused means that the calls that the backend server makes for such a request are being refused.
+	CallsRefused Reason = "calls_refused"
 	// PathSlow means that the request was on its way between two nodes for so long that its sender has given it up.
 	PathSlow Reason = "path_slow"
 	// AnswerInvalid means that the backend server sent bytes that are malformed or no answer to the request.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -40,6 +40,8 @@
 	Idempotent bool
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority int
+	// Call is set for a request that the local backend server of the ingress node sent while it executed another one.
+	Call bool
 	// HomeRegions are the regions that may serve the request; empty for all.
 	HomeRegions []string
 	// Revision is the revision of the configuration in which the route was found.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -19,6 +19,7 @@
 	labelSource    = "source"
 	labelOperation = "operation"
 	labelResult    = "result"
+	labelCause     = "cause"
 )
 
 // otherValue replaces a service or reason that is not in its fixed set of label values.
@@ -54,7 +55,7 @@
 	request.ConnectionLost, request.Canceled, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
-	request.MachineSlow, request.PathSlow, request.Stopping}
+	request.MachineSlow, request.PathSlow, request.Stopping, request.CallsRefused}
 
 // reasonOrOther returns the reason, or otherValue if the reason is not in the fixed set.
 func reasonOrOther(r request.Reason) request.Reason {
@@ -115,6 +116,28 @@
 // String returns the label value of s.
 func (s ReadSource) String() string { return [...]string{"store", "node"}[s] }
 
+// RefusalCause is why the queue of the backend server did not take a request.
+type RefusalCause uint8
+
+// Causes of refusals.
+const (
+	RefusedQueueFull RefusalCause = iota
+	// RefusedLate means that the request was not expected to finish in time.
+	RefusedLate
+	// RefusedCall means that a call of another backend server could not have a slot in time.
+	RefusedCall
+	// RefusedForCalls means that the calls of such requests are being refused.
+	RefusedForCalls
+	// RefusedByServer means that the backend server is cold, or sheds all requests and is left alone.
+	RefusedByServer
+	refusalCauseCount
+)
+
+// String returns the label value of c.
+func (c RefusalCause) String() string {
+	return [...]string{"queue_full", "late", "call", "calls_refused", "server"}[c]
+}
+
 // KeyOperation is a call to the backend server about keys.
 type KeyOperation uint8
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -44,6 +44,8 @@
 	appends, claims, moves        metric.Int64Counter
 	storeReceived, storeDiscarded metric.Int64Counter
 	topicReads, keyCalls          metric.Int64Counter
+	refusals                      metric.Int64Counter
+	measuredSlots                 metric.Int64Gauge
 
 	// services is replaced, never modified, by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -51,6 +53,7 @@
 	appendOptions [appendOutcomeCount][]metric.AddOption
 	claimOptions  [claimStepCount][]metric.AddOption
 	moveOptions   [directionCount][]metric.AddOption
+	causeOptions  [refusalCauseCount][]metric.AddOption
 	readOptions   [readSourceCount][]metric.AddOption
 	keyOptions    [keyOperationCount][keyhold.ResultCount][]metric.AddOption
 }
@@ -92,6 +95,7 @@
 		{&m.storeReceived, "store_received_bytes", "Bytes of answers of the platform store that arrived, with those of calls that failed."},
 		{&m.topicReads, "topic_reads", "Completed reads of the topics of the platform store, by source: the store, or a node of the region that had read the records."},
 		{&m.keyCalls, "key_calls", "Calls to the backend server that grant or release keys, by result."},
+		{&m.refusals, "refusals", "Requests that did not get a slot of the backend server, by cause."},
 		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
 	for _, c := range counters {
@@ -102,6 +106,11 @@
 		}
 	}
 	var err error
+	m.measuredSlots, err = m.meter.Int64Gauge("measured_slots",
+		metric.WithDescription("Concurrency up to which the backend server is measured to keep its speed."))
+	if err != nil {
+		return err
+	}
 	m.duration, err = m.meter.Float64Histogram("request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the decoded request to its answer."),
 		metric.WithExplicitBucketBoundaries(durationBounds...))
@@ -120,6 +129,9 @@
 	for d := range directionCount {
 		m.moveOptions[d] = addOptions(attribute.String(labelDirection, d.String()))
 	}
+	for c := range refusalCauseCount {
+		m.causeOptions[c] = addOptions(attribute.String(labelCause, c.String()))
+	}
 	for s := range readSourceCount {
 		m.readOptions[s] = addOptions(attribute.String(labelSource, s.String()))
 	}
@@ -191,6 +203,16 @@
 	m.keyCalls.Add(context.Background(), 1, m.keyOptions[operation][result]...)
 }
 
+// CountRefusal counts a request that did not get a slot of the backend server.
+func (m *Metrics) CountRefusal(cause RefusalCause) {
+	m.refusals.Add(context.Background(), 1, m.causeOptions[cause]...)
+}
+
+// SetMeasuredSlots sets the measured concurrency of the backend server.
+func (m *Metrics) SetMeasuredSlots(slots int) {
+	m.measuredSlots.Record(context.Background(), int64(slots))
+}
+
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -42,6 +42,8 @@
 	m.CountTopicRead(FromStore)
 	m.CountTopicRead(FromNode)
 	m.CountKeyCall(GrantKeys, keyhold.Accepted)
+	m.CountRefusal(RefusedCall)
+	m.SetMeasuredSlots(9)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
