--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -276,6 +276,15 @@
 		Text: "the node has read the operators' records again and decides on API keys"})
 )
 
+// Events of overload.
+var (
+	CallsRecognized = define(Event{Number: 555, Name: "calls_recognized", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "requests of the route arrive only while the backend server of this node executes others; they are treated as calls from now on"})
+	ServerShedding = define(Event{Number: 556, Name: "server_shedding", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "the backend server of this node sheds every request; it gets only probes until it runs one",
+		Remedy: "check the backend server on this instance"})
+)
+
 // Events of the load of the machine of the backend server.
 var (
 	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -142,6 +142,8 @@
 	MachineSlow Reason = "machine_slow"
 	// LinkFull means that the link of the node is busy with large answers, so that the answer would come too late.
 	LinkFull Reason = "link_full"
+	// CallsRefused means that the calls that the backend server makes for such a request are being refused.
+	CallsRefused Reason = "calls_refused"
 	// PathSlow means that the request was on its way between two nodes for so long that its sender has given it up.
 	PathSlow Reason = "path_slow"
 	// AnswerInvalid means that the backend server sent bytes that are malformed or no answer to the request.
