Refuse heartbeats that leave out the keys that the backend server holds

Cause: a heartbeat without holds and freed was taken for one of a backend server that holds nothing.

Ruled out: requiring both fields in the decoder, since backend servers of services without keys leave them out.

A heartbeat without both is refused with 400 where the service has keys by the configuration in force, or where the last accepted heartbeat had them (heartbeat.Message.LacksKeys; event 612).

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -279,7 +279,7 @@
 	ServerStateChanged = define(Event{Number: 611, Name: "server_state_changed", Level: zerolog.InfoLevel, PerSecond: peerRate,
 		Text: "the backend server of this node started, changed its state or ended"})
 	HeartbeatRefused = define(Event{Number: 612, Name: "heartbeat_refused", Level: zerolog.WarnLevel, PerSecond: bulkRate,
-		Text:   "a heartbeat was refused, because it names another service or address than those of the backend server of this node",
+		Text:   "a heartbeat was refused, because it names another service or address than those of the backend server of this node, or does not report keys although the service has them",
 		Remedy: "find its sender; a backend server must send heartbeats to the node on its own instance"})
 	HeartbeatLate = define(Event{Number: 613, Name: "heartbeat_late", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "a heartbeat from an earlier run of the backend server, or one that arrived after a later one, was ignored"})
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -191,6 +191,11 @@
 		return heartbeat.Reply{}, problem.New(problem.Invalid, "send heartbeats to the node beside the backend server",
 			"the heartbeat names service %q at %q", m.Service, m.Address)
 	}
+	if m.LacksKeys(g.serviceKeyed(), g.server.keysReported()) {
+		g.events.Emit(eventlog.HeartbeatRefused, eventlog.Name("server", m.Server), eventlog.Name("service", m.Service))
+		return heartbeat.Reply{}, problem.New(problem.Invalid, "correct the heartbeat of the backend server",
+			"the heartbeat does not report the keys that the backend server holds and has released")
+	}
 	now := g.deps.Now()
 	changed, accepted := g.server.applyHeartbeat(m, now, time.Duration(g.drainTime.Load()))
 	if !accepted {
@@ -215,6 +220,13 @@
 	return g.grantOnHeartbeat(m, now), nil
 }
 
+// keysReported reports whether the last heartbeat reported keys. Once one has, all accepted ones do.
+func (t *serverTracker) keysReported() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastHeartbeat.KeysReported
+}
+
 // departureTimeout bounds the write of a departure: a reply counts as acknowledgement only within 1 s.
 const departureTimeout = 800 * time.Millisecond
 
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -29,8 +29,18 @@
 	// heartbeat until it is restarted.
 	StartedUnixMS int64
 	Sequence      int64
-	Holds         []Held
-	Freed         []keyhold.Released
+	// KeysReported is set if the heartbeat says what the backend server holds and has released, even if that is nothing.
+	KeysReported bool
+	Holds        []Held
+	Freed        []keyhold.Released
+}
+
+// LacksKeys reports whether a heartbeat does not say what its sender holds although each heartbeat of the service does:
+// keyed is set if the configuration in force says that the service has keys, and reportedBefore if an earlier heartbeat
+// reported them. The configuration may not be known yet. Such a heartbeat is of another writer, and taking it for one that
+// holds nothing would end grants that are in force.
+func (m Message) LacksKeys(keyed, reportedBefore bool) bool {
+	return !m.Ended && !m.KeysReported && (keyed || reportedBefore)
 }
 
 // Reply is the answer to a heartbeat. It grants Spans for the duration Hold; if Hold is zero, it grants and renews
