--- a/internal/daemon/cut_answer_test.go
+++ b/internal/daemon/cut_answer_test.go
@@ -140,13 +140,12 @@
 	}
 }
 
-// checkCuts sends requests whose answers break off after each byte. If unbounded is set, only the head is cut: the body ends
-// with the connection, so that its end is not known.
-func checkCuts(t *testing.T, answer string, kept, relayed, unbounded bool) {
-	server := &cuttingServer{answer: answer, kept: kept}
-	router := &hopRouter{backend: backend.New(1)}
+// startHops returns the address for callers of a node that sends requests to a backend server on one connection, through
+// another node if relayed is set.
+func startHops(t *testing.T, backendAddress string, relayed bool) string {
+	t.Helper()
+	router := &hopRouter{backend: backend.New(1), address: backendAddress}
 	t.Cleanup(router.backend.CloseIdleConnections)
-	router.address = serveTCP(t, func(l net.Listener) { server.Listener = l; server.serve() })
 	if relayed {
 		nodes, err := node.NewRouterServer(router)
 		if err != nil {
@@ -160,7 +159,14 @@
 	}
 	callers := caller.NewServer(caller.NewRequestHandler(router))
 	t.Cleanup(func() { _ = callers.Close() })
-	address := serveTCP(t, func(l net.Listener) { _ = callers.Serve(l) })
+	return serveTCP(t, func(l net.Listener) { _ = callers.Serve(l) })
+}
+
+// checkCuts sends requests whose answers break off after each byte. If unbounded is set, only the head is cut: the body ends
+// with the connection, so that its end is not known.
+func checkCuts(t *testing.T, answer string, kept, relayed, unbounded bool) {
+	server := &cuttingServer{answer: answer, kept: kept}
+	address := startHops(t, serveTCP(t, func(l net.Listener) { server.Listener = l; server.serve() }), relayed)
 	end := len(strings.ReplaceAll(answer, "ID", "id-00000-b"))
 	if unbounded {
 		end = strings.LastIndex(strings.ReplaceAll(answer, "ID", "id-00000-b"), "\r\n\r\n") + len("\r\n\r\n")
