Accept tenants without keys

A configuration that revokes all keys of a tenant leaves the tenant with an empty list. A tenant without keys is now valid and can be identified by nobody.

--- a/internal/tenantauth/tenantauth.go
+++ b/internal/tenantauth/tenantauth.go
@@ -89,13 +89,12 @@
 	return t, nil
 }
 
-// validate returns an error that describes what is wrong with an entry.
+// validate returns an error that describes what is wrong with an entry. A tenant without keys is valid: operators revoke all
+// keys of a tenant that way.
 func validate(e Entry) error {
 	switch {
 	case !isFieldValue(e.Name):
 		return problem.New(problem.Invalid, remedy, "tenant %q has a name that no header field can hold", e.Name)
-	case len(e.Keys) == 0:
-		return problem.New(problem.Invalid, remedy, "tenant %q has no key", e.Name)
 	case slices.Contains(e.Keys, ""):
 		return problem.New(problem.Invalid, remedy, "tenant %q has an empty key", e.Name)
 	case !(e.Rate >= 0 && e.Rate <= maxRate):
