Refuse parents only if fewer of them helps their calls

Callers of a service whose runs call another one were refused although many of their runs would have succeeded: while all servers of the called service shed 55 percent of their requests at random, the part of the parents that is admitted was halved with each refused call and stayed at a few percent.

Results of calls are now distinguished. A call that a queue refused for lack of capacity cuts the part that is admitted, as before. Calls that the server sheds, or that are not answered in time, count in the served share, and parents are refused only if their chance to succeed is below a quarter.

--- a/internal/callroom/callroom_test.go
+++ b/internal/callroom/callroom_test.go
@@ -166,7 +166,9 @@
 				}
 				lost = lost || refused
 				if refused {
-					n.room.RecordRefusal(n.now, "call")
+					n.room.RecordResult(n.now, "call", NoCapacity)
+				} else {
+					n.room.RecordResult(n.now, "call", Served)
 				}
 			}
 			switch {
@@ -201,3 +203,32 @@
 		}
 	}
 }
+
+// Guards against parents that are refused for nothing: a backend server that sheds half of its requests at random sheds no
+// smaller part if it gets fewer, and each refused parent is then lost although its calls might have been served.
+func TestParentsAreAdmittedWhileCallsAreShedAtRandom(t *testing.T) {
+	for shedPercent, wantAtLeast := range map[int]int{0: 400, 30: 400, 50: 340, 100: 10} {
+		n := newNode(5)
+		n.room.routes["call"] = &arrivals{call: true, evidence: maxEvidence, total: 100}
+		n.room.parents["parent"] = &parent{runs: 100, busy: 15, calls: map[string]float64{"call": 140}}
+		admitted, calls := 0, 0
+		for range 10_000 {
+			if n.tick%25 == 0 && n.room.AdmitParent(n.now, "parent") {
+				admitted++
+				n.begin("parent", 100)
+				for range 2 {
+					n.room.Arrive(n.now, "call")
+					result := Served
+					if calls++; calls*37%100 < shedPercent {
+						result = Shed
+					}
+					n.room.RecordResult(n.now, "call", result)
+				}
+			}
+			n.step()
+		}
+		if admitted < wantAtLeast || shedPercent == 100 && admitted > 80 {
+			t.Errorf("%d percent of the calls are shed: %d of 400 parents are admitted", shedPercent, admitted)
+		}
+	}
+}
--- a/internal/callroom/parents.go
+++ b/internal/callroom/parents.go
@@ -26,6 +26,11 @@
 	// minAdmitted is the part of the parents that is admitted in any case: their calls find out whether calls are served
 	// again.
 	minAdmitted = 0.05
+	// resultTime is the time constant of the served share of calls. A parent is refused because of that share only if its
+	// chance to succeed is below minParentSuccess: a backend server that sheds a part of its requests at random sheds no
+	// smaller part if it gets fewer, and refused parents would then be lost for nothing.
+	resultTime       = 500 * time.Millisecond
+	minParentSuccess = 0.25
 )
 
 // parent is what is known of one route as a route that makes calls.
@@ -110,6 +115,26 @@
 	// cutShare is that part at cutAt, the last time that it fell; cutAt is zero before the first time.
 	cutShare float64
 	cutAt    time.Time
+	// served and failed count the recent calls by their result; they decay together.
+	served, failed float64
+	countedAt      time.Time
+}
+
+// record counts the result of a call.
+func (c *callResults) record(now time.Time, served bool) {
+	keep := math.Exp(-max(0, now.Sub(c.countedAt)).Seconds() / resultTime.Seconds())
+	c.served, c.failed, c.countedAt = c.served*keep, c.failed*keep, now
+	if served {
+		c.served++
+	} else {
+		c.failed++
+	}
+}
+
+// servedShare returns the share of the recent calls that were served. It returns to 1 when there are none any more.
+func (c *callResults) servedShare(now time.Time) float64 {
+	keep := math.Exp(-max(0, now.Sub(c.countedAt)).Seconds() / resultTime.Seconds())
+	return (c.served*keep + 1) / ((c.served+c.failed)*keep + 1)
 }
 
 // share returns the part of the parents whose calls are expected to be served.
@@ -120,21 +145,43 @@
 	return math.Min(1, c.cutShare*math.Exp(growthPerSecond*max(0, now.Sub(c.cutAt)-holdTime).Seconds()))
 }
 
-// RecordRefusal records that a call of the route was refused.
-func (r *Room) RecordRefusal(now time.Time, route string) {
+// Result is how a call ended.
+type Result uint8
+
+// Results of calls.
+const (
+	// Served means that the call got an answer.
+	Served Result = iota
+	// Shed means that the backend server of the call refused it, or did not answer in time.
+	Shed
+	// NoCapacity means that the queue before that backend server refused it, so that fewer calls would be served better.
+	NoCapacity
+)
+
+// RecordResult records the result of a call of the route.
+func (r *Room) RecordResult(now time.Time, route string, result Result) {
 	a := r.routes[route]
-	if a == nil || now.Sub(a.results.cutAt) < cutInterval {
+	if a == nil {
 		return
 	}
-	a.results.cutShare, a.results.cutAt = math.Max(minAdmitted, cutFactor*a.results.share(now)), now
+	a.results.record(now, result == Served)
+	if result == NoCapacity && now.Sub(a.results.cutAt) >= cutInterval {
+		a.results.cutShare, a.results.cutAt = math.Max(minAdmitted, cutFactor*a.results.share(now)), now
+	}
 }
 
 // AdmitParent reports whether a request of the route is to be admitted. It refuses a part of the requests of a route
-// whose calls were refused recently, so that about as many are admitted as can have their calls served.
+// whose calls find no capacity, so that about as many are admitted as can have their calls served, and most of those of
+// a route whose calls nearly all fail.
 func (r *Room) AdmitParent(now time.Time, route string) bool {
-	share := 1.0
-	for call := range r.CallsPerRun(route) {
-		share = math.Min(share, r.routes[call].results.share(now))
+	share, success := 1.0, 1.0
+	for call, perRun := range r.CallsPerRun(route) {
+		results := &r.routes[call].results
+		share = math.Min(share, results.share(now))
+		success *= math.Pow(results.servedShare(now), perRun)
+	}
+	if success < minParentSuccess {
+		share = math.Min(share, math.Max(minAdmitted, success/minParentSuccess))
 	}
 	p := r.parents[route]
 	if p == nil || share == 1 {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -3,15 +3,13 @@
 import (
 	"time"
 
+	"heatherreel/internal/callroom"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 	"heatherreel/internal/telemetry"
 )
 
-// tenantOf returns the tenant that a request counts for in the queue. Routed requests carry none yet.
-func tenantOf(routed.Request) string { return "" }
-
 // recognizeCall records a request that arrived at this node, and reports whether it is a call of the local backend
 // server.
 func (g *Gateway) recognizeCall(route string) bool {
@@ -26,15 +24,24 @@
 	return call
 }
 
-// recordCallResult records the result of a call of the local backend server. A parent fails by a call that was not
-// served in time as it does by one that was refused.
+// recordCallResult records the result of a call of the local backend server.
 func (g *Gateway) recordCallResult(r routed.Request, a routed.Answer) {
-	if !r.Call || a.Outcome != request.NotRun && a.Reason != request.DeadlineExceeded {
+	if !r.Call {
+		return
+	}
+	result := callroom.Shed
+	switch {
+	case a.Outcome == request.Done:
+		result = callroom.Served
+	case a.Reason == request.QueueFull, a.Reason == request.DeadlineTooClose:
+		result = callroom.NoCapacity
+	case a.Outcome != request.NotRun && a.Reason != request.DeadlineExceeded:
+		// The parent has left, or the outcome is unknown.
 		return
 	}
 	g.server.mu.Lock()
 	defer g.server.mu.Unlock()
-	g.server.calls.RecordRefusal(time.Now(), r.Route)
+	g.server.calls.RecordResult(time.Now(), r.Route, result)
 }
 
 // overloadRefusal returns why the backend server is not to get a request now, and when the caller is to return; empty if
