Limit the memory and connections that clients take of a gateway

Bodies that stop short of their end, heads of many short fields and unread answers took memory without a bound: with 1,500 connections, 127 MB for bodies of 64,000 bytes of which 60,000 are sent, and 626 MB for heads of short fields. A limit for large bodies alone (24 MB, kept for handlers under other servers) does not see these, as each of them is small; a lower number of connections would refuse genuine callers.

Package intake accounts for heads at their size in memory, for bodies piece by piece and for answers until they are written, before they are kept. It keeps a part for short requests and names the connections to give up: stalled ones first, then the largest. It also limits connections in total, per address and without a first head, and closes the worst for a new one. Package pipeline applies it on the addresses for callers, heartbeats, readiness and metrics, with a minimum rate for bodies and for the reading of answers. Bodies for paths without a route are not read.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -23,6 +23,7 @@
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/gateway"
 	"heatherreel/internal/httpwire"
+	"heatherreel/internal/intake"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/operator"
@@ -74,6 +75,10 @@
 	// keyCalls is nil if keys are granted in the replies to heartbeats.
 	keyCalls *backend.KeyCalls
 
+	// governor limits what clients take of the process, according to sizes.
+	governor *pipeline.Governor
+	sizes    intake.Sizes
+
 	requestServers requestServers[*pipeline.Server]
 	servers        []*pipeline.Server
 	serveLoops     sync.WaitGroup
@@ -172,6 +177,8 @@
 	d.settings = next
 	applyProcessLimits(next)
 	d.gateway.SetLimits(gatewayLimits(next))
+	d.sizes.MemoryMB = next.MemoryMB
+	d.governor.SetLimits(d.sizes.Limits())
 	d.events.Emit(eventlog.SettingsReloaded)
 }
 
@@ -191,6 +198,12 @@
 	if d.tracing, err = telemetry.NewTracing(output, s.TraceRatio, identity); err != nil {
 		return nil, err
 	}
+	d.sizes = intake.Sizes{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, RequestMemoryMB: s.RequestMemoryMB,
+		Connections: s.MaxConnections, ConnectionsPerClient: s.MaxConnectionsPerClient}
+	d.governor = pipeline.NewGovernor(d.sizes.Limits(), func(kind intake.Kind) {
+		d.metrics.CountShed(kind)
+		d.events.Emit(eventlog.ClientShed, eventlog.Name("kind", kind.String()))
+	})
 	dependencies := gateway.Dependencies{
 		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorRecord,
 		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Tracing: d.tracing, Now: bootClock,
@@ -223,6 +236,10 @@
 		return err
 	}
 	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, listener) })
+	maxFields, minRate := d.settings.MaxHeaderFields, int64(d.settings.MinBytesPerSecond)
+	limits := func() pipeline.Limits {
+		return caller.ConnectionLimits(d.gateway.ClientLimits(), maxFields, minRate)
+	}
 	for _, h := range []struct {
 		name, address string
 		handler       http.Handler
@@ -237,7 +254,9 @@
 			return err
 		}
 		server := caller.NewServer(h.handler)
+		server.Governor, server.Group, server.Limits = d.governor, intake.Upkeep, limits
 		if d.requestServers.callers == nil {
+			server.Group = intake.Callers
 			server.Depth = cmp.Or(d.settings.PipelineDepth, settings.DefaultPipelineDepth)
 			d.requestServers.callers, d.requestServers.callerListener = server, httpwire.NewListener(listener)
 			listener = d.requestServers.callerListener
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -267,6 +267,13 @@
 		Text: "a node is silent during a call for a request; its answer is awaited, and the request is sent again as well if the retry budget and the state of other nodes allow that"})
 )
 
+// Events of clients that take too much. They are limited, because clients cause them.
+var (
+	ClientShed = define(Event{Number: 540, Name: "client_shed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "a connection or request of a client was refused or given up, because of the limit in the field kind; what was refused did not run",
+		Remedy: "find the clients that open many connections or send or read slowly; if they are genuine, raise the setting of the limit"})
+)
+
 // Events of the load of the machine of the backend server.
 var (
 	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"heatherreel/internal/registry"
 	"heatherreel/internal/relay"
 	"heatherreel/internal/request"
+	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
 	"heatherreel/internal/telemetry"
 	"heatherreel/internal/worker"
@@ -382,6 +383,14 @@
 // LookUp returns what the configuration in force says about the requests for a host and path.
 func (g *Gateway) LookUp(host, path string) routed.Target { return g.routes.lookUp(host, path) }
 
+// ClientLimits returns the limits for clients in the configuration in force; zero values without one.
+func (g *Gateway) ClientLimits() route.Limits {
+	if table := g.routes.current(); table != nil {
+		return table.Limits
+	}
+	return route.Limits{}
+}
+
 // errRequestsEnded is why a request ends at the end of a planned stop.
 var errRequestsEnded = problem.New(problem.Unavailable, "raise shutdown_s", "the node was stopped while it ran requests")
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -88,6 +88,9 @@
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
 	case matched == nil:
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NoRoute, 0))
+	case r.BodyUnread:
+		// The configuration in force has changed since the route was looked for.
+		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
 	}
 	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.TooLarge, 0))
--- a/internal/gateway/route_table.go
+++ b/internal/gateway/route_table.go
@@ -109,7 +109,7 @@
 		return routed.Target{}
 	}
 	r := table.Match(host, path)
-	return routed.Target{Known: true, Found: r != nil, Idempotent: r != nil && r.Idempotent}
+	return routed.Target{Known: true, Found: r != nil, Idempotent: r != nil && r.Idempotent, MaxBodyBytes: table.Limits.MaxBodyBytes}
 }
 
 // defaultAnswerBytes is the size that is assumed for an answer before the first one is measured.
--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -8,14 +8,22 @@
 	"os"
 	"runtime"
 	"time"
+
+	"heatherreel/internal/intake"
 )
 
 // stackTraceBytes bounds the stack trace of a panic of the handler.
 const stackTraceBytes = 16 << 10
 
+// answerHeadBytes is what the head of an answer takes, with its map.
+const answerHeadBytes = 1 << 10
+
 // refuse answers a request that does not reach the handler. It is the last one.
 func (c *conn) refuse(r refusal) {
 	e := &exchange{conn: c, header: http.Header{}, status: int(r)}
+	if r == noMemory {
+		e.header["Retry-After"] = []string{retryAfter}
+	}
 	c.mu.Lock()
 	c.order.closing = true
 	c.order.unanswered++
@@ -43,9 +51,13 @@
 // finish records that the answer of an exchange is ready and writes all answers whose turn it is.
 func (c *conn) finish(e *exchange) {
 	complete := e.body == nil || e.body.finish()
+	size := int64(len(e.content)) + answerHeadBytes
+	c.server.Governor.take(c, size)
+	e.reserved += size
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.done = true
+	c.unread += int64(len(e.content))
 	if !complete || e.closes() {
 		c.order.closing = true
 	}
@@ -71,6 +83,11 @@
 			c.breakOffLocked()
 		}
 	}
+	idle := e.next == nil
+	c.mu.Unlock()
+	c.server.Governor.answered(c, e.reserved, idle)
+	c.mu.Lock()
+	c.unread -= int64(len(e.content))
 	c.first = e.next
 	if c.first == nil {
 		c.last = nil
@@ -113,7 +130,9 @@
 	buffer := encodeBuffers.Get().(*bytes.Buffer)
 	defer encodeBuffers.Put(buffer)
 	buffer.Reset()
-	rest := e.encode(buffer, last, time.Now())
+	now := time.Now()
+	c.server.Governor.blocked(c, now)
+	rest := e.encode(buffer, last, now)
 	err := c.writeAll(buffer.Bytes())
 	if err == nil && len(rest) > 0 {
 		err = c.writeAll(rest)
@@ -135,8 +154,10 @@
 		}
 		now := time.Now()
 		if !limits.progresses(int64(n), now.Sub(began)) {
+			c.server.Governor.refused(intake.SlowReader)
 			return err
 		}
+		c.server.Governor.blocked(c, now)
 		p, began = p[n:], now
 		c.setWriteDeadline(now.Add(limits.WriteTimeout))
 	}
@@ -147,3 +168,13 @@
 	c.writeDeadline = t
 	_ = c.network.SetWriteDeadline(t)
 }
+
+// turnAway refuses a connection for which there is no room.
+func (c *conn) turnAway() {
+	// The buffers of a new connection are empty, so that the write does not block.
+	_ = c.network.SetDeadline(time.Now().Add(time.Second))
+	_, _ = c.network.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + retryAfter +
+		"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+	_ = c.network.Close()
+	c.cancel()
+}
--- a/internal/pipeline/bench_test.go
+++ b/internal/pipeline/bench_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"testing"
+
+	"heatherreel/internal/intake"
 )
 
 // benchmarkHandler answers like the handler of callers' requests.
@@ -37,7 +39,8 @@
 			benchmarkConnection(b, listener.Addr().String(), request)
 		})
 		b.Run(name+"/pipeline", func(b *testing.B) {
-			benchmarkConnection(b, startServer(b, &Server{Handler: http.HandlerFunc(benchmarkHandler)}), request)
+			benchmarkConnection(b, startServer(b, &Server{Handler: http.HandlerFunc(benchmarkHandler),
+				Governor: NewGovernor(intake.Sizes{MemoryMB: 184}.Limits(), nil)}), request)
 		})
 	}
 }
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"sync"
 	"time"
 )
@@ -24,6 +25,11 @@
 	remaining int64
 	// chunks decodes a body without a length; nil for one with a length.
 	chunks io.Reader
+	// began is when the handler began to read, and arrived the bytes that it has read. deadline is the one that the handler
+	// has set; zero for none.
+	began    time.Time
+	arrived  int64
+	deadline time.Time
 	// err is the result of all further reads; io.EOF after the end of the body.
 	err error
 	// over is set when the reader of the connection has it back.
@@ -70,6 +76,12 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if b.began.IsZero() {
+		b.began = time.Now()
+		if err := b.extend(); err != nil {
+			return 0, b.fail(err)
+		}
+	}
 	if b.expected {
 		b.expected = false
 		if err := b.conn.writeContinue(); err != nil {
@@ -77,6 +89,10 @@
 		}
 	}
 	n, err := b.read(p)
+	if n > 0 {
+		b.arrived += int64(n)
+		b.conn.server.Governor.progress(b.conn, n)
+	}
 	if err != nil && err != io.EOF {
 		return n, b.fail(err)
 	}
@@ -153,11 +169,29 @@
 func (b *body) setDeadline(t time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.over {
-		return nil
+	b.deadline = t
+	if !b.over && !b.began.IsZero() {
+		return b.extend()
+	}
+	return nil
+}
+
+// extend sets the deadline of reads according to the progress of the body. It returns an error if the body is late, or its
+// connection is given up.
+func (b *body) extend() error {
+	c, limits := b.conn, b.conn.server.limits()
+	end := b.began.Add(limits.HeaderTimeout + limits.timeFor(b.arrived))
+	if !b.deadline.IsZero() && b.deadline.Before(end) {
+		end = b.deadline
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.givenUp:
+		return errNoMemory
+	case !time.Now().Before(end):
+		return os.ErrDeadlineExceeded
 	}
-	b.conn.mu.Lock()
-	defer b.conn.mu.Unlock()
-	b.conn.setDeadline(t)
+	c.setDeadline(end)
 	return nil
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"heatherreel/internal/intake"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// once would reset the connection, and the reset can overtake the last answer.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
+	// maxUnreadBytes is the size of unwritten answers of a connection from which no further request of it starts.
+	maxUnreadBytes = 1 << 20
 	// closePollInterval is the interval at which a connection whose read buffer is full is checked for its end.
 	closePollInterval = 100 * time.Millisecond
 )
@@ -27,22 +31,6 @@
 // past is a deadline that ends a pending read.
 var past = time.Unix(1, 0)
 
-// input is a connection before which bytes may be put that were read from it already.
-type input struct {
-	before []byte
-	net.Conn
-}
-
-// Read implements io.Reader.
-func (i *input) Read(p []byte) (int, error) {
-	if len(i.before) > 0 {
-		n := copy(p, i.before)
-		i.before = i.before[n:]
-		return n, nil
-	}
-	return i.Conn.Read(p)
-}
-
 // conn is a connection. One goroutine reads its requests, and one runs the handler for each.
 //
 // mu guards the fields below it. Only the reading goroutine changes buffered; while a body is read, the handler uses it.
@@ -54,6 +42,12 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	remote   string
+	// headCost are the bytes that are reserved for the last head.
+	headCost int64
+	// account is what the connection takes of the limits of the Governor; nil without one.
+	account *intake.Account
+	// enlarged are the bytes that are reserved for the read buffer, beyond its usual size.
+	enlarged int64
 	// bodyOver gets a value when the handler has finished with the body of the last request.
 	bodyOver chan struct{}
 	// turn gets a value when a request may start, or the connection is to close.
@@ -71,6 +65,12 @@
 	broken bool
 	// awaitsTurn is set while the reader waits until its request may start.
 	awaitsTurn bool
+	// givenUp is set when the connection is given up for others.
+	givenUp bool
+	// silent is set when the connection ends while no request is unanswered.
+	silent bool
+	// unread are the bytes of answers that are not written.
+	unread int64
 	// inBody is set while the handler reads a body, which no wake-up may end.
 	inBody bool
 	// left is set once the reader has stopped reading requests.
@@ -85,25 +85,26 @@
 	c := &conn{server: s, network: network, bodyOver: make(chan struct{}, 1), turn: make(chan struct{}, 1), idleSince: time.Now(),
 		remote: network.RemoteAddr().String()}
 	c.input.Conn = network
-	c.buffered = bufio.NewReaderSize(&c.input, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
 // serve reads requests until the connection ends, and closes it when all answers are written.
 func (c *conn) serve() {
+	c.buffered = bufio.NewReaderSize(&c.input, bufferBytes)
 	gone := c.readRequests()
 	if gone {
 		c.cancel()
 	}
-	c.stopStarting()
+	silent := c.stopStarting()
 	c.awaitAnswers()
 	c.server.answered(c)
-	if !gone {
+	if !gone && !silent {
 		c.linger()
 	}
 	c.cancel()
 	_ = c.network.Close()
+	c.server.Governor.close(c)
 	c.server.remove(c)
 }
 
@@ -117,22 +118,27 @@
 		var refused refusal
 		switch {
 		case errors.As(err, &refused):
+			c.server.Governor.refused(refused.kind())
 			c.refuse(refused)
 			return false
 		case err != nil:
 			return !errors.Is(err, errClosing)
 		}
-		e := &exchange{conn: c, request: req, header: make(http.Header, 8)}
+		e := &exchange{conn: c, request: req, header: make(http.Header, 8), reserved: c.headCost}
 		e.body, req.Body = newBody(c, req)
 		class := c.server.classify(req)
 		if err := c.start(e, class, e.body != nil && e.body.expected); err != nil {
 			return !errors.Is(err, errClosing)
 		}
+		if e.body != nil {
+			c.server.Governor.enter(c, intake.Body)
+		}
 		go c.run(e)
 		if e.body == nil {
 			continue
 		}
 		<-c.bodyOver
+		c.server.Governor.enter(c, intake.Handling)
 		c.bodyEnded()
 		if e.body.err != io.EOF {
 			// What follows on the connection cannot be told from the rest of the body.
@@ -156,6 +162,8 @@
 		}
 		if c.buffered.Size() > bufferBytes {
 			c.buffered = bufio.NewReaderSize(&c.input, bufferBytes)
+			c.server.Governor.release(c, c.enlarged)
+			c.enlarged = 0
 		}
 		if _, err := c.buffered.Peek(1); err == nil {
 			return nil
@@ -181,7 +189,7 @@
 	if c.order.unanswered == 0 {
 		end = c.idleSince.Add(idle)
 		if !end.After(now) {
-			c.order.closing = true
+			c.order.closing, c.silent = true, true
 			return errClosing
 		}
 	}
@@ -210,12 +218,17 @@
 		case size > limits.MaxHeaderBytes, size == 0 && len(data) >= limits.MaxHeaderBytes:
 			return nil, headTooLarge
 		case size > 0:
+			c.headCost = intake.HeadCost(size, scan.fields)
+			if !c.server.Governor.head(c, c.headCost) {
+				return nil, noMemory
+			}
 			return c.parse(scan)
 		}
-		if len(data) == c.buffered.Size() {
-			c.enlarge()
+		if len(data) == c.buffered.Size() && !c.enlarge() {
+			return nil, noMemory
 		}
 		if late.IsZero() {
+			c.server.Governor.enter(c, intake.Head)
 			late = time.Now().Add(limits.HeaderTimeout)
 			c.mu.Lock()
 			c.setDeadline(late)
@@ -224,6 +237,7 @@
 		_, err = c.buffered.Peek(len(data) + 1)
 		switch {
 		case err == nil:
+			c.server.Governor.progress(c, c.buffered.Buffered()-len(data))
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		default:
@@ -240,6 +254,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.givenUp:
+		c.silent = false
+		return noMemory
 	case c.order.closing:
 		return errClosing
 	case !time.Now().Before(late):
@@ -249,16 +266,6 @@
 	return nil
 }
 
-// enlarge doubles the read buffer, which is full.
-func (c *conn) enlarge() {
-	size := c.buffered.Size()
-	full := make([]byte, size)
-	_, _ = io.ReadFull(c.buffered, full)
-	c.input.before = full
-	c.buffered = bufio.NewReaderSize(&c.input, 2*size)
-	_, _ = c.buffered.Peek(size)
-}
-
 // parse parses a head that has arrived as a whole and passed the check.
 func (c *conn) parse(scan headScan) (*http.Request, error) {
 	req, err := http.ReadRequest(c.buffered)
@@ -317,12 +324,11 @@
 			c.mu.Unlock()
 			return errClosing
 		}
-		if c.order.mayStart(class, alone, c.server.depth()) {
+		if c.order.mayStart(class, alone, c.server.depth()) && (c.unread < maxUnreadBytes || c.order.unanswered == 0) {
 			c.order.start(class)
 			c.add(e)
 			if e.body != nil {
-				c.inBody = true
-				c.setDeadline(time.Time{})
+				c.inBody, c.input.body = true, e.body
 			}
 			c.mu.Unlock()
 			return nil
@@ -340,7 +346,7 @@
 func (c *conn) bodyEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inBody = false
+	c.inBody, c.input.body = false, nil
 	// The deadline of the body may lie far ahead.
 	c.deadline = time.Time{}
 }
@@ -388,11 +394,29 @@
 	}
 }
 
-// stopStarting lets no further request start.
-func (c *conn) stopStarting() {
+// stopStarting lets no further request start. It reports whether the connection ends without a last answer.
+func (c *conn) stopStarting() (silent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.order.closing, c.left = true, true
+	return c.silent
+}
+
+// shed gives the connection up for others. Requests in progress are still answered if the caller reads.
+// blocked is set if the caller does not read an answer.
+func (c *conn) shed(blocked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.closing, c.givenUp = true, true
+	switch {
+	case blocked:
+		c.breakOffLocked()
+	case c.inBody:
+		c.setDeadline(past)
+	default:
+		c.silent = c.order.unanswered == 0
+		c.wake()
+	}
 }
 
 // close lets no further request start, and closes the connection at once if none is unanswered.
--- /dev/null
+++ b/internal/pipeline/governor.go
@@ -0,0 +1,195 @@
+package pipeline
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"heatherreel/internal/intake"
+)
+
+// Governor applies the limits of package intake to the connections of several servers. The methods of a nil Governor limit
+// nothing. They must not be called with the mutex of a connection locked, because they may give up other connections.
+//
+// mu guards the fields below it.
+type Governor struct {
+	// report counts what was refused or given up.
+	report func(intake.Kind)
+
+	mu    sync.Mutex
+	book  *intake.Book
+	conns map[*intake.Account]*conn
+}
+
+// NewGovernor returns a Governor. report is called for each refusal, and for each connection that is given up; it may be
+// nil.
+func NewGovernor(limits intake.Limits, report func(intake.Kind)) *Governor {
+	if report == nil {
+		report = func(intake.Kind) {}
+	}
+	return &Governor{report: report, book: intake.New(limits), conns: map[*intake.Account]*conn{}}
+}
+
+// SetLimits replaces the limits.
+func (g *Governor) SetLimits(limits intake.Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.SetLimits(limits)
+}
+
+// Used returns the bytes in use and the number of connections.
+func (g *Governor) Used() (bytes int64, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Used()
+}
+
+// open accounts for a new connection. It returns false if it is refused.
+func (g *Governor) open(c *conn, group intake.Group) bool {
+	if g == nil {
+		return true
+	}
+	client, _, err := net.SplitHostPort(c.remote)
+	if err != nil {
+		client = c.remote
+	}
+	g.mu.Lock()
+	account, victim, kind := g.book.Open(group, client, time.Now())
+	v, blocked := g.conns[victim], victim != nil && victim.IsBlocked()
+	if account != nil {
+		c.account = account
+		g.conns[account] = c
+	}
+	g.mu.Unlock()
+	if kind != intake.None {
+		g.report(kind)
+	}
+	if v != nil {
+		v.shed(blocked)
+	}
+	return account != nil
+}
+
+// close removes the account of a connection.
+func (g *Governor) close(c *conn) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Close(c.account)
+	delete(g.conns, c.account)
+}
+
+// enter records that a connection is in another stage.
+func (g *Governor) enter(c *conn, stage intake.Stage) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Enter(c.account, stage, time.Now())
+}
+
+// progress records that bytes of a head or body have arrived.
+func (g *Governor) progress(c *conn, bytes int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Progress(c.account, int64(bytes), time.Now())
+}
+
+// blocked records that the write of an answer begins or has progressed.
+func (g *Governor) blocked(c *conn, since time.Time) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Blocked(c.account, since)
+}
+
+// reserve reserves bytes for a head or body. It returns false if the request is to be refused.
+func (g *Governor) reserve(c *conn, bytes int64) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	granted, victims := g.book.Reserve(c.account, bytes, time.Now())
+	g.giveUp(victims)
+	if !granted {
+		g.report(intake.Memory)
+	}
+	return granted
+}
+
+// head reserves the bytes of a complete head and records that its request is being handled.
+func (g *Governor) head(c *conn, bytes int64) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	now := time.Now()
+	granted, victims := g.book.Reserve(c.account, bytes, now)
+	g.book.Enter(c.account, intake.Handling, now)
+	g.giveUp(victims)
+	if !granted {
+		g.report(intake.Memory)
+	}
+	return granted
+}
+
+// take accounts for an answer.
+func (g *Governor) take(c *conn, bytes int64) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	g.giveUp(g.book.Take(c.account, bytes, time.Now()))
+}
+
+// giveUp closes the connections of accounts. It unlocks mu.
+func (g *Governor) giveUp(victims []*intake.Account) {
+	type victim struct {
+		conn    *conn
+		blocked bool
+	}
+	var found []victim
+	for _, a := range victims {
+		found = append(found, victim{g.conns[a], a.IsBlocked()})
+	}
+	g.mu.Unlock()
+	for _, v := range found {
+		g.report(intake.Memory)
+		v.conn.shed(v.blocked)
+	}
+}
+
+// release returns bytes before the answer to their request is written.
+func (g *Governor) release(c *conn, bytes int64) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Release(c.account, bytes)
+}
+
+// answered records that an answer is written, whose request held the bytes. last is set if no other is in progress.
+func (g *Governor) answered(c *conn, bytes int64, last bool) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Answered(c.account, bytes, last, time.Now())
+}
+
+// refused counts a refusal for another reason than the limits of the book.
+func (g *Governor) refused(kind intake.Kind) {
+	if g != nil && kind != intake.None {
+		g.report(kind)
+	}
+}
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"strings"
+
+	"heatherreel/internal/intake"
 )
 
 // refusal is the status with which a request is refused that does not reach the handler. Its connection is closed.
@@ -17,8 +19,23 @@
 	badRequest      = refusal(http.StatusBadRequest)
 	headTooLarge    = refusal(http.StatusRequestHeaderFieldsTooLarge)
 	unsupportedCode = refusal(http.StatusNotImplemented)
+	noMemory        = refusal(http.StatusServiceUnavailable)
 )
 
+// retryAfter is when a client may retry for which there was no room, in seconds.
+const retryAfter = "0.500"
+
+// kind returns what a refusal is counted as besides those for which there was no room.
+func (r refusal) kind() intake.Kind {
+	switch r {
+	case headTooLarge:
+		return intake.LargeHead
+	case refusal(http.StatusRequestTimeout):
+		return intake.SlowHead
+	}
+	return intake.None
+}
+
 // maxLengthDigits bounds the digits of Content-Length, so that the number fits into 63 bits.
 const maxLengthDigits = 18
 
--- a/internal/pipeline/limits.go
+++ b/internal/pipeline/limits.go
@@ -6,7 +6,8 @@
 type Limits struct {
 	// MaxHeaderBytes is the largest head, and MaxFields the largest number of its fields.
 	MaxHeaderBytes, MaxFields int
-	// HeaderTimeout is the time from the first byte of a head to its last one.
+	// HeaderTimeout is the time from the first byte of a head to its last one. A body may take as long, and the time for
+	// what has arrived of it at MinBytesPerSecond.
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection without requests is kept.
 	IdleTimeout time.Duration
@@ -19,7 +20,7 @@
 
 // DefaultLimits returns the limits of a server that sets none.
 func DefaultLimits() Limits {
-	return Limits{MaxHeaderBytes: 64 << 10, MaxFields: 1024, HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second,
+	return Limits{MaxHeaderBytes: 64 << 10, MaxFields: 4096, HeaderTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second,
 		WriteTimeout: 10 * time.Second, MinBytesPerSecond: 1 << 10}
 }
 
@@ -27,3 +28,8 @@
 func (l Limits) progresses(bytes int64, took time.Duration) bool {
 	return bytes > 0 && float64(bytes) >= float64(l.MinBytesPerSecond)*took.Seconds()
 }
+
+// timeFor returns the longest time for bytes.
+func (l Limits) timeFor(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / float64(l.MinBytesPerSecond) * float64(time.Second))
+}
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,8 +23,10 @@
 	// content is the body of the answer, and owned reports whether it may be appended to.
 	content []byte
 	owned   bool
-	next    *exchange
-	done    bool
+	// reserved are the bytes that are accounted for until the answer is written.
+	reserved int64
+	next     *exchange
+	done     bool
 }
 
 // Header implements http.ResponseWriter.
@@ -98,6 +101,25 @@
 // maxCopiedBytes is the largest body that is copied behind its head, so that one call writes both.
 const maxCopiedBytes = 8 << 10
 
+// formattedDate is the field Date of one second.
+type formattedDate struct {
+	second int64
+	field  string
+}
+
+// lastDate is the one that was sent last; formatting a date takes as long as the rest of a head.
+var lastDate atomic.Pointer[formattedDate]
+
+// dateField returns the line of the field Date.
+func dateField(now time.Time) string {
+	if last := lastDate.Load(); last != nil && last.second == now.Unix() {
+		return last.field
+	}
+	d := &formattedDate{now.Unix(), "Date: " + now.UTC().Format(http.TimeFormat) + "\r\n"}
+	lastDate.Store(d)
+	return d.field
+}
+
 // encode writes the head of the answer to buffer, and the body if it is short. It returns the rest of the body. last is
 // set if the connection ends with this answer.
 func (e *exchange) encode(buffer *bytes.Buffer, last bool, now time.Time) []byte {
@@ -131,7 +153,7 @@
 	case !head || len(h["Content-Length"]) == 0:
 		// A length that differs from the body would shift the answers behind it.
 		delete(h, "Content-Length")
-		if _, typed := h["Content-Type"]; !typed && len(content) > 0 && h.Get("Content-Encoding") == "" {
+		if _, typed := h["Content-Type"]; !typed && len(content) > 0 && firstValue(h, "Content-Encoding") == "" {
 			buffer.WriteString("Content-Type: " + http.DetectContentType(content) + "\r\n")
 		}
 		if !head || len(content) > 0 {
@@ -141,9 +163,7 @@
 		}
 	}
 	if _, dated := h["Date"]; !dated {
-		buffer.WriteString("Date: ")
-		buffer.Write(now.UTC().AppendFormat(buffer.AvailableBuffer(), http.TimeFormat))
-		buffer.WriteString("\r\n")
+		buffer.WriteString(dateField(now))
 	}
 	_ = h.WriteSubset(buffer, connectionManaged)
 	switch {
@@ -163,9 +183,17 @@
 	return content
 }
 
+// firstValue returns the first value of a field whose name is in canonical form.
+func firstValue(h http.Header, name string) string {
+	if values := h[name]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
+
 // isWhole reports whether the body is as long as the handler said in its head.
 func (e *exchange) isWhole() bool {
-	length := e.header.Get("Content-Length")
+	length := firstValue(e.header, "Content-Length")
 	if length == "" || e.status != 0 && !bodyAllowed(e.status) || e.request != nil && e.request.Method == http.MethodHead {
 		return true
 	}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"heatherreel/internal/intake"
 )
 
 // Classifier tells of a request, before it is handled, what decides when it may start. Without one, requests of a
@@ -28,6 +30,10 @@
 	Depth int
 	// Limits returns the limits in force; nil for DefaultLimits.
 	Limits func() Limits
+	// Governor limits the connections and the memory of this server and others; nil for no limit. Group is the group of
+	// its connections.
+	Governor *Governor
+	Group    intake.Group
 
 	mu        sync.Mutex
 	listeners map[net.Listener]bool
@@ -82,13 +88,18 @@
 	return !s.stopping
 }
 
-// addConn returns the connection, or closes it and returns nil if the server stops.
+// addConn returns the connection, or closes it and returns nil if the server stops or has no room for it.
 func (s *Server) addConn(network net.Conn) *conn {
 	c := newConn(s, network)
+	if !s.Governor.open(c, s.Group) {
+		c.turnAway()
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
 		_ = network.Close()
+		s.Governor.close(c)
 		return nil
 	}
 	s.conns[c] = true
--- a/internal/pipeline/smuggling_test.go
+++ b/internal/pipeline/smuggling_test.go
@@ -83,7 +83,7 @@
 	for name, head := range map[string]string{
 		"line":   "GET /" + strings.Repeat("a", 70<<10),
 		"bytes":  "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("X-A: "+strings.Repeat("a", 1000)+"\r\n", 70) + "\r\n",
-		"fields": "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 2000) + "\r\n",
+		"fields": "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 5000) + "\r\n",
 	} {
 		c := dial(t, startServer(t, &Server{Handler: http.NotFoundHandler()}))
 		go func() { _, _ = io.WriteString(c, head) }()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -57,6 +57,11 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body; zero means no limit.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the maximum size of a head; zero means the default of the server.
+	MaxHeaderBytes int
+	// HeaderTimeout is the time for a head, and IdleTimeout how long a connection is kept without requests; zero means the
+	// default of the server.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table is one revision of the configuration of routes and services.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -24,6 +24,8 @@
 	Path   string
 	Header []Field
 	Body   []byte
+	// BodyUnread is set if no route was found before the body was read. The request is refused.
+	BodyUnread bool
 	// Deadline is when the caller stops waiting, or when the timeout of the route ends.
 	Deadline time.Time
 	// Objective is the time by which an answer is on time; zero if the route has none.
@@ -78,6 +80,8 @@
 	Known, Found bool
 	// Idempotent reports whether the request may run more than once.
 	Idempotent bool
+	// MaxBodyBytes is the largest body that operators allow; zero means no limit.
+	MaxBodyBytes int64
 }
 
 // Load is what a node reports about the backend server on its instance.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -58,6 +58,16 @@
 	// PipelineDepth is the number of requests on one connection that are in progress at the same time; 0 means the
 	// default, DefaultPipelineDepth.
 	PipelineDepth int `yaml:"pipeline_depth"`
+	// MaxConnections is the limit of connections of callers, and MaxConnectionsPerClient that for one address of them;
+	// RequestMemoryMB is the memory for the heads, bodies and answers of requests in MB. 0 means the defaults of package
+	// intake, which follow from MemoryMB and MaxFDs.
+	MaxConnections          int `yaml:"max_connections"`
+	MaxConnectionsPerClient int `yaml:"max_connections_per_client"`
+	RequestMemoryMB         int `yaml:"request_memory_mb"`
+	// MaxHeaderFields is the limit of fields in the head of a request, and MinBytesPerSecond the rate at which a caller must
+	// send bodies and read answers; 0 means the defaults of package pipeline.
+	MaxHeaderFields   int `yaml:"max_header_fields"`
+	MinBytesPerSecond int `yaml:"min_bytes_per_second"`
 	// LearnCapacity makes the node measure the concurrency up to which the backend server keeps its speed.
 	LearnCapacity bool `yaml:"learn_capacity"`
 	// TraceOutput is where spans are written: none, stderr or the path of a file; empty means none. TraceRatio is the
@@ -152,6 +162,9 @@
 		value int
 	}{
 		{"max_fds", s.MaxFDs}, {"revocation_ms", s.RevocationMS}, {"pipeline_depth", s.PipelineDepth},
+		{"max_connections", s.MaxConnections}, {"max_connections_per_client", s.MaxConnectionsPerClient},
+		{"request_memory_mb", s.RequestMemoryMB}, {"max_header_fields", s.MaxHeaderFields},
+		{"min_bytes_per_second", s.MinBytesPerSecond},
 	} {
 		if f.value < 0 || f.value > maxSetting {
 			faults = append(faults, fmt.Errorf("%s must be from 0 to %d", f.name, int(maxSetting)))
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -9,6 +9,7 @@
 	"internal/feed",
 	"internal/handover",
 	"internal/heartbeat",
+	"internal/intake",
 	"internal/keyload",
 	"internal/keyrange",
 	"internal/keyspace",
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -19,6 +19,7 @@
 	labelSource    = "source"
 	labelOperation = "operation"
 	labelResult    = "result"
+	labelKind      = "kind"
 )
 
 // otherValue replaces a service or reason that is not in its fixed set of label values.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/exemplar"
 
+	"heatherreel/internal/intake"
 	"heatherreel/internal/keyhold"
 	"heatherreel/internal/request"
 )
@@ -43,7 +44,7 @@
 	duration                      metric.Float64Histogram
 	appends, claims, moves        metric.Int64Counter
 	storeReceived, storeDiscarded metric.Int64Counter
-	topicReads, keyCalls          metric.Int64Counter
+	topicReads, keyCalls, shed    metric.Int64Counter
 
 	// services is replaced, never modified, by SetServices.
 	services atomic.Pointer[serviceTable]
@@ -53,6 +54,7 @@
 	moveOptions   [directionCount][]metric.AddOption
 	readOptions   [readSourceCount][]metric.AddOption
 	keyOptions    [keyOperationCount][keyhold.ResultCount][]metric.AddOption
+	shedOptions   [intake.KindCount][]metric.AddOption
 }
 
 // NewMetrics returns metrics with their own registry.
@@ -92,6 +94,7 @@
 		{&m.storeReceived, "store_received_bytes", "Bytes of answers of the platform store that arrived, with those of calls that failed."},
 		{&m.topicReads, "topic_reads", "Completed reads of the topics of the platform store, by source: the store, or a node of the region that had read the records."},
 		{&m.keyCalls, "key_calls", "Calls to the backend server that grant or release keys, by result."},
+		{&m.shed, "shed_clients", "Connections and requests of clients that were refused or given up, by the kind of the limit."},
 		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
 	for _, c := range counters {
@@ -123,6 +126,9 @@
 	for s := range readSourceCount {
 		m.readOptions[s] = addOptions(attribute.String(labelSource, s.String()))
 	}
+	for k := range intake.KindCount {
+		m.shedOptions[k] = addOptions(attribute.String(labelKind, k.String()))
+	}
 	for o := range keyOperationCount {
 		for r := range keyhold.ResultCount {
 			m.keyOptions[o][r] = addOptions(attribute.String(labelOperation, o.String()), attribute.String(labelResult, r.String()))
@@ -191,6 +197,11 @@
 	m.keyCalls.Add(context.Background(), 1, m.keyOptions[operation][result]...)
 }
 
+// CountShed counts a connection or request of a client that was refused or given up.
+func (m *Metrics) CountShed(kind intake.Kind) {
+	m.shed.Add(context.Background(), 1, m.shedOptions[kind]...)
+}
+
 // Handler returns the handler of /metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"heatherreel/internal/intake"
 	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyspace"
 	"heatherreel/internal/request"
@@ -42,6 +43,7 @@
 	m.CountTopicRead(FromStore)
 	m.CountTopicRead(FromNode)
 	m.CountKeyCall(GrantKeys, keyhold.Accepted)
+	m.CountShed(intake.Memory)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
