--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -235,7 +235,8 @@
 	if err != nil {
 		return err
 	}
-	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, listener) })
+	guarded := d.governor.Guard(listener, intake.Nodes)
+	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, guarded) })
 	maxFields, minRate := d.settings.MaxHeaderFields, int64(d.settings.MinBytesPerSecond)
 	limits := func() pipeline.Limits {
 		return caller.ConnectionLimits(d.gateway.ClientLimits(), maxFields, minRate)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -19,6 +19,8 @@
 	Callers Group = iota
 	// Upkeep are the addresses for heartbeats, readiness and metrics.
 	Upkeep
+	// Nodes is the address for other nodes. Its connections are given up only until their first byte has arrived.
+	Nodes
 	GroupCount
 )
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -14,8 +14,8 @@
 
 // testLimits are small limits.
 func testLimits() Limits {
-	return Limits{Bytes: 1000, Reserve: 200, ShortBytes: 50, Connections: [GroupCount]int{4, 2}, PerClient: [GroupCount]int{3, 2},
-		Heads: [GroupCount]int{3, 2}}
+	return Limits{Bytes: 1000, Reserve: 200, ShortBytes: 50, Connections: [GroupCount]int{4, 2, 2}, PerClient: [GroupCount]int{3, 2, 2},
+		Heads: [GroupCount]int{3, 2, 2}}
 }
 
 // open opens a connection that must not be refused.
@@ -176,7 +176,7 @@
 			b.Close(a)
 		}
 		if bytes, connections := b.Used(); bytes != 0 || connections != 0 || b.totals != [GroupCount]int{} || b.heads != [GroupCount]int{} ||
-			len(b.clients[Callers])+len(b.clients[Upkeep]) != 0 {
+			len(b.clients[Callers])+len(b.clients[Upkeep])+len(b.clients[Nodes]) != 0 {
 			t.Errorf("%d bytes, %d connections, %v %v %v", bytes, connections, b.totals, b.heads, b.clients)
 		}
 	})
--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -26,6 +26,12 @@
 	minConnections   = 64
 	// upkeepConnections is the limit for the addresses for heartbeats, readiness and metrics together.
 	upkeepConnections = 128
+	// nodeDescriptorDivisor bounds the connections of other nodes to a part of all descriptors, and unknownFDs stands for
+	// an unknown number of these. Each request on its way between two nodes has a connection. unusedNodeConnections bounds
+	// those without a first byte.
+	nodeDescriptorDivisor = 2
+	unknownFDs            = 8192
+	unusedNodeConnections = 256
 	// perClientDivisor bounds the connections of one client address: callers may share a few addresses.
 	perClientDivisor = 2
 	// headsDivisor bounds the connections without their first head.
@@ -47,8 +53,10 @@
 		connections = max(connections, minConnections)
 	}
 	perClient := min(connections, cmp.Or(s.ConnectionsPerClient, max(1, connections/perClientDivisor)))
+	nodes := cmp.Or(s.MaxFDs, unknownFDs) / nodeDescriptorDivisor
 	return Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
-		Connections: [GroupCount]int{Callers: connections, Upkeep: upkeepConnections},
-		PerClient:   [GroupCount]int{Callers: perClient, Upkeep: upkeepConnections / perClientDivisor},
-		Heads:       [GroupCount]int{Callers: max(1, connections/headsDivisor), Upkeep: upkeepConnections / headsDivisor}}
+		Connections: [GroupCount]int{Callers: connections, Upkeep: upkeepConnections, Nodes: nodes},
+		PerClient:   [GroupCount]int{Callers: perClient, Upkeep: upkeepConnections / perClientDivisor, Nodes: nodes},
+		Heads: [GroupCount]int{Callers: max(1, connections/headsDivisor), Upkeep: upkeepConnections / headsDivisor,
+			Nodes: unusedNodeConnections}}
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -104,7 +104,7 @@
 	}
 	c.cancel()
 	_ = c.network.Close()
-	c.server.Governor.close(c)
+	c.server.Governor.close(c.account)
 	c.server.remove(c)
 }
 
@@ -131,14 +131,14 @@
 			return !errors.Is(err, errClosing)
 		}
 		if e.body != nil {
-			c.server.Governor.enter(c, intake.Body)
+			c.server.Governor.enter(c.account, intake.Body)
 		}
 		go c.run(e)
 		if e.body == nil {
 			continue
 		}
 		<-c.bodyOver
-		c.server.Governor.enter(c, intake.Handling)
+		c.server.Governor.enter(c.account, intake.Handling)
 		c.bodyEnded()
 		if e.body.err != io.EOF {
 			// What follows on the connection cannot be told from the rest of the body.
@@ -228,7 +228,7 @@
 			return nil, noMemory
 		}
 		if late.IsZero() {
-			c.server.Governor.enter(c, intake.Head)
+			c.server.Governor.enter(c.account, intake.Head)
 			late = time.Now().Add(limits.HeaderTimeout)
 			c.mu.Lock()
 			c.setDeadline(late)
--- a/internal/pipeline/governor.go
+++ b/internal/pipeline/governor.go
@@ -16,18 +16,21 @@
 	// report counts what was refused or given up.
 	report func(intake.Kind)
 
-	mu    sync.Mutex
-	book  *intake.Book
-	conns map[*intake.Account]*conn
+	mu      sync.Mutex
+	book    *intake.Book
+	clients map[*intake.Account]client
 }
 
+// client is a connection that can be given up. blocked is set if it does not read an answer.
+type client interface{ shed(blocked bool) }
+
 // NewGovernor returns a Governor. report is called for each refusal, and for each connection that is given up; it may be
 // nil.
 func NewGovernor(limits intake.Limits, report func(intake.Kind)) *Governor {
 	if report == nil {
 		report = func(intake.Kind) {}
 	}
-	return &Governor{report: report, book: intake.New(limits), conns: map[*intake.Account]*conn{}}
+	return &Governor{report: report, book: intake.New(limits), clients: map[*intake.Account]client{}}
 }
 
 // SetLimits replaces the limits.
@@ -44,21 +47,17 @@
 	return g.book.Used()
 }
 
-// open accounts for a new connection. It returns false if it is refused.
-func (g *Governor) open(c *conn, group intake.Group) bool {
-	if g == nil {
-		return true
-	}
-	client, _, err := net.SplitHostPort(c.remote)
+// open returns the account of a new connection; nil if it is refused.
+func (g *Governor) open(c client, remote string, group intake.Group) *intake.Account {
+	address, _, err := net.SplitHostPort(remote)
 	if err != nil {
-		client = c.remote
+		address = remote
 	}
 	g.mu.Lock()
-	account, victim, kind := g.book.Open(group, client, time.Now())
-	v, blocked := g.conns[victim], victim != nil && victim.IsBlocked()
+	account, victim, kind := g.book.Open(group, address, time.Now())
+	v, blocked := g.clients[victim], victim != nil && victim.IsBlocked()
 	if account != nil {
-		c.account = account
-		g.conns[account] = c
+		g.clients[account] = c
 	}
 	g.mu.Unlock()
 	if kind != intake.None {
@@ -67,28 +66,28 @@
 	if v != nil {
 		v.shed(blocked)
 	}
-	return account != nil
+	return account
 }
 
 // close removes the account of a connection.
-func (g *Governor) close(c *conn) {
+func (g *Governor) close(account *intake.Account) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Close(c.account)
-	delete(g.conns, c.account)
+	g.book.Close(account)
+	delete(g.clients, account)
 }
 
 // enter records that a connection is in another stage.
-func (g *Governor) enter(c *conn, stage intake.Stage) {
+func (g *Governor) enter(account *intake.Account, stage intake.Stage) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Enter(c.account, stage, time.Now())
+	g.book.Enter(account, stage, time.Now())
 }
 
 // progress records that bytes of a head or body have arrived.
@@ -153,17 +152,17 @@
 // giveUp closes the connections of accounts. It unlocks mu.
 func (g *Governor) giveUp(victims []*intake.Account) {
 	type victim struct {
-		conn    *conn
+		client  client
 		blocked bool
 	}
 	var found []victim
 	for _, a := range victims {
-		found = append(found, victim{g.conns[a], a.IsBlocked()})
+		found = append(found, victim{g.clients[a], a.IsBlocked()})
 	}
 	g.mu.Unlock()
 	for _, v := range found {
 		g.report(intake.Memory)
-		v.conn.shed(v.blocked)
+		v.client.shed(v.blocked)
 	}
 }
 
--- a/internal/pipeline/governor_test.go
+++ b/internal/pipeline/governor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -162,3 +163,46 @@
 		t.Errorf("%d slow bodies are counted, want 2", kinds.get(intake.SlowBody))
 	}
 }
+
+// Guards against connections at another server that send nothing and take all descriptors, against given-up connections
+// that stay accounted for, and against used ones that are given up.
+func TestGuardGivesUpUnusedConnections(t *testing.T) {
+	limits := intake.Sizes{MemoryMB: 184}.Limits()
+	limits.Connections[intake.Nodes], limits.Heads[intake.Nodes] = 4, 2
+	g := NewGovernor(limits, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	guarded := g.Guard(listener, intake.Nodes)
+	go func() {
+		for {
+			conn, err := guarded.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	used := dial(t, listener.Addr().String())
+	echo := func() {
+		_, _ = io.WriteString(used, "x")
+		if b, err := used.reader.ReadByte(); b != 'x' {
+			t.Fatal(err)
+		}
+	}
+	echo()
+	unused := []*testClient{dial(t, listener.Addr().String()), dial(t, listener.Addr().String())}
+	<-time.After(time.Second)
+	last := dial(t, listener.Addr().String())
+	unused[0].expectEnd(t)
+	echo()
+	for _, c := range append(unused, used, last) {
+		c.Close()
+	}
+	awaitCondition(t, "the accounts to be closed", func() bool { _, conns := g.Used(); return conns == 0 })
+}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -91,15 +91,17 @@
 // addConn returns the connection, or closes it and returns nil if the server stops or has no room for it.
 func (s *Server) addConn(network net.Conn) *conn {
 	c := newConn(s, network)
-	if !s.Governor.open(c, s.Group) {
-		c.turnAway()
-		return nil
+	if s.Governor != nil {
+		if c.account = s.Governor.open(c, c.remote, s.Group); c.account == nil {
+			c.turnAway()
+			return nil
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
 		_ = network.Close()
-		s.Governor.close(c)
+		s.Governor.close(c.account)
 		return nil
 	}
 	s.conns[c] = true
