--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -29,6 +29,8 @@
 	// Identity are the header fields with which callers state who they are: they are added to Header if the configuration
 	// has no tenants, and dropped otherwise.
 	Identity []Field
+	// BodyUnread is set if no route was found before the body was read. The request is refused.
+	BodyUnread bool
 	// Deadline is when the caller stops waiting, or when the timeout of the route ends.
 	Deadline time.Time
 	// Objective is the time by which an answer is on time; zero if the route has none.
@@ -87,6 +89,8 @@
 	Known, Found bool
 	// Idempotent reports whether the request may run more than once.
 	Idempotent bool
+	// MaxBodyBytes is the largest body that operators allow; zero means no limit.
+	MaxBodyBytes int64
 }
 
 // Load is what a node reports about the backend server on its instance.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -20,6 +20,7 @@
 	labelOperation = "operation"
 	labelResult    = "result"
 	labelCause     = "cause"
+	labelKind      = "kind"
 )
 
 // otherValue replaces a service or reason that is not in its fixed set of label values.
