Add heatherreelctl config check for the record of gateways

Cause: operators could not see before submission whether nodes accept the platform's configuration record, which of its entries never match, and what it changes.

What never matches and which limits contradict each other is decided in internal/configcheck on the decoded table. The rule that only a higher revision comes into force moved from the gateway to route.Table.Supersedes, so that it exists once.

Ruled out: warnings from the bytes of the record. They would repeat the decoder; values that it replaces, such as a negative timeout, are shown as nodes use them.

Noted, not changed: two routes with the same host and path prefix are in the order of a map, so that nodes may differ in which one matches. The command warns of it.

--- a/cmd/heatherreelctl/command.go
+++ b/cmd/heatherreelctl/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os/user"
 	"runtime/debug"
@@ -34,6 +35,7 @@
 	base, revision  uint64
 	note, author    string
 	service, tenant string
+	against         string
 }
 
 // envName returns the name of the environment variable that sets the flag: HEATHERREEL_TIMEOUT for --timeout.
@@ -46,6 +48,10 @@
 	root := t.rootCommand()
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
+	var status checkStatus
+	if errors.As(err, &status) {
+		return exitCode(status)
+	}
 	if err != nil {
 		t.printError(err)
 	}
@@ -71,7 +77,7 @@
 	p.StringVarP(&t.flags.output, "output", "o", outputTable, "output format, table or json")
 	p.DurationVar(&t.flags.timeout, "timeout", defaultTimeout, "time to wait for an answer or for the outcome of publish")
 	root.AddCommand(t.validateCommand(), t.publishCommand(), t.showCommand(), t.diffCommand(), t.historyCommand(),
-		t.explainCommand(), t.statusCommand(), t.gatewayCommand(), t.versionCommand())
+		t.explainCommand(), t.statusCommand(), t.gatewayCommand(), t.configCommand(), t.versionCommand())
 	addEnvNamesToUsage(root)
 	return root
 }
--- a/cmd/heatherreelctl/main_test.go
+++ b/cmd/heatherreelctl/main_test.go
@@ -175,6 +175,10 @@
 	for _, c := range root.Commands() {
 		commandRows = append(commandRows, fmt.Sprintf("| `%s` | %s |", c.Use, c.Short))
 		c.LocalNonPersistentFlags().VisitAll(describe(c, c.Name()))
+		for _, sub := range c.Commands() {
+			commandRows = append(commandRows, fmt.Sprintf("| `%s %s` | %s |", c.Name(), sub.Use, sub.Short))
+			sub.LocalNonPersistentFlags().VisitAll(describe(sub, c.Name()+" "+sub.Name()))
+		}
 	}
 	requireSameRows(t, documentedRows(t, "Commands"), commandRows)
 	requireSameRows(t, documentedRows(t, "Flags"), flagRows)
--- /dev/null
+++ b/internal/configcheck/configcheck.go
@@ -0,0 +1,177 @@
+// Package configcheck finds, in a table of routes that can be decoded, what nodes accept although it cannot be meant, and how
+// it differs from another one.
+package configcheck
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"heatherreel/internal/route"
+)
+
+// Severity is the kind of a finding.
+type Severity string
+
+// Severities. Nodes do not put a configuration in force that has an error.
+const (
+	Error      Severity = "error"
+	Warning    Severity = "warning"
+	Difference Severity = "difference"
+)
+
+// Finding is one statement about an entry of the configuration.
+type Finding struct {
+	Severity Severity `json:"severity"`
+	// Entry names the entry, such as `route "a"`.
+	Entry  string `json:"entry"`
+	Detail string `json:"detail"`
+}
+
+// findings collects findings of one severity.
+type findings struct {
+	severity Severity
+	list     []Finding
+}
+
+func (f *findings) add(entry, format string, args ...any) {
+	f.list = append(f.list, Finding{f.severity, entry, fmt.Sprintf(format, args...)})
+}
+
+func routeEntry(name string) string   { return fmt.Sprintf("route %q", name) }
+func serviceEntry(name string) string { return fmt.Sprintf("service %q", name) }
+
+// Check returns a warning for each entry that can never match a request, and for each pair of limits that contradict each
+// other.
+func Check(t *route.Table) []Finding {
+	f := findings{severity: Warning}
+	used := map[string]bool{}
+	firsts := map[[2]string]string{}
+	for _, r := range t.Routes() {
+		for _, s := range r.Services {
+			used[s.Service] = used[s.Service] || s.Weight > 0
+		}
+		entry := routeEntry(r.Name)
+		key := [2]string{strings.ToLower(r.Host), r.Prefix}
+		if first, found := firsts[key]; found {
+			f.add(entry, "it has the host and path prefix of route %q; only one of the two matches, and nodes may differ in which", first)
+		} else {
+			firsts[key] = r.Name
+		}
+		if reason := neverMatches(t, r); reason != "" {
+			f.add(entry, "it never matches: %s", reason)
+		}
+		if r.Timeout > 0 && r.Objective > r.Timeout {
+			f.add(entry, "its target response time of %v is after its timeout of %v", r.Objective, r.Timeout)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
+		if !used[name] {
+			f.add(serviceEntry(name), "no route sends requests to it")
+		}
+	}
+	if t.Limits.MaxBodyBytes < 0 {
+		f.add("limits", "the maximum body size of %d bytes is negative, which means no limit", t.Limits.MaxBodyBytes)
+	}
+	return f.list
+}
+
+// neverMatches returns why no request matches the route; empty if some do. Two routes with the same host and prefix are not
+// its concern.
+func neverMatches(t *route.Table, r route.Route) string {
+	switch {
+	case r.Host == "":
+		return "the host is empty"
+	case r.Prefix != "" && r.Prefix[0] != '/':
+		return fmt.Sprintf("the path prefix %q does not begin with a slash", r.Prefix)
+	case strings.Contains(r.Prefix, "?"):
+		return fmt.Sprintf("the path prefix %q contains a query, which is not compared", r.Prefix)
+	}
+	// A request for exactly this host and path finds the route, or another one with the same host and prefix.
+	if found := t.Match(r.Host, r.Prefix); found == nil || !strings.EqualFold(found.Host, r.Host) || found.Prefix != r.Prefix {
+		return fmt.Sprintf("the host %q has a port, which is not compared", r.Host)
+	}
+	return ""
+}
+
+// Compare returns how t differs from the table in force, and an error if it differs but would not come into force.
+func Compare(t, inForce *route.Table) []Finding {
+	f := findings{severity: Difference}
+	compareRoutes(&f, byName(t), byName(inForce))
+	compareServices(&f, t.Services, inForce.Services)
+	if t.Limits != inForce.Limits {
+		f.add("limits", "maximum body size: %d, before %d", t.Limits.MaxBodyBytes, inForce.Limits.MaxBodyBytes)
+	}
+	if t.Revision != inForce.Revision {
+		f.add("configuration", "revision: %d, before %d", t.Revision, inForce.Revision)
+	}
+	if len(f.list) > 0 && !t.Supersedes(inForce) {
+		f.severity = Error
+		f.add("configuration", "nodes ignore it: its revision %d is not above %d, which is in force", t.Revision, inForce.Revision)
+	}
+	return f.list
+}
+
+func byName(t *route.Table) map[string]route.Route {
+	routes := map[string]route.Route{}
+	for _, r := range t.Routes() {
+		routes[r.Name] = r
+	}
+	return routes
+}
+
+// namesOf returns the names in both maps, in order.
+func namesOf[T any](a, b map[string]T) []string {
+	return slices.Compact(slices.Sorted(func(yield func(string) bool) {
+		for _, m := range []map[string]T{a, b} {
+			for name := range m {
+				if !yield(name) {
+					return
+				}
+			}
+		}
+	}))
+}
+
+// field is a property of an entry.
+type field struct {
+	name  string
+	value any
+}
+
+// compareEntries adds the differences between the entries of two tables.
+func compareEntries[T any](f *findings, now, before map[string]T, entry func(string) string, fields func(T) []field) {
+	for _, name := range namesOf(now, before) {
+		a, isNow := now[name]
+		b, wasBefore := before[name]
+		switch {
+		case !wasBefore:
+			f.add(entry(name), "added")
+		case !isNow:
+			f.add(entry(name), "removed")
+		default:
+			old := fields(b)
+			for i, x := range fields(a) {
+				if value, previous := fmt.Sprint(x.value), fmt.Sprint(old[i].value); value != previous {
+					f.add(entry(name), "%s: %s, before %s", x.name, value, previous)
+				}
+			}
+		}
+	}
+}
+
+func compareRoutes(f *findings, now, before map[string]route.Route) {
+	compareEntries(f, now, before, routeEntry, func(r route.Route) []field {
+		return []field{{"host", r.Host}, {"path prefix", r.Prefix}, {"services", r.Services}, {"idempotent", r.Idempotent},
+			{"timeout", r.Timeout}, {"target response time", r.Objective}, {"priority", r.Priority},
+			{"attempts", r.MaxAttempts}, {"home regions", r.HomeRegions}}
+	})
+}
+
+func compareServices(f *findings, now, before map[string]route.Service) {
+	compareEntries(f, now, before, serviceEntry, func(s route.Service) []field {
+		return []field{{"health path", s.HealthPath}, {"connections", s.MaxConnections}, {"keyed", s.Keyed},
+			{"cold time", s.ColdFor}, {"rate while cold", s.ColdRate}}
+	})
+}
--- a/internal/gateway/route_table.go
+++ b/internal/gateway/route_table.go
@@ -44,7 +44,7 @@
 func (t *routeTable) put(table *route.Table) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.table != nil && table.Revision <= t.table.Revision {
+	if t.table != nil && !table.Supersedes(t.table) {
 		return false
 	}
 	t.table = table
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -6,6 +6,7 @@
 	"internal/choice",
 	"internal/contention",
 	"internal/config",
+	"internal/configcheck",
 	"internal/feed",
 	"internal/handover",
 	"internal/heartbeat",
