--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -7,6 +7,7 @@
 	"internal/choice",
 	"internal/contention",
 	"internal/config",
+	"internal/configcheck",
 	"internal/egress",
 	"internal/feed",
 	"internal/handover",
