Learn the concurrency limit of the backend servers of routes

The routed core gave each backend server as many requests as it announces slots. Servers that become slow long before they are full answered almost nothing in time, and fast failures and abandoned requests made a server seem fast.

Package capacity estimates the speed, the usual time of each route and the effect of the concurrency separately. It is in force with the setting learn_capacity; nodes report the measured slots, and the choice of a server counts them.

--- a/internal/choice/choice.go
+++ b/internal/choice/choice.go
@@ -96,6 +96,9 @@
 	if serviceTime <= 0 {
 		serviceTime = defaultServiceTime
 	}
+	if c.Load.MeasuredSlots > 0 {
+		slots = c.Load.MeasuredSlots
+	}
 	if slots <= 0 {
 		slots = defaultSlots
 	}
--- a/internal/choice/choice_test.go
+++ b/internal/choice/choice_test.go
@@ -118,3 +118,14 @@
 		t.Errorf("costs %v, cold %v, failing %v", busy.Cost(), cold.Cost(), failing.Cost())
 	}
 }
+
+// Guards against counting slots above the measured ones, where a backend server is slow.
+func TestMeasuredSlotsBoundTheChoice(t *testing.T) {
+	load := routed.Load{Known: true, Running: 4, Slots: 6, ServiceTime: 150 * time.Millisecond}
+	announced := Candidate{Load: load}
+	load.MeasuredSlots = 4
+	measured := Candidate{Load: load}
+	if measured.Cost() < announced.Cost()+20*time.Millisecond {
+		t.Errorf("cost %v with 4 of 6 slots measured, %v without", measured.Cost(), announced.Cost())
+	}
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -201,7 +201,7 @@
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
-		Limits: gatewayLimits(s),
+		LearnCapacity: s.LearnCapacity, Limits: gatewayLimits(s),
 	}, dependencies)
 	return d, nil
 }
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -274,6 +274,8 @@
 	ServerShedding = define(Event{Number: 556, Name: "server_shedding", Level: zerolog.WarnLevel, PerSecond: bulkRate,
 		Text:   "the backend server of this node sheds every request; it gets only probes until it runs one",
 		Remedy: "check the backend server on this instance"})
+	CapacityMeasured = define(Event{Number: 557, Name: "capacity_measured", Level: zerolog.InfoLevel, PerSecond: bulkRate,
+		Text: "the concurrency up to which the backend server of this node is measured to keep its speed changed"})
 )
 
 // Events of the load of the machine of the backend server.
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -52,28 +52,6 @@
 	return "", 0
 }
 
-// beginRun records that the backend server begins to execute a request of the route.
-func (t *serverTracker) beginRun(route string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.calls.Begin(time.Now(), route)
-}
-
-// endRun records that the backend server ended a request of the route, and reports whether it is left alone from now on
-// because it sheds all requests.
-func (t *serverTracker) endRun(route string, a routed.Answer) (leftAlone bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	t.calls.End(now, route)
-	shed := a.ReachedServer && a.Outcome == request.NotRun && a.Reason == request.BackendFull
-	closed := t.shedGate.Closed()
-	if shed && (closed || t.queue.Contended(now)) || a.Outcome == request.Done {
-		t.shedGate.Record(now, shed)
-	}
-	return !closed && t.shedGate.Closed()
-}
-
 // retryAfter returns when a caller that is refused now is to return. Where classes compete or calls are made, callers
 // get times of their own. The caller holds mu.
 func (t *serverTracker) retryAfter(now time.Time, l routed.Load) time.Duration {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -251,6 +251,7 @@
 	g.server.mu.Lock()
 	now := time.Now()
 	g.server.applyChange(g.server.queue.SetSlowdown(now, g.server.slowdownMonitor.Slowdown(now)))
+	g.server.applyLearnedLimit(now)
 	giveUpAt := r.Deadline.Add(-max(minRunTime, g.server.queue.ExpectedServiceTime(r.Route)))
 	// A call that waits is not refused before its latest start: its parent has done work that would be lost.
 	if waitLimit := now.Add(r.Deadline.Sub(now) * queueWaitPercent / 100); waitLimit.Before(giveUpAt) && !r.Call {
@@ -405,18 +406,16 @@
 	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
 	defer cancel()
 	ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
-	g.server.beginRun(e.Request.Route)
+	run := g.server.beginRun(e.Request.Route)
 	answer := g.deps.Backend.Exchange(ctx, e)
-	if g.server.endRun(e.Request.Route, answer) {
-		g.events.Emit(eventlog.ServerShedding, eventlog.Name("server", e.Server))
-	}
+	g.reportRunChange(e.Server, g.server.endRun(run, answer))
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
 	if answer.ConnectionRefused {
 		g.server.suspectRestart(e.Server)
 	}
 	g.server.observeWorkFigure(answer.WorkFigure)
-	g.releaseSlot(ticket, answer.Outcome == request.Done)
+	g.releaseSlot(ticket, answer.Outcome == request.Done && !(g.options.LearnCapacity && isServerError(answer)))
 	return answer
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherreel/internal/capacity"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/feed"
 	"heatherreel/internal/keyhold"
@@ -53,7 +54,9 @@
 	IngressWorkers, IngressQueue int
 	// BackendWorkers is the number of exchanges with the backend server at once.
 	BackendWorkers int
-	Limits         Limits
+	// LearnCapacity makes the node learn the concurrency limit of its backend server.
+	LearnCapacity bool
+	Limits        Limits
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
@@ -226,6 +229,9 @@
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
 	g.server = newServerTracker()
+	if o.LearnCapacity {
+		g.server.estimator = capacity.New()
+	}
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
 	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
 	return g
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -9,6 +9,7 @@
 
 	"heatherreel/internal/admission"
 	"heatherreel/internal/callroom"
+	"heatherreel/internal/capacity"
 	"heatherreel/internal/contention"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/heartbeat"
@@ -84,6 +85,8 @@
 	calls        *callroom.Room
 	shedGate     admission.ShedGate
 	appointments admission.Appointments
+	// estimator learns the concurrency limit; nil unless the node is to learn it.
+	estimator    *capacity.Estimator
 	queueOptions admission.Options
 }
 
@@ -163,15 +166,23 @@
 // loadLocked does the same for a caller that holds mu.
 func (t *serverTracker) loadLocked(now time.Time) routed.Load {
 	u := t.queue.Usage()
-	return routed.Load{Known: t.lastHeartbeat.Server != "" && !t.ended, Running: u.Running, Waiting: u.Waiting, Slots: u.Limit,
+	l := routed.Load{Known: t.lastHeartbeat.Server != "" && !t.ended, Running: u.Running, Waiting: u.Waiting, Slots: u.Limit,
 		ServiceTime: u.ServiceTime, ColdFor: max(0, t.coldUntil.Sub(now)), KeyRate: t.keyMeter.Rate(),
 		Slowdown: t.slowdownMonitor.Slowdown(now)}
+	if t.estimator != nil {
+		l.MeasuredSlots = t.estimator.Measured()
+		if measured := t.estimator.ServiceTime(); measured > 0 {
+			l.ServiceTime = measured
+		}
+	}
+	return l
 }
 
 // setQueueLimits changes the limits of the queue. The caller holds mu.
 func (t *serverTracker) setQueueLimits(now time.Time, slots int, keyed bool) {
 	// A request for a key has no other backend server to go to. It waits until the machine is fast again.
 	o := admission.Options{Limit: slots, QueueLimit: slots * queueLimitPerSlot, HoldWhenSlow: keyed}
+	o = t.learnedOptions(now, o)
 	if o == t.queueOptions {
 		return
 	}
@@ -300,6 +311,9 @@
 			t.startedAt = t.startedAt.Add(-age)
 		}
 		t.coldLimiter, t.slowdownMonitor, t.speedProbes = nil, contention.Monitor{}, 0
+		if t.estimator != nil {
+			t.estimator.Reset()
+		}
 		changed = true
 	}
 	if d, leaving := t.departures[m.Server]; leaving && m.StartedUnixMS <= d.startedUnixMS {
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -108,7 +108,7 @@
 		Known: l.Known, Running: uint32(max(0, l.Running)), Waiting: uint32(max(0, l.Waiting)),
 		Slots: uint32(max(0, l.Slots)), ServiceTimeUs: encodeDuration(l.ServiceTime), ColdUs: encodeDuration(l.ColdFor),
 		KeyRateMilli: uint64(max(0, l.KeyRate) * milliUnits), SlowdownMilli: uint64(max(0, l.Slowdown) * milliUnits),
-		Current: l.OwnershipCurrent,
+		Current: l.OwnershipCurrent, MeasuredSlots: uint32(max(0, l.MeasuredSlots)),
 	}
 }
 
@@ -117,7 +117,7 @@
 		Known: m.GetKnown(), Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
 		ServiceTime: decodeDuration(m.GetServiceTimeUs()), ColdFor: decodeDuration(m.GetColdUs()),
 		KeyRate: float64(m.GetKeyRateMilli()) / milliUnits, Slowdown: float64(m.GetSlowdownMilli()) / milliUnits,
-		OwnershipCurrent: m.GetCurrent(),
+		OwnershipCurrent: m.GetCurrent(), MeasuredSlots: int(m.GetMeasuredSlots()),
 	}
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -80,6 +80,8 @@
 	Known bool
 	// Running and Waiting are the numbers of requests in slots and in the queue; Slots is the current limit of Running.
 	Running, Waiting, Slots int
+	// MeasuredSlots is the concurrency up to which the backend server keeps its speed; 0 if it is not measured.
+	MeasuredSlots int
 	// ServiceTime is the average time for which a request takes a slot.
 	ServiceTime time.Duration
 	// ColdFor is how long the backend server will still be cold.
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -4,6 +4,7 @@
 var decisionPackages = []string{
 	"internal/admission",
 	"internal/callroom",
+	"internal/capacity",
 	"internal/choice",
 	"internal/contention",
 	"internal/config",
