--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -216,7 +216,8 @@
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
-		LinkMbps: s.LinkMbps, Limits: gatewayLimits(s), Revocation: time.Duration(s.RevocationMS) * time.Millisecond,
+		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, Limits: gatewayLimits(s),
+		Revocation: time.Duration(s.RevocationMS) * time.Millisecond,
 	}, dependencies)
 	return d, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherreel/internal/capacity"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/feed"
 	"heatherreel/internal/keyhold"
@@ -56,7 +57,9 @@
 	BackendWorkers int
 	// LinkMbps is the bandwidth of the link to other instances in Mbit/s; 0 if large answers are not paced.
 	LinkMbps float64
-	Limits   Limits
+	// LearnCapacity makes the node learn the concurrency limit of its backend server.
+	LearnCapacity bool
+	Limits        Limits
 	// Revocation is the time after the acknowledgement of a configuration from which an API key that it removed admits no
 	// request; zero if no such time is guaranteed.
 	Revocation time.Duration
@@ -238,6 +241,9 @@
 	if o.LinkMbps > 0 {
 		g.egress = newEgressTable(o.LinkMbps)
 	}
+	if o.LearnCapacity {
+		g.server.estimator = capacity.New()
+	}
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
 	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
 	return g
