Leave calls out of the shares of classes and out of holding

Served calls counted for the share of their class, and hid that the other work of that class was not served. A call that was held on a slow machine could be refused after it had been queued. Calls have no share now and are not held.

--- a/internal/admission/cycle_test.go
+++ b/internal/admission/cycle_test.go
@@ -188,3 +188,18 @@
 		}
 	}
 }
+
+// Guards against served calls that hide that the other work of their class is not served.
+func TestCallsDoNotCountForTheShareOfTheirClass(t *testing.T) {
+	q := NewQueue(Options{Limit: 2, QueueLimit: 8})
+	for n := range 100 {
+		d := q.Offer(after(10*n), Job{Kind: "call", Class: 1, Call: true, Deadline: after(10*n + 400)})
+		q.Release(after(10*n+5), d.Ticket, true)
+	}
+	if len(q.shares) != 0 {
+		t.Errorf("%d shares after calls alone", len(q.shares))
+	}
+	if !q.Contended(after(1000)) || q.Contended(after(60_000)) {
+		t.Error("the queue must count as contended while calls are made, and not a minute later")
+	}
+}
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -95,7 +95,8 @@
 // extra time that it would take if it started now. Its delay is then at most twice the delay that it would have if the
 // end of the slow period were known, and jobs do not occupy slots for several times the usual service time.
 func (q *Queue) mayStart(now time.Time, j *job) bool {
-	if !q.HoldingJobs() {
+	if !q.HoldingJobs() || j.Call {
+		// A held call would have to be refused late if the machine stayed slow.
 		return true
 	}
 	since := j.offered
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -55,8 +55,12 @@
 // served returns the share of the recent jobs that were started.
 func (s *share) served() float64 { return s.started / max(s.offered, 1e-9) }
 
-// shareOf returns the share of the class of a job, and counts the job as offered.
+// shareOf returns the share of the class of a job, and counts the job as offered. Calls have a share of their own, which
+// is not compared: they go before the work of their class, and would hide that it is not served.
 func (q *Queue) shareOf(now time.Time, offered Job) *share {
+	if offered.Call {
+		return &share{at: now}
+	}
 	key := shareKey{offered.Tenant, offered.Class}
 	s := q.shares[key]
 	if s == nil {
