Avoid instances whose backend server sheds all requests

A node that leaves its backend server alone reports an idle load, so that ingress nodes chose it first, and tried up to six nodes of a service that shed everything.

The refusal has the reason server_shedding now. Ingress nodes avoid the instance for up to 1 s, unless all of the service shed, and send such a request to two nodes at most. Counting the instance as unreachable was ruled out, because it can still serve topics to other nodes.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -45,7 +45,7 @@
 	defer g.server.mu.Unlock()
 	switch {
 	case !g.server.shedGate.Allow(now):
-		return request.BackendFull, g.server.shedGate.RetryAfter(now)
+		return request.ServerShedding, g.server.shedGate.RetryAfter(now)
 	case !r.Call && !g.server.calls.AdmitParent(now, r.Route):
 		return request.CallsRefused, g.server.retryAfter(now, g.server.loadLocked(now))
 	}
@@ -67,7 +67,7 @@
 	switch reason {
 	case request.CallsRefused:
 		return telemetry.RefusedForCalls, true
-	case request.BackendFull:
+	case request.BackendFull, request.ServerShedding:
 		return telemetry.RefusedByServer, true
 	case request.QueueFull, request.DeadlineTooClose:
 		switch {
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -3,15 +3,45 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 )
 
+// Guards against requests that go to an instance whose backend server sheds all, since it seems idle, and against none
+// that find out whether it still does.
+func TestSheddingInstancesAreAvoided(t *testing.T) {
+	now := time.Now()
+	members := newMemberTable(Self{Instance: "self"}, RetryLimits{})
+	for _, name := range []string{"a", "b"} {
+		members.put(registry.Member{Instance: name, Service: "s", Incarnation: 1, Server: registry.Server{ID: name, Ready: true}})
+	}
+	chosen := func(at time.Time) (names []string) {
+		for _, c := range members.candidates(candidateQuery{service: "s"}, at) {
+			names = append(names, c.Instance)
+		}
+		slices.Sort(names)
+		return names
+	}
+	members.recordShedding("a", time.Hour, now)
+	if got := chosen(now); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("candidates %v while a sheds all", got)
+	}
+	members.recordShedding("b", time.Hour, now)
+	if got := chosen(now); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("candidates %v while all shed", got)
+	}
+	if got := chosen(now.Add(maxShedAvoidance)); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("candidates %v after a second", got)
+	}
+}
+
 // Guards against calls of the backend server that are sent to other nodes like new work, against requests of callers
 // that are sent as calls, and against parents that are admitted while their calls are refused.
 func TestCallsAreRecognizedAndSent(t *testing.T) {
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -43,6 +43,9 @@
 	maxOwnerRedirects = 2
 	// maxSends bounds the nodes that one request is sent to.
 	maxSends = 6
+	// maxShedSends bounds the nodes that one request is sent to while their backend servers shed all requests: then most
+	// others of the service do so as well.
+	maxShedSends = 2
 )
 
 // activeRequest is the state of one request at its ingress node.
@@ -194,6 +197,8 @@
 			g.members.recordStop(member, time.Now())
 		case request.Canceled:
 			answer.Reason = cancelReason(ctx)
+		case request.ServerShedding:
+			g.members.recordShedding(instance, answer.RetryAfter, time.Now())
 		}
 		a.countServerAttempt(answer)
 		return answer
@@ -224,6 +229,8 @@
 		g.refreshTopicLimited(registry.RangesTopic)
 	case request.Stopping:
 		g.members.recordStop(member, time.Now())
+	case request.ServerShedding:
+		g.members.recordShedding(member.Instance, answer.RetryAfter, time.Now())
 	}
 	return answer
 }
@@ -297,6 +304,9 @@
 		// The calls go to all nodes of their service, so that they are refused at other nodes of this one as well.
 		return false
 	}
+	if a.lastAnswer.Reason == request.ServerShedding && a.sends >= maxShedSends {
+		return false
+	}
 	if a.lastAnswer.ReachedServer {
 		// Only a retry after a send that reached a backend server is charged to the retry budget of the service.
 		if !g.members.takeRetry(a.request.Service, now) {
@@ -355,7 +365,7 @@
 // its deadline.
 func (a *activeRequest) awaitsOwner(now time.Time) bool {
 	switch a.lastAnswer.Reason {
-	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull:
+	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull, request.ServerShedding:
 		// No change is expected soon.
 		return false
 	}
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -20,6 +20,8 @@
 	failures        int
 	// retryAt is when a peer that could not be reached may be tried again.
 	retryAt time.Time
+	// shedsUntil is until when requests go to other instances because the backend server of this one sheds all.
+	shedsUntil time.Time
 	// stoppingSince is when this node read in the record of this incarnation that it stops. If a refusal or a snapshot showed
 	// that, it is stopAnnounceTime before, because a node refuses requests only that long after its announcement. It is zero
 	// if the incarnation does not stop.
@@ -340,18 +342,40 @@
 func (t *memberTable) candidates(q candidateQuery, now time.Time) []choice.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var found []choice.Candidate
+	var found, shedding []choice.Candidate
 	for name, p := range t.peers {
 		if p.Service != q.service || !p.Server.Ready || p.Server.Draining || p.Stopping || p.nextProcessWait(now) > 0 || q.evacuated[p.DataCentre] ||
 			!regionAllowed(q.homeRegions, p.Region) || slices.Contains(q.tried, name) || now.Before(p.retryAt) {
 			continue
 		}
-		found = append(found, choice.Candidate{Instance: name, Distance: t.distance(&p.Member), Load: p.load,
-			Age: now.Sub(p.loadReportedAt), Pending: p.pendingRequests, Failures: p.failures, Scarce: slices.Contains(q.scarceRegions, p.Region), Bytes: q.transferBytes})
+		c := choice.Candidate{Instance: name, Distance: t.distance(&p.Member), Load: p.load,
+			Age: now.Sub(p.loadReportedAt), Pending: p.pendingRequests, Failures: p.failures, Scarce: slices.Contains(q.scarceRegions, p.Region), Bytes: q.transferBytes}
+		if now.Before(p.shedsUntil) {
+			shedding = append(shedding, c)
+			continue
+		}
+		found = append(found, c)
+	}
+	if len(found) == 0 {
+		return shedding
 	}
 	return found
 }
 
+// maxShedAvoidance bounds the time for which an instance is avoided whose backend server sheds all requests. The instance
+// needs requests as probes to find out that it no longer does.
+const maxShedAvoidance = time.Second
+
+// recordShedding records that an instance has refused a request because its backend server sheds all. It seems idle by its
+// load reports.
+func (t *memberTable) recordShedding(instance string, retryAfter time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[instance]; p != nil {
+		p.shedsUntil = now.Add(min(retryAfter, maxShedAvoidance))
+	}
+}
+
 // reachable returns the addresses of the other nodes that are not stopping and could be reached when last called: those
 // of the same region, and the rest.
 func (t *memberTable) reachable(now time.Time) (near, far []string) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -136,6 +136,8 @@
 	MachineSlow Reason = "machine_slow"
 	// CallsRefused means that the calls that the backend server makes for such a request are being refused.
 	CallsRefused Reason = "calls_refused"
+	// ServerShedding means that the backend server sheds all requests and is left alone.
+	ServerShedding Reason = "server_shedding"
 	// PathSlow means that the request was on its way between two nodes for so long that its sender has given it up.
 	PathSlow Reason = "path_slow"
 	// AnswerInvalid means that the backend server sent bytes that are malformed or no answer to the request.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -55,7 +55,8 @@
 	request.ConnectionLost, request.Canceled, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
-	request.MachineSlow, request.PathSlow, request.Stopping, request.CallsRefused}
+	request.MachineSlow, request.PathSlow, request.Stopping, request.CallsRefused,
+	request.ServerShedding}
 
 // reasonOrOther returns the reason, or otherValue if the reason is not in the fixed set.
 func reasonOrOther(r request.Reason) request.Reason {
