Limit connections that send a head per client, and account for all bodies

The limit of connections without a head held for the process only, and counted first heads only, so that one address could take all places, and kept connections could stall in a later head unseen. Heartbeats shared their limit with readiness and metrics, so that clients of these could keep the backend server out. Bodies that a handler reads itself (heartbeats, up to 1 MB each) were not accounted for.

Unused connections and those in any head now count, per group and per address; heartbeats have a group of their own; and bytes of a body are reserved as they are read unless the handler reserves them.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -243,21 +243,21 @@
 	}
 	for _, h := range []struct {
 		name, address string
+		group         intake.Group
 		handler       http.Handler
 	}{
-		{"callers", d.settings.CallersAddress, caller.NewRequestHandler(d.gateway)},
-		{"heartbeats", d.settings.HeartbeatsAddress, caller.NewHeartbeatHandler(d.gateway)},
-		{"ready", d.settings.ReadyAddress, caller.NewReadyHandler(d.gateway)},
-		{"metrics", d.settings.MetricsAddress, operator.NewGatewayHandler(d.gateway.State, d.metrics.Handler())},
+		{"callers", d.settings.CallersAddress, intake.Callers, caller.NewRequestHandler(d.gateway)},
+		{"heartbeats", d.settings.HeartbeatsAddress, intake.Heartbeats, caller.NewHeartbeatHandler(d.gateway)},
+		{"ready", d.settings.ReadyAddress, intake.Upkeep, caller.NewReadyHandler(d.gateway)},
+		{"metrics", d.settings.MetricsAddress, intake.Upkeep, operator.NewGatewayHandler(d.gateway.State, d.metrics.Handler())},
 	} {
 		listener, err := d.listenTCP(h.name, h.address)
 		if err != nil {
 			return err
 		}
 		server := caller.NewServer(h.handler)
-		server.Governor, server.Group, server.Limits = d.governor, intake.Upkeep, limits
+		server.Governor, server.Group, server.Limits = d.governor, h.group, limits
 		if d.requestServers.callers == nil {
-			server.Group = intake.Callers
 			server.Depth = cmp.Or(d.settings.PipelineDepth, settings.DefaultPipelineDepth)
 			d.requestServers.callers, d.requestServers.callerListener = server, httpwire.NewListener(listener)
 			listener = d.requestServers.callerListener
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -17,7 +17,9 @@
 const (
 	// Callers is the address for requests.
 	Callers Group = iota
-	// Upkeep are the addresses for heartbeats, readiness and metrics.
+	// Heartbeats is the address for the backend server.
+	Heartbeats
+	// Upkeep are the addresses for readiness and metrics.
 	Upkeep
 	// Nodes is the address for other nodes. Its connections are given up only until their first byte has arrived.
 	Nodes
@@ -45,9 +47,9 @@
 	// Bytes is the memory for heads, bodies and answers. Reserve is the part of it that only short requests get, and
 	// ShortBytes the largest size of these.
 	Bytes, Reserve, ShortBytes int64
-	// Connections, PerClient and Heads are the largest numbers of connections in a group, of connections of one client
-	// address in a group, and of connections in a group that have not sent their first head.
-	Connections, PerClient, Heads [GroupCount]int
+	// Connections and PerClient are the largest numbers of connections in a group and of one client address in it; Heads
+	// and HeadsPerClient those of connections that are unused or send a head.
+	Connections, PerClient, Heads, HeadsPerClient [GroupCount]int
 }
 
 const (
@@ -74,8 +76,6 @@
 	stage  Stage
 	// since is the begin of the stage, and progressed when its last bytes arrived.
 	since, progressed time.Time
-	// firstHead is set until the first head is complete.
-	firstHead bool
 	// held are the bytes reserved, received the part of them for the head or body that is incomplete, and moved the bytes
 	// of that which have arrived.
 	held, received, moved int64
@@ -92,16 +92,18 @@
 	limits   Limits
 	used     int64
 	accounts []*Account
-	// totals and heads count connections and those without their first head, clients those of one address.
-	totals, heads [GroupCount]int
-	clients       [GroupCount]map[string]int
+	totals   [GroupCount]counts
+	clients  [GroupCount]map[string]counts
 }
 
+// counts are the numbers of connections and of those that are unused or send a head.
+type counts struct{ connections, heads int }
+
 // New returns an empty book.
 func New(limits Limits) *Book {
 	b := &Book{limits: limits}
 	for g := range b.clients {
-		b.clients[g] = map[string]int{}
+		b.clients[g] = map[string]counts{}
 	}
 	return b
 }
@@ -116,15 +118,19 @@
 // connection is refused. kind is what was exceeded.
 func (b *Book) Open(g Group, client string, now time.Time) (opened, victim *Account, kind Kind) {
 	of := func(a *Account) bool { return a.group == g }
+	ofClient := func(a *Account) bool { return a.group == g && a.client == client }
+	total, own := b.totals[g], b.clients[g][client]
 	switch {
-	case b.clients[g][client] >= b.limits.PerClient[g]:
-		kind = ClientLimit
-		of = func(a *Account) bool { return a.group == g && a.client == client }
-	case b.totals[g] >= b.limits.Connections[g]:
+	case own.connections >= b.limits.PerClient[g]:
+		kind, of = ClientLimit, ofClient
+	case total.connections >= b.limits.Connections[g]:
 		kind = ConnectionLimit
-	case b.heads[g] >= b.limits.Heads[g]:
+	case own.heads >= b.limits.HeadsPerClient[g]:
+		kind = HeadLimit
+		of = func(a *Account) bool { return ofClient(a) && a.sendsHead() }
+	case total.heads >= b.limits.Heads[g]:
 		kind = HeadLimit
-		of = func(a *Account) bool { return a.group == g && a.firstHead }
+		of = func(a *Account) bool { return a.group == g && a.sendsHead() }
 	}
 	if kind != None {
 		if victim = b.expendable(of, now); victim == nil {
@@ -132,21 +138,36 @@
 		}
 		b.giveUp(victim)
 	}
-	opened = &Account{group: g, client: client, firstHead: true, since: now, progressed: now, index: len(b.accounts)}
+	opened = &Account{group: g, client: client, since: now, progressed: now, index: len(b.accounts)}
 	b.accounts = append(b.accounts, opened)
 	b.count(opened, 1)
 	return opened, victim, kind
 }
 
+// sendsHead reports whether a connection is unused or sends a head.
+func (a *Account) sendsHead() bool { return a.stage <= Head }
+
 // count adds a connection to the numbers, or removes it.
 func (b *Book) count(a *Account, n int) {
-	b.totals[a.group] += n
-	if a.firstHead {
-		b.heads[a.group] += n
+	heads := 0
+	if a.sendsHead() {
+		heads = n
 	}
-	if b.clients[a.group][a.client] += n; b.clients[a.group][a.client] == 0 {
+	b.add(a, counts{n, heads})
+}
+
+// add changes the numbers for the group and the client of a connection.
+func (b *Book) add(a *Account, n counts) {
+	b.totals[a.group].connections += n.connections
+	b.totals[a.group].heads += n.heads
+	of := b.clients[a.group][a.client]
+	of.connections += n.connections
+	of.heads += n.heads
+	if of.connections == 0 {
 		delete(b.clients[a.group], a.client)
+		return
 	}
+	b.clients[a.group][a.client] = of
 }
 
 // expendable returns the connection to give up for a new one; nil if there is none. Those that have sent no head come
@@ -232,13 +253,16 @@
 	if a.stage == stage {
 		return
 	}
-	if a.firstHead && stage >= Body {
-		a.firstHead = false
-		if !a.shed {
-			b.heads[a.group]--
+	before := a.sendsHead()
+	a.stage = stage
+	if after := a.sendsHead(); before != after && !a.shed {
+		change := 1
+		if before {
+			change = -1
 		}
+		b.add(a, counts{0, change})
 	}
-	a.stage, a.since, a.progressed, a.received, a.moved = stage, now, now, 0, 0
+	a.since, a.progressed, a.received, a.moved = now, now, 0, 0
 }
 
 // Answered records that an answer is written, whose request held the bytes. last is set if no other is in progress.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -14,8 +14,8 @@
 
 // testLimits are small limits.
 func testLimits() Limits {
-	return Limits{Bytes: 1000, Reserve: 200, ShortBytes: 50, Connections: [GroupCount]int{4, 2, 2}, PerClient: [GroupCount]int{3, 2, 2},
-		Heads: [GroupCount]int{3, 2, 2}}
+	return Limits{Bytes: 1000, Reserve: 200, ShortBytes: 50, Connections: [GroupCount]int{4, 2, 2, 2}, PerClient: [GroupCount]int{3, 2, 2, 2},
+		Heads: [GroupCount]int{3, 2, 2, 2}, HeadsPerClient: [GroupCount]int{2, 2, 2, 2}}
 }
 
 // open opens a connection that must not be refused.
@@ -77,16 +77,31 @@
 			t.Fatal("refused")
 		}
 	}
+	b.Enter(b.accounts[0], Handling, start)
+	b.Enter(b.accounts[0], Idle, start)
+	b.Enter(b.accounts[0], Head, start)
 	if a, _, kind := b.Open(Callers, "d", start); a != nil || kind != HeadLimit {
 		t.Errorf("fourth connection without a head: %v, %v", a, kind)
 	}
+	b = New(testLimits())
+	for range 2 {
+		if a, _, _ := b.Open(Callers, "c", start); a == nil {
+			t.Fatal("refused")
+		}
+	}
+	if a, _, kind := b.Open(Callers, "c", start); a != nil || kind != HeadLimit {
+		t.Errorf("third connection of a client without a head: %v, %v", a, kind)
+	}
+	if a, victim, _ := b.Open(Callers, "c", start.Add(time.Second)); a == nil || victim != b.accounts[0] {
+		t.Error("an old connection without a head is kept")
+	}
 }
 
 // Guards against large or stalled bodies that take the memory of short requests, and against giving up a body that
 // progresses while a stalled one holds memory.
 func TestMemoryGoesToShortAndProgressingRequests(t *testing.T) {
 	limits := testLimits()
-	limits.Connections, limits.PerClient, limits.Heads = [GroupCount]int{100, 100}, [GroupCount]int{100, 100}, [GroupCount]int{100, 100}
+	limits.Connections[Callers], limits.PerClient[Callers] = 100, 100
 	b := New(limits)
 	stalled, moving := open(t, b, "s", Body, start), open(t, b, "m", Body, start)
 	for _, a := range []*Account{stalled, moving} {
@@ -175,9 +190,13 @@
 		for _, a := range accounts {
 			b.Close(a)
 		}
-		if bytes, connections := b.Used(); bytes != 0 || connections != 0 || b.totals != [GroupCount]int{} || b.heads != [GroupCount]int{} ||
-			len(b.clients[Callers])+len(b.clients[Upkeep])+len(b.clients[Nodes]) != 0 {
-			t.Errorf("%d bytes, %d connections, %v %v %v", bytes, connections, b.totals, b.heads, b.clients)
+		if bytes, connections := b.Used(); bytes != 0 || connections != 0 || b.totals != [GroupCount]counts{} {
+			t.Errorf("%d bytes, %d connections, %v", bytes, connections, b.totals)
+		}
+		for g, clients := range b.clients {
+			if len(clients) > 0 {
+				t.Errorf("group %d has %v", g, clients)
+			}
 		}
 	})
 }
--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -24,7 +24,7 @@
 	// otherDescriptors are left for files (200), the store, the nodes (840) and the backend server (130 connections).
 	otherDescriptors = 1400
 	minConnections   = 64
-	// upkeepConnections is the limit for the addresses for heartbeats, readiness and metrics together.
+	// upkeepConnections is the limit for the address for heartbeats, and for those for readiness and metrics together.
 	upkeepConnections = 128
 	// nodeDescriptorDivisor bounds the connections of other nodes to a part of all descriptors, and unknownFDs stands for
 	// an unknown number of these. Each request on its way between two nodes has a connection. unusedNodeConnections bounds
@@ -34,7 +34,7 @@
 	unusedNodeConnections = 256
 	// perClientDivisor bounds the connections of one client address: callers may share a few addresses.
 	perClientDivisor = 2
-	// headsDivisor bounds the connections without their first head.
+	// headsDivisor bounds the connections that are unused or send a head.
 	headsDivisor = 2
 )
 
@@ -54,9 +54,14 @@
 	}
 	perClient := min(connections, cmp.Or(s.ConnectionsPerClient, max(1, connections/perClientDivisor)))
 	nodes := cmp.Or(s.MaxFDs, unknownFDs) / nodeDescriptorDivisor
-	return Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
-		Connections: [GroupCount]int{Callers: connections, Upkeep: upkeepConnections, Nodes: nodes},
-		PerClient:   [GroupCount]int{Callers: perClient, Upkeep: upkeepConnections / perClientDivisor, Nodes: nodes},
-		Heads: [GroupCount]int{Callers: max(1, connections/headsDivisor), Upkeep: upkeepConnections / headsDivisor,
-			Nodes: unusedNodeConnections}}
+	const upkeepPerClient = upkeepConnections / perClientDivisor
+	l := Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
+		Connections: [GroupCount]int{Callers: connections, Heartbeats: upkeepConnections, Upkeep: upkeepConnections, Nodes: nodes},
+		PerClient:   [GroupCount]int{Callers: perClient, Heartbeats: upkeepPerClient, Upkeep: upkeepPerClient, Nodes: nodes}}
+	for g := range GroupCount {
+		l.Heads[g] = max(1, l.Connections[g]/headsDivisor)
+		l.HeadsPerClient[g] = max(1, l.PerClient[g]/headsDivisor)
+	}
+	l.Heads[Nodes], l.HeadsPerClient[Nodes] = unusedNodeConnections, unusedNodeConnections
+	return l
 }
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -17,6 +17,9 @@
 // mu guards the fields below it.
 type body struct {
 	conn *conn
+	// exchange is the one of the request. accounted is set if its handler reserves the memory for what it reads.
+	exchange  *exchange
+	accounted bool
 	// expected is set if the caller awaits an interim answer before it sends the body.
 	expected bool
 
@@ -92,6 +95,10 @@
 	if n > 0 {
 		b.arrived += int64(n)
 		b.conn.server.Governor.progress(b.conn, n)
+		// Buffers that grow are up to twice as large as what is in them.
+		if !b.accounted && !b.exchange.reserve(2*int64(n)) {
+			return 0, b.fail(errNoMemory)
+		}
 	}
 	if err != nil && err != io.EOF {
 		return n, b.fail(err)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -131,6 +131,7 @@
 			return !errors.Is(err, errClosing)
 		}
 		if e.body != nil {
+			e.body.exchange = e
 			c.server.Governor.enter(c.account, intake.Body)
 		}
 		go c.run(e)
--- a/internal/pipeline/governor_test.go
+++ b/internal/pipeline/governor_test.go
@@ -107,10 +107,33 @@
 	c.expect(t, 200, "", false)
 }
 
+// Guards against bodies that are not accounted for because their handler reads them itself, as that of heartbeats does.
+func TestBodiesOfOtherHandlersAreAccountedFor(t *testing.T) {
+	limits := intake.Sizes{MemoryMB: 184, RequestMemoryMB: 1}.Limits()
+	address, g, kinds := startGoverned(t, func(w http.ResponseWriter, req *http.Request) {
+		if _, err := io.ReadAll(req.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}, limits)
+	for range 10 {
+		c := dial(t, address)
+		go func() {
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 100000))
+		}()
+	}
+	awaitCondition(t, "the budget to be used up", func() bool { return kinds.get(intake.Memory) > 0 })
+	if used, _ := g.Used(); used > limits.Bytes {
+		t.Errorf("%d bytes of %d in use", used, limits.Bytes)
+	}
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	c.expect(t, 200, "", false)
+}
+
 // Guards against connections without requests that keep others out.
 func TestUnusedConnectionsGiveWay(t *testing.T) {
 	limits := intake.Sizes{MemoryMB: 184, Connections: 8, ConnectionsPerClient: 8}.Limits()
-	limits.Heads[intake.Callers] = 8
+	limits.Heads[intake.Callers], limits.HeadsPerClient[intake.Callers] = 8, 8
 	address, _, kinds := startGoverned(t, bodyHandler, limits)
 	var unused []*testClient
 	for range 8 {
--- a/internal/pipeline/read_body.go
+++ b/internal/pipeline/read_body.go
@@ -46,6 +46,9 @@
 	if arrived, ok := e.request.Body.(*arrivedBody); ok {
 		return io.ReadAll(arrived)
 	}
+	if e.body != nil {
+		e.body.accounted = true
+	}
 	if length < 0 || length > pieceBytes {
 		return e.readPieces(limit)
 	}
