Read the clock less often for each answer, and leave descriptors to callers

Accounting for an answer read the clock seven times in a request; one reading each before and after the write is enough. With fewer than about 1,900 descriptors, the limit of connections fell to 64, as the 1,400 for other uses are more than there are; callers now get at least a quarter.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -210,6 +210,9 @@
 	if l := (Sizes{MemoryMB: 1, MaxFDs: 10}).Limits(); l.Connections[Callers] < 1 || l.Heads[Callers] < 1 {
 		t.Errorf("%+v", l)
 	}
+	if l := (Sizes{MemoryMB: 184, MaxFDs: 1024}).Limits(); l.Connections[Callers] != 256 {
+		t.Errorf("%+v", l)
+	}
 	l = Sizes{MemoryMB: 184, RequestMemoryMB: 1, Connections: 10, ConnectionsPerClient: 20}.Limits()
 	if l.Bytes != 1<<20 || l.Connections[Callers] != 10 || l.PerClient[Callers] != 10 {
 		t.Errorf("%+v", l)
--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -19,11 +19,13 @@
 	// reserveDivisor is the part of the budget for short requests, and shortBytes their largest size.
 	reserveDivisor = 8
 	shortBytes     = 16 << 10
-	// connectionsPerMB keeps the connections under a sixth of the memory: an idle one takes 11 KB with its goroutine.
+	// connectionsPerMB keeps the connections under a sixth of the memory: an idle one takes 10 KB with its goroutine.
 	connectionsPerMB = 12
 	// otherDescriptors are left for files (200), the store, the nodes (840) and the backend server (130 connections).
 	otherDescriptors = 1400
-	minConnections   = 64
+	// minFDsDivisor is the part of the descriptors for callers where these are fewer than usual.
+	minFDsDivisor  = 4
+	minConnections = 64
 	// upkeepConnections is the limit for the address for heartbeats, and for those for readiness and metrics together.
 	upkeepConnections = 128
 	// nodeDescriptorDivisor bounds the connections of other nodes to a part of all descriptors, and unknownFDs stands for
@@ -48,7 +50,7 @@
 	if connections == 0 {
 		connections = s.MemoryMB * connectionsPerMB
 		if s.MaxFDs > 0 {
-			connections = min(connections, s.MaxFDs-otherDescriptors)
+			connections = min(connections, max(s.MaxFDs-otherDescriptors, s.MaxFDs/minFDsDivisor))
 		}
 		connections = max(connections, minConnections)
 	}
--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -52,7 +52,8 @@
 func (c *conn) finish(e *exchange) {
 	complete := e.body == nil || e.body.finish()
 	size := int64(len(e.content)) + answerHeadBytes
-	c.server.Governor.take(c, size)
+	now := time.Now()
+	c.server.Governor.take(c, size, now)
 	e.reserved += size
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,18 +67,19 @@
 	}
 	c.writing = true
 	for c.first != nil && c.first.done {
-		c.writeFirst()
+		now = c.writeFirst(now)
 	}
 	c.writing = false
 }
 
-// writeFirst writes the answer of the earliest exchange. The caller holds mu, which is released meanwhile.
-func (c *conn) writeFirst() {
+// writeFirst writes the answer of the earliest exchange and returns the time at which it is written. The caller holds mu,
+// which is released meanwhile.
+func (c *conn) writeFirst(now time.Time) time.Time {
 	e := c.first
 	if !c.broken {
 		last := c.order.closing && e.next == nil
 		c.mu.Unlock()
-		err := c.write(e, last)
+		err := c.write(e, last, now)
 		c.mu.Lock()
 		if err != nil {
 			c.breakOffLocked()
@@ -85,7 +87,8 @@
 	}
 	idle := e.next == nil
 	c.mu.Unlock()
-	c.server.Governor.answered(c, e.reserved, idle)
+	now = time.Now()
+	c.server.Governor.answered(c, e.reserved, idle, now)
 	c.mu.Lock()
 	c.unread -= int64(len(e.content))
 	c.first = e.next
@@ -94,11 +97,12 @@
 	}
 	c.order.answered()
 	if c.order.unanswered == 0 {
-		c.idleSince = time.Now()
+		c.idleSince = now
 	}
 	if c.awaitsTurn || c.order.closing {
 		c.wake()
 	}
+	return now
 }
 
 // breakOff closes the connection although answers are not written, and cancels its requests.
@@ -116,34 +120,32 @@
 
 // writeContinue writes the interim answer that a caller awaits before it sends the body. All earlier answers are written.
 func (c *conn) writeContinue() error {
-	return c.writeAll([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return c.writeAll([]byte("HTTP/1.1 100 Continue\r\n\r\n"), time.Now())
 }
 
 // errLength breaks a connection off whose answer is not as long as its head would say.
 var errLength = errors.New("the length of the answer differs from the one in its head")
 
 // write writes the answer of an exchange. last is set if the connection ends with it.
-func (c *conn) write(e *exchange, last bool) error {
+func (c *conn) write(e *exchange, last bool, now time.Time) error {
 	if !e.isWhole() {
 		return errLength
 	}
 	buffer := encodeBuffers.Get().(*bytes.Buffer)
 	defer encodeBuffers.Put(buffer)
 	buffer.Reset()
-	now := time.Now()
 	c.server.Governor.blocked(c, now)
 	rest := e.encode(buffer, last, now)
-	err := c.writeAll(buffer.Bytes())
+	err := c.writeAll(buffer.Bytes(), now)
 	if err == nil && len(rest) > 0 {
-		err = c.writeAll(rest)
+		err = c.writeAll(rest, time.Now())
 	}
 	return err
 }
 
 // writeAll writes p. It gives up when the caller stops reading.
-func (c *conn) writeAll(p []byte) error {
+func (c *conn) writeAll(p []byte, began time.Time) error {
 	limits := c.server.limits()
-	began := time.Now()
 	if !c.writeDeadline.After(began.Add(limits.WriteTimeout)) {
 		c.setWriteDeadline(began.Add(2 * limits.WriteTimeout))
 	}
--- a/internal/pipeline/governor.go
+++ b/internal/pipeline/governor.go
@@ -8,8 +8,8 @@
 	"heatherreel/internal/intake"
 )
 
-// Governor applies the limits of package intake to the connections of several servers. The methods of a nil Governor limit
-// nothing. They must not be called with the mutex of a connection locked, because they may give up other connections.
+// Governor applies the limits of package intake to the connections of several servers. A server with a nil Governor limits
+// nothing. The methods must not be called with the mutex of a connection locked, because they may give up other connections.
 //
 // mu guards the fields below it.
 type Governor struct {
@@ -170,12 +170,12 @@
 }
 
 // take accounts for an answer.
-func (g *Governor) take(c *conn, bytes int64) {
+func (g *Governor) take(c *conn, bytes int64, now time.Time) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
-	g.giveUp(g.book.Take(c.account, bytes, time.Now()))
+	g.giveUp(g.book.Take(c.account, bytes, now))
 }
 
 // giveUp closes the connections of accounts. It unlocks mu.
@@ -206,13 +206,13 @@
 }
 
 // answered records that an answer is written, whose request held the bytes. last is set if no other is in progress.
-func (g *Governor) answered(c *conn, bytes int64, last bool) {
+func (g *Governor) answered(c *conn, bytes int64, last bool, now time.Time) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.book.Answered(c.account, bytes, last, time.Now())
+	g.book.Answered(c.account, bytes, last, now)
 }
 
 // refused counts a refusal for another reason than the limits of the book.
