--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -19,12 +19,14 @@
 	// reserveDivisor is the part of the budget for short requests, and shortBytes their largest size.
 	reserveDivisor = 8
 	shortBytes     = 16 << 10
-	// connectionsPerMB keeps the connections under a sixth of the memory: an idle one takes 11 KB with its goroutine.
+	// connectionsPerMB keeps the connections under a sixth of the memory: an idle one takes 10 KB with its goroutine.
 	connectionsPerMB = 12
 	// otherDescriptors are left for files (200), the store, the nodes (840) and the backend server (130 connections).
 	otherDescriptors = 1400
-	minConnections   = 64
-	// upkeepConnections is the limit for the addresses for heartbeats, readiness and metrics together.
+	// minFDsDivisor is the part of the descriptors for callers where these are fewer than usual.
+	minFDsDivisor  = 4
+	minConnections = 64
+	// upkeepConnections is the limit for the address for heartbeats, and for those for readiness and metrics together.
 	upkeepConnections = 128
 	// nodeDescriptorDivisor bounds the connections of other nodes to a part of all descriptors, and unknownFDs stands for
 	// an unknown number of these. Each request on its way between two nodes has a connection. unusedNodeConnections bounds
@@ -34,7 +36,7 @@
 	unusedNodeConnections = 256
 	// perClientDivisor bounds the connections of one client address: callers may share a few addresses.
 	perClientDivisor = 2
-	// headsDivisor bounds the connections without their first head.
+	// headsDivisor bounds the connections that are unused or send a head.
 	headsDivisor = 2
 )
 
@@ -48,15 +50,20 @@
 	if connections == 0 {
 		connections = s.MemoryMB * connectionsPerMB
 		if s.MaxFDs > 0 {
-			connections = min(connections, s.MaxFDs-otherDescriptors)
+			connections = min(connections, max(s.MaxFDs-otherDescriptors, s.MaxFDs/minFDsDivisor))
 		}
 		connections = max(connections, minConnections)
 	}
 	perClient := min(connections, cmp.Or(s.ConnectionsPerClient, max(1, connections/perClientDivisor)))
 	nodes := cmp.Or(s.MaxFDs, unknownFDs) / nodeDescriptorDivisor
-	return Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
-		Connections: [GroupCount]int{Callers: connections, Upkeep: upkeepConnections, Nodes: nodes},
-		PerClient:   [GroupCount]int{Callers: perClient, Upkeep: upkeepConnections / perClientDivisor, Nodes: nodes},
-		Heads: [GroupCount]int{Callers: max(1, connections/headsDivisor), Upkeep: upkeepConnections / headsDivisor,
-			Nodes: unusedNodeConnections}}
+	const upkeepPerClient = upkeepConnections / perClientDivisor
+	l := Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
+		Connections: [GroupCount]int{Callers: connections, Heartbeats: upkeepConnections, Upkeep: upkeepConnections, Nodes: nodes},
+		PerClient:   [GroupCount]int{Callers: perClient, Heartbeats: upkeepPerClient, Upkeep: upkeepPerClient, Nodes: nodes}}
+	for g := range GroupCount {
+		l.Heads[g] = max(1, l.Connections[g]/headsDivisor)
+		l.HeadsPerClient[g] = max(1, l.PerClient[g]/headsDivisor)
+	}
+	l.Heads[Nodes], l.HeadsPerClient[Nodes] = unusedNodeConnections, unusedNodeConnections
+	return l
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -99,6 +99,8 @@
 	silent := c.stopStarting()
 	c.awaitAnswers()
 	c.server.answered(c)
+	c.buffered, c.input.before = nil, nil
+	c.server.Governor.settle(c)
 	if !gone && !silent {
 		c.linger()
 	}
@@ -131,7 +133,8 @@
 			return !errors.Is(err, errClosing)
 		}
 		if e.body != nil {
-			c.server.Governor.enter(c.account, intake.Body)
+			e.body.exchange = e
+			c.server.Governor.beginBody(c, c.headCost)
 		}
 		go c.run(e)
 		if e.body == nil {
