Bound what the floor gives to a less urgent class

Immediate retries count as further jobs of a class, so that a class in a burst seemed to be far below its floor and went before urgent work: the urgent class of another tenant was served 0.812 of its jobs. A class does not go first any more when it has a quarter of all starts.

--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -11,7 +11,7 @@
 
 // classLoad is a stream of requests of one class.
 type classLoad struct {
-	kind                     string
+	kind, tenant             string
 	class                    request.Class
 	rate                     float64
 	work, target, deadline   time.Duration
@@ -81,7 +81,7 @@
 			}
 			return
 		}
-		d := q.Offer(now, Job{Kind: i.load.kind, Class: i.load.class, Deadline: i.arrived.Add(i.load.deadline), Objective: i.arrived.Add(i.load.target)})
+		d := q.Offer(now, Job{Kind: i.load.kind, Tenant: i.load.tenant, Class: i.load.class, Deadline: i.arrived.Add(i.load.deadline), Objective: i.arrived.Add(i.load.target)})
 		items[d.Ticket] = i
 		if d.Verdict == Started {
 			begin(now, d.Ticket)
@@ -189,6 +189,23 @@
 	}
 }
 
+// Guards against a tenant whose burst takes the slots of others, whatever the classes of both.
+func TestTenantsUnderOverload(t *testing.T) {
+	for _, c := range []struct{ quiet, bursting request.Class }{{1, 1}, {0, 2}, {2, 0}} {
+		loads, plain := competingLoads(1, 2.6), competingLoads(1, 2.6)
+		loads[0].tenant, loads[0].class = "quiet", c.quiet
+		loads[1].tenant, loads[1].class = "bursting", c.bursting
+		replay(loads, false, true)
+		replay(plain, true, true)
+		served := func(l *classLoad) float64 { return float64(l.burstServed) / float64(l.burstOffered) }
+		t.Logf("classes %d and %d: quiet tenant %.3f, bursting one %.3f; in order of arrival %.3f and %.3f", c.quiet, c.bursting,
+			served(loads[0]), served(loads[1]), served(plain[0]), served(plain[1]))
+		if c.quiet <= c.bursting && served(loads[0]) < served(loads[1])-0.05 || served(loads[0]) < floorRatio*served(loads[1]) {
+			t.Errorf("classes %d and %d: the quiet tenant is served %.3f, the bursting one %.3f", c.quiet, c.bursting, served(loads[0]), served(loads[1]))
+		}
+	}
+}
+
 // Guards against refused callers that are all told to return at the same moment, and find the queue full again.
 func TestAppointmentsAreSpread(t *testing.T) {
 	const callers, slots, service = 60, 6, 140 * ms
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -17,6 +17,10 @@
 	floorRatio = 1.0 / 3
 	// floorTarget is the ratio below which a class goes first. It is above the floor, because shares follow a burst late.
 	floorTarget = 0.4
+	// maxFloorPart is the part of all starts from which a class does not go first for being below its floor. Immediate
+	// retries count as further jobs, so that the class would seem to be served less than it is: without this bound, a burst
+	// of a less urgent class with retries left the urgent class of another tenant 0.81 of its jobs.
+	maxFloorPart = 0.25
 	// inversionMargin is the difference of served shares from which a class is held back in favour of a more urgent one of
 	// the same tenant. It is half of the difference that counts as a fault.
 	inversionMargin = 0.025
@@ -110,8 +114,13 @@
 		return
 	}
 	q.classifiedAt = now
+	started, startedOfClass := 0.0, map[request.Class]float64{}
 	for key, s := range q.shares {
 		s.decay(now)
+		started += s.started
+		startedOfClass[key.class] += s.started
+	}
+	for key, s := range q.shares {
 		s.belowFloor, s.aboveUrgent = false, false
 		if s.offered < minShareJobs {
 			continue
@@ -120,8 +129,7 @@
 			if other.class >= key.class || u.offered < minShareJobs {
 				continue
 			}
-			u.decay(now)
-			s.belowFloor = s.belowFloor || s.served() < floorTarget*u.served()
+			s.belowFloor = s.belowFloor || s.served() < floorTarget*u.served() && startedOfClass[key.class] < maxFloorPart*started
 			s.aboveUrgent = s.aboveUrgent || other.tenant == key.tenant && u.waiting > 0 && s.served() > u.served()+inversionMargin
 		}
 	}
