Read the era of the store and decide what outlives a rollback

Cause: the platform's store may be restored from a copy some seconds old. Its answers then carry a higher Store-Era; offsets are assigned again and what was written since is lost. Nodes did not look at the era.

Change: platform/store reads the field of each answer, with any status; a missing or malformed one is era 0, and a list of newest records with pages of two eras is an error. The era is in registry.Page, and passes between nodes in the messages of store calls and topic reads, also with an error. Package storeera decides which answers count, from which fence on an era issues its own (era x 2^32), when the first table of an era may be written, and how long evacuations and members are kept; keyrange.Table.BeginEra gives all ranges fences of an era. The fake store learns the drill: rollback by a time or a number of records, eras, 410 for offsets that do not exist, and answers of an earlier era. Nothing uses the decisions yet.

Ruled out: an era in a record of its own, since the last fence of a table already tells its era.

--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -31,6 +31,9 @@
 	// links holds the link to each instance that does not get its answers at once.
 	links     map[string]*storeLink
 	callCount int
+	// era is the number in all answers, and staleEras are lower ones in the answers to some instances.
+	era       uint64
+	staleEras map[string]uint64
 	// maxPageRecords bounds the records of a read; 0 for no bound.
 	maxPageRecords int
 }
@@ -47,12 +50,14 @@
 // storeTopic holds the records of partition 0 of a topic. changed is closed and replaced when a record is appended.
 type storeTopic struct {
 	records []registry.Record
+	// written holds the time of each record.
+	written []time.Time
 	changed chan struct{}
 }
 
 // NewPlatformStore returns an empty store.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, silent: map[string]bool{}, links: map[string]*storeLink{}}
+	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, silent: map[string]bool{}, links: map[string]*storeLink{}, staleEras: map[string]uint64{}}
 }
 
 // SetDown sets whether the calls of all instances fail.
@@ -161,6 +166,7 @@
 	c.store.mu.Lock()
 	c.store.callCount++
 	if c.store.down || c.store.unreachable[c.instance] {
+		// No answer of the store itself.
 		return problem.New(problem.Overloaded, "wait for the store", "the store is down")
 	}
 	return nil
@@ -239,6 +245,7 @@
 	if err != nil {
 		return registry.Page{}, err
 	}
+	c.setEra(ctx)
 	t := c.store.topic(topic)
 	newest, order := map[string]registry.Record{}, []string{}
 	for _, r := range t.records {
@@ -271,12 +278,18 @@
 			c.store.mu.Lock()
 		}
 		t := c.store.topic(topic)
+		if from > int64(len(t.records)) {
+			c.setEra(ctx)
+			c.store.mu.Unlock()
+			return registry.Page{}, problem.New(problem.PastRetention, "read the newest records", "there is no offset %d", from)
+		}
 		page := registry.Page{End: int64(len(t.records))}
 		page.Records = append(page.Records, t.records[from:]...)
 		if n := c.store.maxPageRecords; n > 0 && len(page.Records) > n {
 			page = registry.Page{Records: page.Records[:n], End: from + int64(n), Partial: true}
 		}
 		silent := c.store.silent[c.instance]
+		c.setEra(ctx)
 		failing, changed := c.store.down || c.store.unreachable[c.instance], t.changed
 		if c.store.missWakeups {
 			changed = nil
@@ -342,6 +355,7 @@
 	if c.store.silent[c.instance] {
 		return 0, true, nil
 	}
+	c.setEra(ctx)
 	t := c.store.topic(topic)
 	if at != registry.AnyOffset && at != int64(len(t.records)) {
 		return 0, false, problem.New(problem.Conflict, "read again", "the end of the partition is %d", len(t.records))
@@ -370,7 +384,12 @@
 
 // append adds a record and wakes the reads that wait. The caller holds PlatformStore.mu.
 func (t *storeTopic) append(r registry.Record) {
-	t.records = append(t.records, r)
+	t.records, t.written = append(t.records, r), append(t.written, time.Now())
+	t.wake()
+}
+
+// wake wakes the reads that wait. The caller holds PlatformStore.mu.
+func (t *storeTopic) wake() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -23,11 +23,27 @@
 	From int64
 	// Wait is how long the feed waits for a read of the store that ends after the request has arrived.
 	Wait time.Duration
+	// Era is the era of the store in which From is an offset.
+	Era uint64
 	// Urgent is set while requests wait for a record at the follower. The feed then passes on new records at once, and
 	// answers after Wait that there are none.
 	Urgent bool
 }
 
+// FromInEra returns From as an offset of an era of the store. A follower that has read in an earlier era gets all records,
+// as if it had read nothing. known is false if that would be repeated without end: a follower of an earlier version names
+// no era, and does not learn of the present one.
+func (r Request) FromInEra(era uint64) (from int64, known bool) {
+	switch {
+	case r.Era == era || r.From < 0:
+		return r.From, true
+	case r.Era == 0 || r.Era > era:
+		return 0, false
+	default:
+		return -1, true
+	}
+}
+
 // Answer is the answer of a feed.
 type Answer struct {
 	// Page holds the newest record of each key that has changed since Request.From, or of all keys if Snapshot is set. A
--- a/internal/keyrange/table.go
+++ b/internal/keyrange/table.go
@@ -203,6 +203,22 @@
 	r.Owner, r.Fence, r.HandoverToken, r.Next = o, t.LastFence, token, ""
 }
 
+// BeginEra gives all ranges with an owner a fence of an era whose fences begin after floor, unless the table is of that era
+// already, and ends all moves: the fences, and the handover tokens, of the table may be older than others that were given
+// out and are lost. It returns false if nothing changed.
+func (t *Table) BeginEra(floor uint64) bool {
+	if t.LastFence >= floor {
+		return false
+	}
+	t.LastFence = floor
+	for i, r := range t.Ranges {
+		if r.Owner != (Owner{}) {
+			t.assign(i, r.Owner, "")
+		}
+	}
+	return true
+}
+
 // splitAt splits the range that contains key, so that a range starts at key. Both parts keep the owner.
 func (t *Table) splitAt(key uint16) {
 	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= key })
--- a/internal/node/store_messages.go
+++ b/internal/node/store_messages.go
@@ -16,7 +16,7 @@
 func (e *routerEndpoint) StoreCall(ctx context.Context, m *nodepb.StoreRequest) (*nodepb.StoreResponse, error) {
 	page, err := e.service.StoreCall(ctx, decodeStoreCall(m))
 	if err != nil {
-		return &nodepb.StoreResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
+		return &nodepb.StoreResponse{Failure: failureKind(err), Detail: failureDetail(err), Era: page.Era}, nil
 	}
 	return encodePage(page), nil
 }
@@ -43,7 +43,7 @@
 		return registry.Page{}, err
 	}
 	if response.Failure != "" {
-		return registry.Page{}, problem.New(errs.Tag(response.Failure), "check the platform's store and the routes of both nodes to it",
+		return registry.Page{Era: response.Era}, problem.New(errs.Tag(response.Failure), "check the platform's store and the routes of both nodes to it",
 			"the node at %s could not call the store: %s", address, response.Detail)
 	}
 	return decodePage(response), nil
@@ -63,11 +63,11 @@
 }
 
 func encodePage(p registry.Page) *nodepb.StoreResponse {
-	return &nodepb.StoreResponse{End: p.End, Partial: p.Partial, Records: encodeRecords(p.Records)}
+	return &nodepb.StoreResponse{End: p.End, Partial: p.Partial, Era: p.Era, Records: encodeRecords(p.Records)}
 }
 
 func decodePage(m *nodepb.StoreResponse) registry.Page {
-	return registry.Page{End: m.End, Partial: m.Partial, Records: decodeRecords(m.Records)}
+	return registry.Page{End: m.End, Partial: m.Partial, Era: m.Era, Records: decodeRecords(m.Records)}
 }
 
 func encodeRecords(records []registry.Record) []*nodepb.StoreRecord {
--- a/internal/node/topic_messages.go
+++ b/internal/node/topic_messages.go
@@ -20,7 +20,7 @@
 // ReadTopic implements nodepb.DRPCRouterServer. An error of the service is encoded in the response, so that it does not
 // count as an error of the connection.
 func (e *routerEndpoint) ReadTopic(ctx context.Context, m *nodepb.TopicRequest) (*nodepb.TopicResponse, error) {
-	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait), Urgent: m.Urgent})
+	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait), Urgent: m.Urgent, Era: m.Era})
 	if err != nil {
 		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
 	}
@@ -42,7 +42,7 @@
 	sent := time.Now()
 	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
 	conn.watchdog.arm(silenceRule{limit: r.Wait + topicSilenceLimit, patience: untilLimit}, 0)
-	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait), Urgent: r.Urgent})
+	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait), Urgent: r.Urgent, Era: r.Era})
 	conn.watchdog.disarm()
 	conn.watchdog.transfer.Store(nil)
 	if err = c.finishCall(address, conn, c.explainSilence(address, conn, sent, r.Wait, err)); err != nil {
@@ -76,7 +76,7 @@
 			r.CompressedValue, r.Value = compress(r.Value), nil
 		}
 	}
-	return &nodepb.TopicResponse{Records: records, End: a.Page.End, Snapshot: a.Snapshot,
+	return &nodepb.TopicResponse{Records: records, End: a.Page.End, Era: a.Page.Era, Snapshot: a.Snapshot,
 		// The next lower microsecond is the earlier time.
 		ReadOffsetUs: a.ReadOffset.Microseconds() - 1}
 }
@@ -93,7 +93,7 @@
 		r.Value, r.CompressedValue = value, nil
 	}
 	offset := time.Duration(min(max(m.ReadOffsetUs, -int64(maxDurationUs)), int64(maxDurationUs))) * time.Microsecond
-	return feed.Answer{Page: registry.Page{Records: decodeRecords(m.Records), End: m.End}, Snapshot: m.Snapshot, ReadOffset: offset}, nil
+	return feed.Answer{Page: registry.Page{Records: decodeRecords(m.Records), End: m.End, Era: m.Era}, Snapshot: m.Snapshot, ReadOffset: offset}, nil
 }
 
 const (
--- a/internal/registry/call.go
+++ b/internal/registry/call.go
@@ -43,8 +43,16 @@
 	Record Record
 }
 
-// Do makes the call. The page of an append has no records, only the end.
+// Do makes the call. The page of an append has no records, only the end. Page.Era is set also if the call failed.
 func (c Call) Do(ctx context.Context, s Store) (Page, error) {
+	ctx, transfer := TrackTransfer(ctx)
+	transfer.SetEra(0)
+	page, err := c.do(ctx, s)
+	page.Era = transfer.Era()
+	return page, err
+}
+
+func (c Call) do(ctx context.Context, s Store) (Page, error) {
 	switch c.Operation {
 	case OperationNewest:
 		return s.Newest(ctx, c.Topic)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,9 @@
 	Records []Record
 	// End is the offset from which to read later records.
 	End int64
+	// Era is the era of the store that answered, 0 if it has none; see package storeera. It is set with an error, too, if
+	// the store answered.
+	Era uint64
 	// Partial is set if the partition had records after End when it was read. A store that is called through a node of
 	// an earlier version does not set it.
 	Partial bool
--- a/internal/registry/transfer.go
+++ b/internal/registry/transfer.go
@@ -5,8 +5,22 @@
 	"sync/atomic"
 )
 
-// Transfer counts the bytes of the answer to a call of a Store that have arrived so far. A nil *Transfer counts nothing.
-type Transfer struct{ received atomic.Int64 }
+// Transfer counts the bytes of the answer to a call of a Store that have arrived so far, and holds the era of the store that
+// gave the answer. A nil *Transfer counts nothing.
+type Transfer struct {
+	received atomic.Int64
+	era      atomic.Uint64
+}
+
+// SetEra records the era in the answer to a call, also if the call failed.
+func (t *Transfer) SetEra(era uint64) {
+	if t != nil {
+		t.era.Store(era)
+	}
+}
+
+// Era returns the era that was recorded last; 0 if there is none.
+func (t *Transfer) Era() uint64 { return t.era.Load() }
 
 // Add records that n bytes arrived.
 func (t *Transfer) Add(n int) {
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -23,6 +23,7 @@
 	"internal/routed",
 	"internal/routing",
 	"internal/serving",
+	"internal/storeera",
 }
 
 // peerPackages contain the codec, connections, client and server for one peer each.
