Keep ownership, evacuations, departures and members over a rollback of the store

Cause: after a rollback a node read on at offsets that name other records, kept leases whose proof is lost, and would have issued fences again that the lost tables had given out. Evacuations and members that the store does not show were dropped.

Change: each answer of the store, direct, relayed or from a feed, is judged by its era. One of a lower era counts as failed. On a new era all readers start again from the newest records, through feeds where there are some; the lease ends, and nothing is granted until a table of the era is in force, which the planner writes 8.25 s after it has seen the era (another node 2 s later) with new fences. A table that an earlier era's write left by chance is written over. A write begun under an earlier era is neither sent nor repeated, and its result is unknown. Evacuations stay for 10 s unless they are shown and then ended; members stay known for 4 s; departures count as not stored; each node writes its own record again within 0 to 500 ms if the store does not show it as it is. Events 530 to 534. Without eras no message or wait is added.

Ruled out: a wait in each process that starts. A table of the era proves that somebody has waited, and a fleet that starts on a store with a later era would serve keys 6 s later.

Existing tests: two calls in fleet_test.go and one in store_test.go pass the era and the time to rangeTable; the random faults take a rollback schedule, which is empty in the tests that were there.

--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -267,6 +267,23 @@
 		Text: "a node is silent during a call for a request; its answer is awaited, and the request is sent again as well if the retry budget and the state of other nodes allow that"})
 )
 
+// Events of rollbacks of the platform's store.
+var (
+	StoreEraChanged = define(Event{Number: 530, Name: "store_era_changed", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the platform store was restored from an older copy and answers with the era in the field era; this node reads all topics again, writes its own record again, and grants no keys until the leases of the earlier era have expired",
+		Remedy: "check that the configuration and the evacuations in the store are the intended ones, and write them again if they are older"})
+	StoreAnswerOutdated = define(Event{Number: 531, Name: "store_answer_outdated", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "an answer of the platform store has a lower era than an earlier answer, or none; this node counts it as failed",
+		Remedy: "check that no process of the platform store runs on data from before the rollback"})
+	WriteOfEarlierEra = define(Event{Number: 532, Name: "write_of_earlier_era", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "the platform store was restored from an older copy during a write of this node; the write is not repeated, and its result is read back"})
+	EvacuationDropped = define(Event{Number: 533, Name: "evacuation_dropped", Level: zerolog.WarnLevel, PerSecond: peerRate,
+		Text:   "the platform store has not shown the evacuation of the data centre in the field data_centre_named for 10 s since it was restored from an older copy; the evacuation has ended",
+		Remedy: "write the evacuation again if it is still wanted"})
+	RangesEraBegun = define(Event{Number: 534, Name: "ranges_era_begun", Level: zerolog.InfoLevel, PerSecond: peerRate,
+		Text: "this node wrote the first key ownership of its service after the platform store was restored from an older copy, with fences of the new era"})
+)
+
 // Events of the load of the machine of the backend server.
 var (
 	WorkFigureMissing = define(Event{Number: 516, Name: "work_figure_missing", Level: zerolog.WarnLevel, PerSecond: bulkRate,
--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -278,19 +278,21 @@
 			c.store.mu.Lock()
 		}
 		t := c.store.topic(topic)
-		if from > int64(len(t.records)) {
+		if from > int64(len(t.records)) && !c.store.down && !c.store.unreachable[c.instance] && !c.store.silent[c.instance] {
 			c.setEra(ctx)
 			c.store.mu.Unlock()
 			return registry.Page{}, problem.New(problem.PastRetention, "read the newest records", "there is no offset %d", from)
 		}
 		page := registry.Page{End: int64(len(t.records))}
-		page.Records = append(page.Records, t.records[from:]...)
+		page.Records = append(page.Records, t.records[min(from, page.End):]...)
 		if n := c.store.maxPageRecords; n > 0 && len(page.Records) > n {
 			page = registry.Page{Records: page.Records[:n], End: from + int64(n), Partial: true}
 		}
 		silent := c.store.silent[c.instance]
-		c.setEra(ctx)
 		failing, changed := c.store.down || c.store.unreachable[c.instance], t.changed
+		if !failing && !silent {
+			c.setEra(ctx)
+		}
 		if c.store.missWakeups {
 			changed = nil
 		}
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -97,6 +97,9 @@
 	}
 	for range 8 {
 		sim.injectFault(random, keyed)
+		if sim.rollBacks != nil && sim.rollBacks.IntN(3) == 0 {
+			sim.rollBack(sim.rollBacks)
+		}
 		time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
 	}
 	sim.clearFaults()
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -40,6 +40,8 @@
 type servedTopic struct {
 	mu      *lockorder.Mutex
 	records feed.Topic
+	// era is the era of the store that the records are of.
+	era uint64
 	// serving is set while the node reads the topic from the store. Otherwise it serves no records, so that no node
 	// follows a follower.
 	serving bool
@@ -98,6 +100,12 @@
 func (s *servedTopic) apply(r topicRead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.page.Era < s.era {
+		return
+	}
+	if r.page.Era > s.era {
+		s.resetTo(r.page.Era)
+	}
 	s.records.Apply(r.page, r.snapshot)
 	if !r.followed && !r.page.Partial {
 		s.reads++
@@ -106,6 +114,15 @@
 	s.notify()
 }
 
+// resetTo forgets the records of an era earlier than the given one. The caller holds mu.
+func (s *servedTopic) resetTo(era uint64) {
+	if era <= s.era {
+		return
+	}
+	s.records, s.era, s.current, s.failed = feed.Topic{}, era, false, false
+	s.notify()
+}
+
 // recordFailure records that a read of the store failed. Reads that wait are refused, so that their nodes read from the
 // store themselves.
 func (s *servedTopic) recordFailure() {
@@ -150,11 +167,13 @@
 func (s *servedTopic) answer(r feed.Request, readsBefore int, arrived, now keyrange.Instant, maxAge time.Duration) (feed.Answer, served, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	from, known := r.FromInEra(s.era)
 	switch end := s.records.End(); {
-	case !s.serving || s.failed || s.current && !s.records.Held():
+	case !known || !s.serving || s.failed || s.current && !s.records.Held():
 		return feed.Answer{}, servedNever, nil
-	case s.current && now.Sub(s.readAt) <= maxAge && (end > r.From || end == r.From && s.reads > readsBefore):
-		page, snapshot := s.records.Since(r.From)
+	case s.current && now.Sub(s.readAt) <= maxAge && (end > from || end == from && s.reads > readsBefore):
+		page, snapshot := s.records.Since(from)
+		page.Era = s.era
 		return feed.Answer{Page: page, Snapshot: snapshot, ReadOffset: s.readAt.Sub(arrived)}, servedNow, nil
 	default:
 		return feed.Answer{}, servedLater, s.changed
@@ -166,10 +185,10 @@
 func (s *servedTopic) unchanged(r feed.Request, arrived, now keyrange.Instant, maxAge time.Duration) (a feed.Answer, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.serving || s.failed || !s.current || !s.records.Held() || s.records.End() != r.From || now.Sub(s.readAt) > maxAge {
+	if !s.serving || s.failed || !s.current || !s.records.Held() || s.records.End() != r.From || r.Era != s.era || now.Sub(s.readAt) > maxAge {
 		return feed.Answer{}, false
 	}
-	return feed.Answer{Page: registry.Page{End: r.From}, ReadOffset: s.readAt.Sub(arrived)}, true
+	return feed.Answer{Page: registry.Page{End: r.From, Era: s.era}, ReadOffset: s.readAt.Sub(arrived)}, true
 }
 
 // ReadTopic implements node.RouterService.
@@ -184,6 +203,8 @@
 	if g.servedReads.Add(1) > maxServedReads || g.stopping.Load() || g.store.Unreachable() {
 		return feed.Answer{}, problem.New(problem.Overloaded, "read from the store", "this node serves no records at the moment")
 	}
+	// A request of a later era tells this node of it. One of an earlier era is answered with the newest records.
+	g.observePeerEra(r.Era)
 	readsBefore, first := s.beginServing(time.Now())
 	if first {
 		// The poll in progress may take longer than the follower waits.
@@ -271,12 +292,14 @@
 	callCtx, stop := context.WithTimeout(ctx, wait+followTimeout)
 	defer stop()
 	sent := tr.g.deps.Now()
-	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent})
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent, Era: tr.era})
 	asOf := sent.Add(answer.ReadOffset)
 	switch {
 	case ctx.Err() != nil:
 		return topicRead{}, context.Cause(ctx)
-	case err == nil && (answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
+	case err == nil && !tr.g.observePeerEra(answer.Page.Era):
+		err = problem.New(problem.Unavailable, "read from the store", "records of era %d, after one of era %d", answer.Page.Era, tr.g.era.current.Load())
+	case err == nil && (answer.Page.Era == tr.era && answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
 		err = problem.New(problem.Malformed, "run the same version on all nodes", "records up to %d for a reader at %d, read %v after the request arrived",
 			answer.Page.End, from, answer.ReadOffset)
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -418,8 +418,8 @@
 	table := &keyrange.Table{Service: "keyed", Suspicions: map[string]keyrange.Suspicion{}, Lost: map[string]bool{}}
 	table.Initialize([]keyrange.Candidate{{Owner: own, Weight: 1}})
 	ranges := newRangeTable()
-	ranges.put(table, 0)
-	ranges.confirmRead(Self{Instance: "k0", Service: "keyed"}, 0, 4)
+	ranges.put(table, 0, 0)
+	ranges.confirmRead(Self{Instance: "k0", Service: "keyed"}, 0, 0, 0, 4)
 	next := table.Clone()
 	next.Unassign("k0")
 	ranges.addPendingWrite(next, 4)
@@ -432,7 +432,7 @@
 	if got := ranges.grantable(own, "keyed"); len(got) != 0 {
 		t.Errorf("granted %v after the second write was refused", got)
 	}
-	ranges.confirmRead(Self{Instance: "k0", Service: "keyed"}, 0, 5)
+	ranges.confirmRead(Self{Instance: "k0", Service: "keyed"}, 0, 0, 0, 5)
 	if got := ranges.grantable(own, "keyed"); len(got) != 1 {
 		t.Errorf("granted %v after another write came first", got)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,8 @@
 	ranges    *rangeTable
 	server    *serverTracker
 
+	// era is the era of the platform's store.
+	era *storeEra
 	// store is the platform's store. Calls go through other nodes while this node cannot reach it.
 	store *relay.Store
 	// relayedCalls counts the store calls that are in progress for other nodes.
@@ -218,8 +220,8 @@
 
 // New returns a gateway that is not started.
 func New(o Options, d Dependencies) *Gateway {
-	d.Store = observedStore{d.Store, d.Events, d.Metrics}
-	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal(), requestsEnded: newSignal()}
+	g := &Gateway{options: o, deps: d, self: o.Self, events: d.Events, started: time.Now(), closed: newSignal(), requestsEnded: newSignal(), era: newStoreEra()}
+	g.deps.Store = eraStore{observedStore{d.Store, d.Events, d.Metrics}, g}
 	g.incarnation.Store(o.Self.Incarnation)
 	g.routes = newRouteTable()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
@@ -227,7 +229,7 @@
 	g.ranges = newRangeTable()
 	g.server = newServerTracker()
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
-	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
+	g.store = relay.New(g.deps.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
 	return g
 }
 
@@ -251,10 +253,13 @@
 	}
 	g.server.assumeEarlierGrants(g.deps.Now(), g.maxHold())
 	g.events.Emit(eventlog.Started)
+	ranges := &topicReader{g: g, topic: registry.RangesTopic, ownRecords: true, wait: g.rangesWait, batchDelay: g.rangesBatchDelay, onSnapshot: func() {}}
+	ranges.apply = func(r registry.Record) { g.applyRanges(r, ranges.era) }
+	ranges.synced = func(asOf keyrange.Instant, end int64) { g.rangesSynced(ranges.era, asOf, end) }
 	g.topicReaders = []*topicReader{
 		{g: g, topic: g.deps.OperatorTopic, wait: operatorWait, batchDelay: func() time.Duration { return 0 }, onSnapshot: g.routes.beginSnapshot, apply: g.applyOperator, synced: g.operatorSynced},
 		{g: g, topic: registry.MembersTopic, ownRecords: true, wait: memberWait, batchDelay: func() time.Duration { return memberBatchDelay }, onSnapshot: g.members.beginSnapshot, apply: g.applyMember, synced: g.membersSynced},
-		{g: g, topic: registry.RangesTopic, ownRecords: true, wait: g.rangesWait, batchDelay: g.rangesBatchDelay, onSnapshot: func() {}, apply: g.applyRanges, synced: g.rangesSynced},
+		ranges,
 	}
 	for _, tr := range g.topicReaders {
 		tr.served = g.served[tr.topic]
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -48,8 +48,12 @@
 	firstSync signal
 	// readEnd is the end offset of the topic up to which the records are read.
 	readEnd int64
-	limits  RetryLimits
-	budgets map[string]*retry.Budget
+	// keepMissingUntil is until when instances are kept that the snapshot of a new era of the store does not show, and
+	// missingKept is set while there may be such instances.
+	keepMissingUntil time.Time
+	missingKept      bool
+	limits           RetryLimits
+	budgets          map[string]*retry.Budget
 }
 
 func newMemberTable(self Self, limits RetryLimits) *memberTable {
@@ -92,6 +96,16 @@
 		return
 	}
 	t.applyingSnapshot = false
+	if time.Now().Before(t.keepMissingUntil) {
+		t.missingKept = true
+		return
+	}
+	t.removeMissing()
+}
+
+// removeMissing removes the instances whose records were not in the last snapshot and have not been read since. The caller
+// holds mu.
+func (t *memberTable) removeMissing() {
 	for name, p := range t.peers {
 		if !p.seenInSnapshot {
 			delete(t.peers, name)
@@ -160,6 +174,9 @@
 func (t *memberTable) predecessor() (instance string, readEnd int64, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.readEnd < 0 {
+		return "", 0, false
+	}
 	for name, p := range t.peers {
 		if name != t.self.Instance && p.Address == t.self.Address {
 			return name, t.readEnd, true
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -9,6 +9,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/lockorder"
 	"heatherreel/internal/operator"
+	"heatherreel/internal/storeera"
 )
 
 // rangeTable holds the range tables of all services as last read, and the lease of the node. mu guards all fields; it
@@ -31,6 +32,10 @@
 	// effect.
 	pendingWrites []*keyrange.Table
 	pendingEnd    int64
+	// ownership decides which tables are in force in the current era of the store, and readInEra holds the services whose
+	// tables were read in it.
+	ownership storeera.Ownership
+	readInEra map[string]bool
 }
 
 // suspicionKey identifies one suspicion of a service.
@@ -41,14 +46,24 @@
 
 func newRangeTable() *rangeTable {
 	return &rangeTable{mu: lockorder.New(lockorder.KeyRanges), tables: map[string]*keyrange.Table{},
-		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), unreadable: map[string]bool{}, readEnd: -1, firstEnd: -1}
+		suspicionSeenAt: map[suspicionKey]keyrange.Instant{}, changed: make(chan struct{}), unreadable: map[string]bool{}, readEnd: -1, firstEnd: -1,
+		readInEra: map[string]bool{}}
 }
 
-// put sets the table of a service. A table in the map is never modified.
-func (t *rangeTable) put(table *keyrange.Table, now keyrange.Instant) {
+// put sets the table of a service, as read in an era of the store. A table in the map is never modified. A table of a write
+// that was begun in an earlier era counts as unreadable, so that the one in force is written again.
+func (t *rangeTable) put(table *keyrange.Table, era uint64, now keyrange.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.advance(era, now) {
+		return
+	}
+	if before := t.tables[table.Service]; before != nil && t.readInEra[table.Service] && t.ownership.Outdated(table.LastFence, before.LastFence) {
+		t.unreadable[table.Service] = true
+		return
+	}
 	t.tables[table.Service] = table
+	t.readInEra[table.Service] = true
 	delete(t.unreadable, table.Service)
 	t.notifyChange()
 	open := map[suspicionKey]bool{}
@@ -81,10 +96,14 @@
 }
 
 // confirmRead records a completed read. All records that the store had at the time asOf are applied: the lease is
-// extended to LeaseDuration after that, unless the table suspects the instance or the ownership is not settled yet.
-func (t *rangeTable) confirmRead(self Self, asOf keyrange.Instant, readEnd int64) {
+// extended to LeaseDuration after that, unless the table suspects the instance, is of an earlier era of the store than the
+// read, or the ownership is not settled yet.
+func (t *rangeTable) confirmRead(self Self, era uint64, asOf, now keyrange.Instant, readEnd int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.advance(era, now) {
+		return
+	}
 	settledBefore := t.settled()
 	t.readEnd = readEnd
 	if t.firstEnd < 0 {
@@ -100,13 +119,16 @@
 		t.notifyChange()
 	}
 	if table := t.tables[self.Service]; table != nil {
-		if _, suspected := table.Suspicions[self.Instance]; suspected {
+		if _, suspected := table.Suspicions[self.Instance]; suspected || !t.ownership.InForce(table.LastFence) {
 			return
 		}
 	}
 	t.lease.Extend(asOf)
 }
 
+// endLease ends the lease at once. The caller holds mu.
+func (t *rangeTable) endLease() { t.lease = keyrange.Lease{} }
+
 // settled reports whether no write of an earlier process of the node can take effect any more. Such a write is
 // conditional on an end that the topic had before the first read, and may be done seconds after its process ended; any
 // record since then rules it out. Until then the node grants nothing, as the write may give the keys to others, which
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -44,6 +44,10 @@
 // reconcile updates the records of the node and its service to match its current state.
 func (g *Gateway) reconcile() {
 	g.applyServiceLimits()
+	for _, dataCentre := range g.routes.dropUnshown(time.Now()) {
+		g.events.Emit(eventlog.EvacuationDropped, eventlog.Name("data_centre_named", dataCentre))
+	}
+	g.members.dropMissing(time.Now())
 	g.announceMember()
 	g.removePredecessor()
 	if !g.serviceKeyed() || !g.members.isSynced() {
@@ -72,12 +76,15 @@
 	}
 	// The node routes to its own backend server by the current state, even while the store cannot be reached.
 	g.members.put(member)
+	if member == g.reconciled.announced && g.era.delaysRewrite(now) {
+		return
+	}
 	g.reconciled.announced, g.reconciled.announcedAt = member, now
 	record, err := registry.EncodeMember(member)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 		defer cancel()
-		_, err = g.store.Append(ctx, registry.MembersTopic, registry.AnyOffset, record)
+		_, err = g.appendInEra(ctx, g.era.current.Load(), registry.MembersTopic, registry.AnyOffset, record)
 	}
 	if err != nil {
 		g.events.Emit(eventlog.AnnouncementFailed, eventlog.Cause(err))
@@ -88,6 +95,7 @@
 // only some time after the first instance and its backend server have ended, so that nothing of it runs any more. The
 // removal is conditional on the end of the last read: the other instance may just have announced itself again.
 func (g *Gateway) removePredecessor() {
+	era := g.era.current.Load()
 	instance, end, found := g.members.predecessor()
 	if !found || time.Since(g.reconciled.predecessorRemovedAt) < announceRetryInterval {
 		return
@@ -95,7 +103,7 @@
 	g.reconciled.predecessorRemovedAt = time.Now()
 	ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 	defer cancel()
-	if _, err := g.store.Append(ctx, registry.MembersTopic, end, registry.Record{Key: instance}); err != nil {
+	if _, err := g.appendInEra(ctx, era, registry.MembersTopic, end, registry.Record{Key: instance}); err != nil {
 		// Another record came first, or the store is unavailable; the next run decides again.
 		g.events.Emit(eventlog.PredecessorKept, eventlog.Name("peer_instance", instance), eventlog.Cause(err))
 		return
@@ -142,6 +150,7 @@
 
 // reconcileRanges writes the next range table of the service if a change is due.
 func (g *Gateway) reconcileRanges() {
+	era := g.era.current.Load()
 	table, end := g.ranges.get(g.self.Service)
 	if end < 0 || end < g.reconciled.rangesEnd && time.Since(g.reconciled.rangesWrittenAt) < writeTimeout {
 		return
@@ -150,15 +159,21 @@
 	if table != nil {
 		next = table.Clone()
 	}
+	firstFence, mayChange := g.ranges.mayChange(g.self.Service, g.isPlanner(g.ownerCandidates(next)), g.deps.Now())
+	if !mayChange {
+		// Leases of an earlier era of the store may be in force.
+		return
+	}
+	begun := next.BeginEra(firstFence)
 	version := g.server.currentVersion()
 	unreadable := g.ranges.isUnreadable(g.self.Service)
 	if unreadable && table == nil {
 		// The table that the record replaced had fences that are not known here. A node that has read it writes it again.
 		return
 	}
-	changed := g.applyDueChanges(next) || unreadable
+	changed := g.applyDueChanges(next) || unreadable || begun && next.Initialized()
 	if !changed && table.Initialized() && !g.ranges.isSettled() {
-		g.settleRanges(end)
+		g.settleRanges(era, end)
 		return
 	}
 	// A write with an unknown outcome may still take effect until any other write does. The table is then written
@@ -174,17 +189,20 @@
 		g.reconcileTrigger.Fire()
 		return
 	}
-	g.writeRanges(table, next, end)
+	g.writeRanges(era, table, next, end)
+	if begun {
+		g.events.Emit(eventlog.RangesEraBegun, eventlog.Count("era", int(era)), eventlog.Count("last_fence", int(next.LastFence)))
+	}
 }
 
 // writeRanges stores a table if nothing was written since end.
-func (g *Gateway) writeRanges(before, next *keyrange.Table, end int64) {
+func (g *Gateway) writeRanges(era uint64, before, next *keyrange.Table, end int64) {
 	record, err := registry.EncodeRanges(next)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 		defer cancel()
 		g.reconciled.rangesWrittenAt = time.Now()
-		g.reconciled.rangesEnd, err = g.store.Append(ctx, registry.RangesTopic, end, record)
+		g.reconciled.rangesEnd, err = g.appendInEra(ctx, era, registry.RangesTopic, end, record)
 	}
 	switch {
 	case err == nil:
@@ -204,12 +222,12 @@
 
 // settleRanges appends a record without a table at the end of the last read, so that no write of an earlier process of
 // the node can take effect any more. If another record came first, that one has the same effect.
-func (g *Gateway) settleRanges(end int64) {
+func (g *Gateway) settleRanges(era uint64, end int64) {
 	ctx, cancel := context.WithTimeout(g.ctx, writeTimeout)
 	defer cancel()
 	g.reconciled.rangesWrittenAt = time.Now()
 	var err error
-	g.reconciled.rangesEnd, err = g.store.Append(ctx, registry.RangesTopic, end, registry.Record{Key: registry.SettlingKey})
+	g.reconciled.rangesEnd, err = g.appendInEra(ctx, era, registry.RangesTopic, end, registry.Record{Key: registry.SettlingKey})
 	switch {
 	case err == nil:
 		g.events.Emit(eventlog.RangesSettled, eventlog.Count("end", int(g.reconciled.rangesEnd)))
--- a/internal/gateway/route_table.go
+++ b/internal/gateway/route_table.go
@@ -5,6 +5,7 @@
 
 	"heatherreel/internal/lockorder"
 	"heatherreel/internal/route"
+	"heatherreel/internal/storeera"
 )
 
 // routeTable holds the configuration in force. mu guards all fields; it has rank lockorder.Routes.
@@ -15,6 +16,8 @@
 	// evacuated holds the time at which the evacuation of each data centre became known. evacuatedBefore is its state
 	// before the snapshot that is being applied.
 	evacuated, evacuatedBefore map[string]time.Time
+	// kept are the evacuations that a rollback of the store does not end at once.
+	kept storeera.Evacuations
 	// answerSizes are the average sizes of answers by route, in bytes.
 	answerSizes map[string]int
 }
@@ -60,11 +63,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.evacuatedBefore, t.evacuated = t.evacuated, map[string]time.Time{}
+	for name, since := range t.evacuatedBefore {
+		if t.kept.Kept(name) {
+			t.evacuated[name] = since
+		}
+	}
 }
 
 func (t *routeTable) setEvacuated(dataCentre string, active bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if active {
+		t.kept.Show(dataCentre)
+	}
+	if !active && t.kept.Kept(dataCentre) {
+		return
+	}
 	if !active {
 		delete(t.evacuated, dataCentre)
 		return
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -234,7 +234,7 @@
 // departure must not be acknowledged before: the next process of the node would send requests to the backend server
 // again.
 func (g *Gateway) storeDeparture(server string) error {
-	member := g.ownRecord()
+	era, member := g.era.current.Load(), g.ownRecord()
 	g.server.mu.Lock()
 	d, known := g.server.departures[server]
 	g.server.mu.Unlock()
@@ -248,7 +248,7 @@
 		if record, err = registry.EncodeMember(member); err == nil {
 			ctx, cancel := context.WithTimeout(g.ctx, departureTimeout)
 			defer cancel()
-			_, err = g.store.Append(ctx, registry.MembersTopic, registry.AnyOffset, record)
+			_, err = g.appendInEra(ctx, era, registry.MembersTopic, registry.AnyOffset, record)
 		}
 	}
 	if err != nil {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -79,6 +79,8 @@
 	keyCalls    keyCallCounts
 	// reuseServerIDs makes a backend server start again under its former ID.
 	reuseServerIDs bool
+	// rollBacks decides on rollbacks of the store beside the other random faults; nil for none.
+	rollBacks *rand.Rand
 	// decodeTime is how long a configuration takes to decode.
 	decodeTime time.Duration
 	// tables are the published configurations, by the number in their record.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -93,7 +93,11 @@
 
 // StoreCall implements relay.Nodes. A node that has stopped responding is not called again for a while.
 func (n relayNodes) StoreCall(ctx context.Context, address string, c registry.Call) (registry.Page, error) {
+	if err := n.g.sendableInEra(ctx); err != nil {
+		return registry.Page{}, err
+	}
 	page, err := n.g.deps.Peers.StoreCall(ctx, address, c)
+	err = n.g.checkEra(page, err, n.g.observePeerEra)
 	if state := node.PeerStateOf(err); state == node.PeerSilent || state == node.PeerRefuses {
 		n.g.members.recordFailureAt(address, time.Now())
 	}
--- a/internal/gateway/store_test.go
+++ b/internal/gateway/store_test.go
@@ -191,7 +191,7 @@
 		g.plannedMoves.Store(&[]keyMove{{span: keyload.Span{From: 0, To: 99}, to: "k2"}})
 		g.reconcileTrigger.Fire()
 		time.Sleep(3 * time.Second)
-		sim.instances["f1"].gateway.ranges.put(stale, 0)
+		sim.instances["f1"].gateway.ranges.put(stale, 0, 0)
 		started := time.Now()
 		if a := sim.sendRequest("f1", "moved", "/keyed/", 10, time.Second); a.Outcome != request.Done || string(a.Body) != "k2" {
 			t.Errorf("got %v %q from %q", a.Outcome, a.Reason, a.Body)
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -55,6 +55,10 @@
 	onSnapshot func()
 	apply      func(registry.Record)
 	synced     func(asOf keyrange.Instant, end int64)
+	// era is the era of the store of the records that were applied last; only the reader uses it. restarted is set
+	// when it has changed after the first completed read: a feed then has the records of this instance, too.
+	era       uint64
+	restarted bool
 	// poll is the read in progress that waits for records; nil if there is none. lastRefreshNS is when
 	// refreshTopicLimited last ended one, and outdatedSinceNS when another node first reported a newer record after the
 	// last completed read, zero if none did; both in Unix nanoseconds.
@@ -105,11 +109,20 @@
 	var asOf keyrange.Instant
 	for ctx.Err() == nil {
 		started := time.Now()
+		if era := tr.g.era.current.Load(); era != tr.era {
+			// Offsets of an earlier era name other records, and a proof of it has ended.
+			tr.restarted = tr.restarted || from >= 0
+			from, asOf, tr.era, noWait = -1, 0, era, false
+		}
 		read, err := tr.read(ctx, from, noWait)
 		again := noWait
 		noWait = false
 		switch {
+		case err == nil && (read.page.Era != tr.g.era.current.Load() || read.page.Era != tr.era && !read.snapshot):
+			// The page begins at an offset of another era, or is not of the newest one any more.
+			continue
 		case err == nil:
+			tr.era = read.page.Era
 			tr.logRecords(read, again, time.Since(started))
 			// Followers need not wait until this node has decoded the records.
 			tr.served.apply(read)
@@ -194,7 +207,7 @@
 // store had when it was sent.
 func (tr *topicReader) read(ctx context.Context, from int64, noWait bool) (topicRead, error) {
 	f, found := tr.chooseFeed()
-	if !found || noWait || from < 0 && tr.ownRecords {
+	if !found || noWait || from < 0 && tr.ownRecords && !tr.restarted {
 		return tr.readStore(ctx, from, noWait)
 	}
 	read, err := tr.follow(ctx, f, from)
@@ -399,7 +412,7 @@
 }
 
 // applyRanges applies the range table of one service.
-func (g *Gateway) applyRanges(r registry.Record) {
+func (g *Gateway) applyRanges(r registry.Record, era uint64) {
 	if r.Key == registry.SettlingKey {
 		return
 	}
@@ -409,13 +422,13 @@
 		g.ranges.putUnreadable(r.Key)
 		return
 	}
-	g.ranges.put(t, g.deps.Now())
+	g.ranges.put(t, era, g.deps.Now())
 }
 
 // rangesSynced extends the lease: the store has answered a read that was sent at the time asOf, and its records are
 // applied.
-func (g *Gateway) rangesSynced(asOf keyrange.Instant, end int64) {
-	g.ranges.confirmRead(g.self, asOf, end)
+func (g *Gateway) rangesSynced(era uint64, asOf keyrange.Instant, end int64) {
+	g.ranges.confirmRead(g.self, era, asOf, g.deps.Now(), end)
 	if g.grantsByCalls() {
 		g.grantTrigger.Fire()
 	}
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -9,6 +9,8 @@
 
 // Ranks from the outermost to the innermost lock.
 const (
+	// StoreEra guards the era of the platform's store that the node has seen, while its tables are told of a new one.
+	StoreEra Rank = 8
 	// Ledger guards the replayed state of the log: members, assignments and configurations.
 	Ledger Rank = 10
 	// Routes guards the configuration of routes and the evacuations in force.
