--- a/internal/callroom/callroom_test.go
+++ b/internal/callroom/callroom_test.go
@@ -218,7 +218,8 @@
 	for shedPercent, wantAtLeast := range map[int]int{0: 400, 30: 400, 50: 340, 100: 10} {
 		n := newNode(5)
 		n.room.routes["call"] = &arrivals{call: true, evidence: maxEvidence, total: 100}
-		n.room.parents["parent"] = &parent{runs: 100, busy: 15, calls: map[string]float64{"call": 140}}
+		n.room.parents["parent"] = &parent{runs: 100, busy: 10, together: map[string]float64{"parent": 40}, met: map[string]float64{"call": 800},
+			rate: map[string]float64{"call": 20}}
 		admitted, calls := 0, 0
 		for range 10_000 {
 			if n.tick%25 == 0 && n.room.AdmitParent(n.now, "parent") {
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -25,6 +25,8 @@
 type configurationProof struct {
 	// readAt is when the last read of the operators' topic was sent whose records are all applied; zero if there is none.
 	readAt atomic.Int64
+	// shown is the highest revision that the store has shown in its present era.
+	shown atomic.Uint64
 	// stale is set while requests are refused because the proof is too old.
 	stale atomic.Bool
 }
@@ -33,14 +35,27 @@
 // may then only be newer.
 func (p *configurationProof) asOf() keyrange.Instant { return keyrange.Instant(p.readAt.Load()) }
 
-// extendProof records that a read that was sent at asOf has been applied.
+// extendProof records that a read that was sent at asOf has been applied. A store that shows an older configuration than the
+// one in force proves nothing about newer ones.
 func (g *Gateway) extendProof(asOf keyrange.Instant) {
+	if g.proof.shown.Load() < g.routes.revision() {
+		return
+	}
 	g.proof.readAt.Store(max(g.proof.readAt.Load(), int64(asOf)))
 	if g.deps.Now().Sub(asOf) <= tenantauth.RefusalProofAge && g.proof.stale.CompareAndSwap(true, false) {
 		g.events.Emit(eventlog.ConfigurationProved)
 	}
 }
 
+// beginEra ends the extension of the proof when the store comes back from an older copy, until it shows the configuration in
+// force again. Earlier proofs stay valid: they state what the store had acknowledged by then.
+func (p *configurationProof) beginEra() { p.shown.Store(0) }
+
+// recordShown records that the store has shown a revision.
+func (p *configurationProof) recordShown(revision uint64) {
+	p.shown.Store(max(p.shown.Load(), revision))
+}
+
 // identify sets the tenant of a request and what follows from it, and takes the caller's key out of the request. It returns
 // the answer to a request that is refused. asOf is when the configuration was proved to be the newest.
 func (g *Gateway) identify(r *routed.Request, tenants *tenantauth.Table, matched *route.Route, asOf keyrange.Instant) *routed.Answer {
--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -28,6 +28,7 @@
 	"internal/routed",
 	"internal/routing",
 	"internal/serving",
+	"internal/storeera",
 	"internal/tenantauth",
 }
 
