--- a/internal/shape/packages_test.go
+++ b/internal/shape/packages_test.go
@@ -17,6 +17,7 @@
 	"internal/limit",
 	"internal/outcome",
 	"internal/placement",
+	"internal/quota",
 	"internal/request",
 	"internal/retry",
 	"internal/route",
