Admit requests of tenants by their quota over all nodes

Cause: rate_per_s and burst of a tenant were decoded and not in force.

The node where a request arrives takes credit from its even share or a loan and answers 429 quota_exceeded with Retry-After if there is none. A request without credit waits for a loan for up to 0.3 s, as callers with few requests would otherwise be refused each first one. Credit of a request that was admitted and did not run is returned. Loans travel in a drpc call (Lend), at most each 250 ms to each lender and none without demand. The lender is the instance that may grant the key of the tenant in the first keyed service by name; it stops when its lease on the ownership ends or a write of its own may give the key away.

Requests that waited could lose their credit to later ones, which TestQuotaHoldsOverNodes/none showed in about half of its runs: waiting requests come first now, and are woken when the even share has credit again.

--- a/internal/daemon/cut_answer_test.go
+++ b/internal/daemon/cut_answer_test.go
@@ -15,6 +15,7 @@
 
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -207,3 +208,6 @@
 	}
 	return answer.StatusCode, body.String()
 }
+
+// Lend implements node.RouterService.
+func (*hopRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/eventlog/catalogue.go
+++ b/internal/eventlog/catalogue.go
@@ -274,6 +274,9 @@
 		Remedy: "check the platform's store and the path from this node to it"})
 	ConfigurationProved = define(Event{Number: 521, Name: "configuration_proved", Level: zerolog.InfoLevel, PerSecond: bulkRate,
 		Text: "the node has read the operators' records again and decides on API keys"})
+	LoanCallFailed = define(Event{Number: 525, Name: "loan_call_failed", Level: zerolog.WarnLevel, PerSecond: bulkRate,
+		Text:   "a call for loans of tenants' quotas failed; only the even shares of these tenants apply at this node meanwhile",
+		Remedy: "check the instance in the field peer_instance and the network to it"})
 )
 
 // Events of the load of the machine of the backend server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/relay"
 	"heatherreel/internal/request"
@@ -112,6 +113,8 @@
 	// ReadTopic reads a topic through a node that reads it from the store. The error is problem.Overloaded if that node
 	// does not serve the topic at present.
 	ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error)
+	// Lend asks a node for loans of tenants' quotas to an instance.
+	Lend(ctx context.Context, address, borrower string, asks []quota.Ask) ([]quota.Grant, error)
 }
 
 // Dependencies are what a gateway calls.
@@ -144,6 +147,7 @@
 	routes      *routeTable
 	members     *memberTable
 	proof       configurationProof
+	quotas      *quotaTable
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
 	ranges    *rangeTable
@@ -229,6 +233,7 @@
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
+	g.quotas = newQuotaTable(o.Self.Instance)
 	g.server = newServerTracker()
 	g.served = map[string]*servedTopic{d.OperatorTopic: newServedTopic(), registry.MembersTopic: newServedTopic(), registry.RangesTopic: newServedTopic()}
 	g.store = relay.New(d.Store, relayNodes{g}, d.Events, func(delay time.Duration) { g.storeProbeTrigger.FireAfter(delay) })
@@ -248,6 +253,7 @@
 	g.controlPool = worker.NewPool("control", controlWorkers, controlQueue)
 	g.reconcileTrigger = worker.NewTrigger(g.controlPool, g.reconcile)
 	g.slowdownTrigger = worker.NewTrigger(g.controlPool, g.pollSlowdown)
+	g.quotas.start(g)
 	g.storeProbeTrigger = worker.NewTrigger(g.controlPool, func() { g.store.Probe(g.ctx) })
 	if g.grantsByCalls() {
 		g.grantPool = worker.NewPool("grants", 1+maxGrantCalls+maxReleaseCalls, grantQueue)
@@ -351,6 +357,7 @@
 	g.readerGoroutines.Wait()
 	g.reconcileTrigger.Stop()
 	g.slowdownTrigger.Stop()
+	g.quotas.stop()
 	g.storeProbeTrigger.Stop()
 	if g.grantsByCalls() {
 		g.grantTrigger.Stop()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -112,8 +112,16 @@
 	if len(r.HomeRegions) == 0 {
 		a.scarceRegions = table.HomeRegions(service)
 	}
+	credit, refused := g.takeQuota(ctx, r.Tenant, r.Deadline)
+	if refused != nil {
+		return g.finishRequest(a, *refused)
+	}
 	g.members.countRequest(service, now)
-	return g.finishRequest(a, g.serve(ctx, a))
+	answer := g.serve(ctx, a)
+	if answer.Outcome == request.NotRun {
+		g.quotas.giveBack(&credit, g.deps.Now())
+	}
+	return g.finishRequest(a, answer)
 }
 
 // serve sends the request to one node after the other until it has its answer.
--- a/internal/gateway/simulation_peers_test.go
+++ b/internal/gateway/simulation_peers_test.go
@@ -9,6 +9,7 @@
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/routed"
 )
@@ -166,3 +167,13 @@
 	sleep(ctx, delay())
 	return answer, err
 }
+
+// Lend implements Peers.
+func (p *peers) Lend(ctx context.Context, address, borrower string, asks []quota.Ask) ([]quota.Grant, error) {
+	g, err := p.reach(ctx, instanceAt(address))
+	if err != nil {
+		return nil, err
+	}
+	p.sim.lendCalls.Add(1)
+	return g.Lend(borrower, asks), nil
+}
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -85,6 +85,8 @@
 	// Options.Revocation of these gateways.
 	events     *eventlog.Logger
 	revocation time.Duration
+	// lendCalls counts the calls for loans.
+	lendCalls atomic.Int64
 	// tables are the published configurations, by the number in their record.
 	tables []*route.Table
 	stop   chan struct{}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -354,6 +354,7 @@
 		return
 	}
 	if g.routes.put(decoded.Table) {
+		g.applyQuotas(decoded.Table)
 		g.deps.Metrics.SetServices(slices.Sorted(maps.Keys(decoded.Table.Services)))
 		g.events.Emit(eventlog.RoutesInForce, eventlog.Count("revision", int(decoded.Table.Revision)),
 			eventlog.Count("routes", decoded.Table.RouteCount()))
@@ -399,6 +400,7 @@
 
 func (g *Gateway) membersSynced(_ keyrange.Instant, end int64) {
 	g.members.confirmRead(end)
+	g.quotas.setMembers(g.members.names(), g.deps.Now())
 	g.reconcileTrigger.Fire()
 }
 
@@ -420,6 +422,7 @@
 // applied.
 func (g *Gateway) rangesSynced(asOf keyrange.Instant, end int64) {
 	g.ranges.confirmRead(g.self, asOf, end)
+	g.observeLending()
 	if g.grantsByCalls() {
 		g.grantTrigger.Fire()
 	}
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -33,6 +33,8 @@
 	Outcomes Rank = 60
 	// Retry guards the retry budgets.
 	Retry Rank = 70
+	// Quotas guards the credit of tenants and what is lent of it.
+	Quotas Rank = 75
 	// Calls guards the tables of calls, jobs and plans that wait for an event.
 	Calls Rank = 80
 	// Timers guards the state of a trigger or of a repeating timer.
--- a/internal/node/any_bytes_test.go
+++ b/internal/node/any_bytes_test.go
@@ -9,6 +9,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -100,3 +101,6 @@
 		f.Fatal(err)
 	}
 }
+
+// Lend implements node.RouterService.
+func (*bytesRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/node/path_delay_test.go
+++ b/internal/node/path_delay_test.go
@@ -8,6 +8,7 @@
 
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -123,3 +124,6 @@
 		}
 	}
 }
+
+// Lend implements node.RouterService.
+func (*recordingRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -7,6 +7,7 @@
 
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node/nodepb"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -34,6 +35,8 @@
 	// ReadTopic returns records that this node has read from the platform's store. The error is problem.Overloaded if it
 	// is no feed of the topic at present.
 	ReadTopic(ctx context.Context, r feed.Request) (feed.Answer, error)
+	// Lend lends the quota of tenants to an instance. It must not block.
+	Lend(borrower string, asks []quota.Ask) []quota.Grant
 }
 
 // DispatchProgress reports to the sender of a request at intervals that the request is in progress. The zero value
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -8,6 +8,7 @@
 
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -101,3 +102,6 @@
 		t.Error("the server is not idle after the answer")
 	}
 }
+
+// Lend implements node.RouterService.
+func (doneRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/node/slow_path_test.go
+++ b/internal/node/slow_path_test.go
@@ -12,6 +12,7 @@
 	"heatherreel/internal/feed"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
@@ -441,3 +442,6 @@
 		t.Errorf("%d further bytes are counted, error %v", transfer.Received()-before, err)
 	}
 }
+
+// Lend implements node.RouterService.
+func (*echoRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/node/topic_test.go
+++ b/internal/node/topic_test.go
@@ -14,6 +14,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 )
 
@@ -111,3 +112,6 @@
 		t.Errorf("%d bytes were sent for a record of %d", toClient.Bytes, len(value))
 	}
 }
+
+// Lend implements node.RouterService.
+func (*feedRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -198,11 +198,7 @@
 		return 0, 0
 	}
 	all := l.Rate*window.Seconds() + l.Burst
-	units := int(all * n.evenPart)
-	own := units / len(n.members)
-	if n.rank(tenant) < units%len(n.members) {
-		own++
-	}
+	own := Units(int(all*n.evenPart), n.self, n.members, tenant)
 	if own == 0 {
 		return 0, 0
 	}
@@ -213,12 +209,22 @@
 	return min(part*l.Rate, most*(1-1e-6)), capacity
 }
 
-// rank returns the position of the node in the order of a tenant.
-func (n *Node) rank(tenant string) (before int) {
-	position := func(member string) uint64 { return xxhash.Sum64String(tenant + "\x00" + member) }
-	own := position(n.self)
-	for _, m := range n.members {
-		if p := position(m); p < own || p == own && strings.Compare(m, n.self) < 0 {
+// Units returns the part of self when a whole number is split between all members, which include self. What is left over goes
+// to the first members in an order that differs by name, so that all members that know the same ones split it alike.
+func Units(total int, self string, members []string, name string) int {
+	own := total / len(members)
+	if rank(self, members, name) < total%len(members) {
+		own++
+	}
+	return own
+}
+
+// rank returns the position of self in the order of a name.
+func rank(self string, members []string, name string) (before int) {
+	position := func(member string) uint64 { return xxhash.Sum64String(name + "\x00" + member) }
+	own := position(self)
+	for _, m := range members {
+		if p := position(m); p < own || p == own && m < self {
 			before++
 		}
 	}
@@ -243,6 +249,11 @@
 	a.roll(now)
 	if !repeated {
 		a.arrivals++
+		if a.waiting > 0 && a.credit(now) <= a.waiting {
+			// The credit belongs to requests that wait.
+			a.unmet++
+			return Credit{}, false
+		}
 	}
 	if a.even.take(now) {
 		return Credit{tenant: tenant, taken: now}, true
@@ -319,19 +330,27 @@
 	a.loans = slices.DeleteFunc(a.loans, func(l loan) bool { return now >= l.until })
 }
 
-// wanted returns how many requests found no credit, or are expected before the next ask and will find none. The expected
-// number is rounded down: a loan for a request that does not come is lost to others, and a request may wait for a loan.
-func (a *account) wanted(now keyrange.Instant) int {
-	a.roll(now)
+// credit returns the number of requests for which there is credit now.
+func (a *account) credit(now keyrange.Instant) int {
 	a.dropExpired(now)
 	a.even.refill(now)
-	credit := a.even.level + a.even.rate*AskInterval.Seconds()
+	credit := int(a.even.level)
 	for _, l := range a.loans {
-		credit += float64(l.left)
+		credit += l.left
 	}
-	expected := max(a.unmet, a.waiting) + (a.arrivals+a.arrivedBefore)/2
-	most := math.Ceil(a.limit.Rate + a.limit.Burst)
-	return int(min(float64(expected)-math.Floor(credit), most))
+	return credit
+}
+
+// wanted returns how many requests found no credit, or are expected before the next ask and will find none. The expected
+// number is rounded down: a loan for a request that does not come is lost to others, and a request may wait for a loan.
+func (a *account) wanted(now keyrange.Instant) int {
+	a.roll(now)
+	credit := float64(a.credit(now))
+	comingIn := math.Floor(a.even.level+a.even.rate*AskInterval.Seconds()) - math.Floor(a.even.level)
+	// Requests that wait may be given up before the even share has credit for them.
+	missing := float64(max(a.unmet, a.waiting)) - credit
+	later := missing + float64((a.arrivals+a.arrivedBefore)/2) - comingIn
+	return int(min(max(missing, later), math.Ceil(a.limit.Rate+a.limit.Burst)))
 }
 
 // Ask is a request for a loan.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -128,6 +128,8 @@
 	Unauthenticated Reason = "unauthenticated"
 	// ConfigurationStale means that the configuration may be too old to decide on the API key of the request.
 	ConfigurationStale Reason = "configuration_stale"
+	// QuotaExceeded means that the tenant of the request has sent more than its quota.
+	QuotaExceeded Reason = "quota_exceeded"
 	// NoCommonRegion means that no region may serve both the route and the tenant of the request.
 	NoCommonRegion Reason = "no_common_region"
 	// NoServer means that no backend server may serve the request now.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -55,7 +55,7 @@
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
 	request.MachineSlow, request.PathSlow, request.Stopping, request.Unauthenticated, request.ConfigurationStale,
-	request.NoCommonRegion}
+	request.NoCommonRegion, request.QuotaExceeded}
 
 // reasonOrOther returns the reason, or otherValue if the reason is not in the fixed set.
 func reasonOrOther(r request.Reason) request.Reason {
