Split the retry floor between the members of the fleet

Cause: each node had a twentieth of the retry floor and at least one retry at once, whatever the size of the fleet. 195 nodes could retry 195 times at once with a floor of 58 to 196 in 10 s.

Half of the floor is split between the members in whole numbers, in an order that differs by service, and is split again when the members change. A node that knows no members yet has no floor. A floor of zero now allows no retry; before, it allowed one, since a limiter without a rate had a full bucket of one.

Ruled out: floor / (2 x members) as a rate with a bucket of one at each node: the buckets of all nodes are full at once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,8 +55,6 @@
 	gcPercent = 40
 	// heapShare is the share of the memory limit of the process that is set as the memory limit of the Go runtime.
 	heapShare = 0.6
-	// minRetryNodes is the lowest number of nodes of a fleet. The retry floor of the fleet is divided by it.
-	minRetryNodes = 10
 )
 
 // gatewayDaemon is a running gateway: a node that serves routes.
@@ -128,7 +126,7 @@
 	return gateway.Limits{
 		// The nodes share the retry budget of the fleet without counting each other's retries: each uses half of the
 		// ratio for its own requests, and its share of half the floor.
-		Retry: gateway.RetryLimits{Ratio: s.RetryRatio / 2, MinPerSecond: s.RetryFloor / s.RetryWindowS / 2 / minRetryNodes,
+		Retry: gateway.RetryLimits{Ratio: s.RetryRatio / 2, Floor: s.RetryFloor,
 			Window: time.Duration(s.RetryWindowS * float64(time.Second))},
 		DrainTime: s.DrainTime() - min(drainMargin, s.DrainTime()/2),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,11 +61,11 @@
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
-// request, and MinPerSecond a number of retries per second that is always allowed. A retry counts only if the send
-// before it reached a backend server.
+// request at this node, and Floor a number of retries of all nodes together that is always allowed. A retry counts only if
+// the send before it reached a backend server.
 type RetryLimits struct {
-	Ratio, MinPerSecond float64
-	Window              time.Duration
+	Ratio, Floor float64
+	Window       time.Duration
 }
 
 // Limits are the settings that may change while a gateway runs.
--- a/internal/gateway/member_table.go
+++ b/internal/gateway/member_table.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"heatherreel/internal/choice"
 	"heatherreel/internal/lockorder"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/retry"
 	"heatherreel/internal/routed"
@@ -50,6 +52,8 @@
 	readEnd int64
 	limits  RetryLimits
 	budgets map[string]*retry.Budget
+	// floorMembers are the members, in the order of their names, between which the retry floor is split.
+	floorMembers []string
 }
 
 func newMemberTable(self Self, limits RetryLimits) *memberTable {
@@ -399,12 +403,39 @@
 func (t *memberTable) budget(service string) *retry.Budget {
 	b := t.budgets[service]
 	if b == nil {
-		b = retry.NewWindowBudget(t.limits.Ratio, t.limits.MinPerSecond, t.limits.Window)
+		b = retry.NewWindowBudget(t.limits.Ratio, t.retryFloor(service), t.limits.Window)
 		t.budgets[service] = b
 	}
 	return b
 }
 
+// retryFloor returns the retries per second that are always allowed for a service at this node. Half of the floor is split
+// between the members in whole numbers, as a node that may retry at all may do so at once: the retries of a node in a window
+// are its number and one more at most, so that those of all nodes are within the floor. The caller holds mu.
+func (t *memberTable) retryFloor(service string) float64 {
+	if len(t.floorMembers) == 0 || t.limits.Window <= 0 {
+		return 0
+	}
+	return float64(quota.Units(int(t.limits.Floor/2), t.self.Instance, t.floorMembers, service)) / t.limits.Window.Seconds()
+}
+
+// splitRetryFloor splits the retry floor between the members as they are now.
+func (t *memberTable) splitRetryFloor(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	members := slices.Sorted(maps.Keys(t.peers))
+	if t.peers[t.self.Instance] == nil {
+		members = append(members, t.self.Instance)
+	}
+	if slices.Equal(members, t.floorMembers) {
+		return
+	}
+	t.floorMembers = members
+	for service, b := range t.budgets {
+		b.SetFloor(t.retryFloor(service), now)
+	}
+}
+
 // countRequest adds the first send of a request to the retry budget of the service.
 func (t *memberTable) countRequest(service string, now time.Time) {
 	t.mu.Lock()
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -400,6 +400,7 @@
 
 func (g *Gateway) membersSynced(_ keyrange.Instant, end int64) {
 	g.members.confirmRead(end)
+	g.members.splitRetryFloor(time.Now())
 	g.quotas.setMembers(g.members.names(), g.deps.Now())
 	g.reconcileTrigger.Fire()
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -41,7 +41,21 @@
 // NewBudget returns a budget of ratio retries per request, plus floorPerSecond retries per second, so that a service
 // with few requests can retry at all.
 func NewBudget(ratio, floorPerSecond float64) *Budget {
-	return &Budget{ratio: ratio, floorLimiter: rate.NewLimiter(rate.Limit(floorPerSecond), max(1, int(floorPerSecond)))}
+	return &Budget{ratio: ratio, floorLimiter: rate.NewLimiter(rate.Limit(floorPerSecond), floorBurst(floorPerSecond))}
+}
+
+// floorBurst returns the number of retries that a fixed rate allows at once.
+func floorBurst(perSecond float64) int {
+	if perSecond <= 0 {
+		return 0
+	}
+	return max(1, int(perSecond))
+}
+
+// SetFloor changes the fixed rate at the time now.
+func (b *Budget) SetFloor(perSecond float64, now time.Time) {
+	b.floorLimiter.SetLimitAt(now, rate.Limit(perSecond))
+	b.floorLimiter.SetBurstAt(now, floorBurst(perSecond))
 }
 
 // NewWindowBudget returns a budget that bounds the retries over any period as long as the window: the balance decays
