--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
+	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
 	"heatherreel/internal/relay"
 	"heatherreel/internal/request"
@@ -66,11 +67,11 @@
 }
 
 // RetryLimits bound the retries for each service in any window of length Window: Ratio is the number of retries per
-// request, and MinPerSecond a number of retries per second that is always allowed. A retry counts only if the send
-// before it reached a backend server.
+// request at this node, and Floor a number of retries of all nodes together that is always allowed. A retry counts only if
+// the send before it reached a backend server.
 type RetryLimits struct {
-	Ratio, MinPerSecond float64
-	Window              time.Duration
+	Ratio, Floor float64
+	Window       time.Duration
 }
 
 // Limits are the settings that may change while a gateway runs.
@@ -118,6 +119,8 @@
 	// ReadTopic reads a topic through a node that reads it from the store. The error is problem.Overloaded if that node
 	// does not serve the topic at present.
 	ReadTopic(ctx context.Context, address string, r feed.Request) (feed.Answer, error)
+	// Lend asks a node for loans of tenants' quotas to an instance.
+	Lend(ctx context.Context, address, borrower string, asks []quota.Ask) ([]quota.Grant, error)
 }
 
 // Dependencies are what a gateway calls.
@@ -150,6 +153,7 @@
 	routes      *routeTable
 	members     *memberTable
 	proof       configurationProof
+	quotas      *quotaTable
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
 	ranges    *rangeTable
@@ -239,6 +243,7 @@
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
+	g.quotas = newQuotaTable(o.Self.Instance)
 	g.server = newServerTracker()
 	if o.LinkMbps > 0 {
 		g.egress = newEgressTable(o.LinkMbps)
@@ -264,6 +269,7 @@
 	g.controlPool = worker.NewPool("control", controlWorkers, controlQueue)
 	g.reconcileTrigger = worker.NewTrigger(g.controlPool, g.reconcile)
 	g.slowdownTrigger = worker.NewTrigger(g.controlPool, g.pollSlowdown)
+	g.quotas.start(g)
 	g.storeProbeTrigger = worker.NewTrigger(g.controlPool, func() { g.store.Probe(g.ctx) })
 	if g.grantsByCalls() {
 		g.grantPool = worker.NewPool("grants", 1+maxGrantCalls+maxReleaseCalls, grantQueue)
@@ -370,6 +376,7 @@
 	g.readerGoroutines.Wait()
 	g.reconcileTrigger.Stop()
 	g.slowdownTrigger.Stop()
+	g.quotas.stop()
 	g.storeProbeTrigger.Stop()
 	if g.grantsByCalls() {
 		g.grantTrigger.Stop()
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -87,6 +87,8 @@
 	// Options.Revocation of these gateways.
 	events     *eventlog.Logger
 	revocation time.Duration
+	// lendCalls counts the calls for loans.
+	lendCalls atomic.Int64
 	// tables are the published configurations, by the number in their record.
 	tables []*route.Table
 	stop   chan struct{}
@@ -246,7 +248,7 @@
 		events = eventlog.Discard()
 	}
 	g := New(Options{Self: self, Revocation: sim.revocation, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
-		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, MinPerSecond: 1, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
+		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, Floor: 120, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
 			Backend: inst, KeyCalls: keyCalls, Events: events, Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant {
 				return keyrange.Instant(time.Now().UnixNano()).Add(clockOffset + time.Duration(inst.suspended.Load()))
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -368,6 +368,7 @@
 	}
 	g.proof.recordShown(decoded.Table.Revision)
 	if g.routes.put(decoded.Table) {
+		g.applyQuotas(decoded.Table)
 		g.deps.Metrics.SetServices(slices.Sorted(maps.Keys(decoded.Table.Services)))
 		g.events.Emit(eventlog.RoutesInForce, eventlog.Count("revision", int(decoded.Table.Revision)),
 			eventlog.Count("routes", decoded.Table.RouteCount()))
@@ -413,6 +414,8 @@
 
 func (g *Gateway) membersSynced(_ keyrange.Instant, end int64) {
 	g.members.confirmRead(end)
+	g.members.splitRetryFloor(time.Now())
+	g.quotas.setMembers(g.members.names(), g.deps.Now())
 	g.reconcileTrigger.Fire()
 }
 
@@ -434,6 +437,7 @@
 // applied.
 func (g *Gateway) rangesSynced(era uint64, asOf keyrange.Instant, end int64) {
 	g.ranges.confirmRead(g.self, era, asOf, g.deps.Now(), end)
+	g.observeLending()
 	if g.grantsByCalls() {
 		g.grantTrigger.Fire()
 	}
