--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -215,7 +215,7 @@
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
 		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, Limits: gatewayLimits(s),
-		Revocation: time.Duration(s.RevocationMS) * time.Millisecond,
+		Revocation: s.Revocation(),
 	}, dependencies)
 	return d, nil
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -55,8 +55,9 @@
 	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0 if large answers are not paced.
 	LinkMbps float64 `yaml:"link_mbps"`
 	// RevocationMS is the time after the acknowledgement of a configuration, in milliseconds, from which a key that it
-	// removed admits no request at any node; 0 if such a time is not guaranteed.
-	RevocationMS int `yaml:"revocation_ms"`
+	// removed admits no request at any node. It is guaranteed only if RevocationStrict is set.
+	RevocationMS     int  `yaml:"revocation_ms"`
+	RevocationStrict bool `yaml:"revocation_strict"`
 	// PipelineDepth is the number of requests on one connection that are in progress at the same time; 0 means the
 	// default, DefaultPipelineDepth.
 	PipelineDepth int `yaml:"pipeline_depth"`
@@ -192,5 +193,14 @@
 	return time.Duration(s.ShutdownS * float64(time.Second))
 }
 
+// Revocation returns the time after which a key that a configuration removed admits no request at any node; zero if no
+// such time is guaranteed.
+func (s Gateway) Revocation() time.Duration {
+	if !s.RevocationStrict {
+		return 0
+	}
+	return time.Duration(s.RevocationMS) * time.Millisecond
+}
+
 // DrainTime returns how long a backend server continues to serve after the acknowledgement that it is draining.
 func (s Gateway) DrainTime() time.Duration { return time.Duration(s.DrainMS) * time.Millisecond }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"heatherreel/internal/problem"
 )
@@ -33,6 +34,7 @@
 max_fds: 4100
 link_mbps: 10
 revocation_ms: 5000
+revocation_strict: true
 learn_capacity: true
 `
 
@@ -89,3 +91,14 @@
 		}
 	}
 }
+
+// Guards against a time for the revocation of keys that is enforced where it is not asked for, or not where it is: a node
+// that does not reach the store would refuse requests for nothing.
+func TestRevocationIsEnforcedOnlyIfStrict(t *testing.T) {
+	for text, want := range map[string]time.Duration{"revocation_strict: true": 5 * time.Second, "revocation_strict: false": 0, "revocation_strict:": 0} {
+		s, err := ParseGateway([]byte(strings.Replace(gatewaySettings, "revocation_strict: true", text, 1)))
+		if err != nil || s.Revocation() != want {
+			t.Errorf("%s: %v, %v", text, s.Revocation(), err)
+		}
+	}
+}
