Refuse requests that an older configuration would repeat

A write ran twice after a rollback of the store: the ingress had been restarted and knew only the older configuration, in which its route is idempotent, while the other nodes had the newer one in force. Such a request is now refused as not run by a node whose newer configuration says otherwise.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -165,6 +165,9 @@
 	if !regionAllowed(r.HomeRegions, g.self.Region) {
 		return request.WrongRegion
 	}
+	if g.mayRunTwice(r) {
+		return request.NotConfigured
+	}
 	if g.routes.isEvacuated(g.self.DataCentre) && !g.withinEvacuationGrace(r) {
 		return request.Draining
 	}
@@ -186,6 +189,17 @@
 	return ""
 }
 
+// mayRunTwice reports whether the ingress node would repeat a request that may run only once by the newer configuration in
+// force here. A process that starts after a rollback of the store knows an older one than the others.
+func (g *Gateway) mayRunTwice(r routed.Request) bool {
+	table := g.routes.current()
+	if !r.Idempotent || table == nil || r.Revision >= table.Revision {
+		return false
+	}
+	matched := table.Match(r.Host, r.Path)
+	return matched != nil && !matched.Idempotent
+}
+
 // withinEvacuationGrace reports whether a request is for a key that may still be served here, because the evacuation of
 // the data centre became known less than evacuationGrace ago.
 func (g *Gateway) withinEvacuationGrace(r routed.Request) bool {
--- a/internal/gateway/store_era_test.go
+++ b/internal/gateway/store_era_test.go
@@ -359,7 +359,14 @@
 		direct bool
 		seeds  int
 	}{{"store", 4, false, scheduleCount(t)}, {"feeds", 14, false, withoutRaceDetector(scheduleCount(t))}, {"calls", 4, true, scheduleCount(t)}} {
+		// With seed 71, a node that starts after a rollback knows an older configuration, and would repeat a write.
+		seeds := []int{71}
 		for seed := range c.seeds {
+			if seed != 71 {
+				seeds = append(seeds, seed)
+			}
+		}
+		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					random := rand.New(rand.NewPCG(uint64(seed), 5))
