Lend 16 requests more at once than the part of the burst

Callers of a small tenant at several nodes send at the same moment, and the bucket of its lender held a few requests. The bound of a tenant has room for 20 requests beside the tenth of the limit; the lender may now lend 16 of them at once. TestLimitHoldsOverAllNodes holds.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -56,7 +56,7 @@
 	}
 	rate := limit.Rate * (1 - evenPart)
 	// What comes in between two asks must find room.
-	a.set(rate, max(limit.Burst*(1-evenPart), rate*AskInterval.Seconds(), 1), now)
+	a.set(rate, max(limit.Burst*(1-evenPart)+lenderSlack, rate*AskInterval.Seconds()), now)
 	wanted := max(0, ask.Wanted)
 	a.asked[borrower] = lastAsk{wanted, now}
 	total := 0
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,6 +26,10 @@
 	// evenPart is the part of a limit that is split evenly if there is a lender. It is what a tenant keeps while the lender
 	// is away, and callers at few nodes cannot use most of it.
 	evenPart = 0.5
+	// lenderSlack is the number of requests that a lender lends at once beyond its part of the burst. The bound of a tenant
+	// has room for 20: without it, tenants of a few requests a second were refused below their limit when callers at
+	// several nodes sent at the same moment.
+	lenderSlack = 16
 	// AskInterval is the least time between two calls of a node to one lender.
 	AskInterval = 250 * time.Millisecond
 	// useTime is how long a node uses a loan, from when it sent the ask. It is shorter than the second after which the lender
