--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"heatherreel/internal/route"
+	"heatherreel/internal/tenantauth"
 )
 
 // Severity is the kind of a finding.
@@ -100,9 +101,8 @@
 	f := findings{severity: Difference}
 	compareRoutes(&f, byName(t), byName(inForce))
 	compareServices(&f, t.Services, inForce.Services)
-	if t.Limits != inForce.Limits {
-		f.add("limits", "maximum body size: %d, before %d", t.Limits.MaxBodyBytes, inForce.Limits.MaxBodyBytes)
-	}
+	compareLimits(&f, t.Limits, inForce.Limits)
+	compareTenants(&f, t.Tenants, inForce.Tenants)
 	if t.Revision != inForce.Revision {
 		f.add("configuration", "revision: %d, before %d", t.Revision, inForce.Revision)
 	}
@@ -165,7 +165,7 @@
 	compareEntries(f, now, before, routeEntry, func(r route.Route) []field {
 		return []field{{"host", r.Host}, {"path prefix", r.Prefix}, {"services", r.Services}, {"idempotent", r.Idempotent},
 			{"timeout", r.Timeout}, {"target response time", r.Objective}, {"priority", r.Priority},
-			{"attempts", r.MaxAttempts}, {"home regions", r.HomeRegions}}
+			{"attempts", r.MaxAttempts}, {"home regions", r.HomeRegions}, {"anonymous", r.AllowAnonymous}}
 	})
 }
 
@@ -175,3 +175,37 @@
 			{"cold time", s.ColdFor}, {"rate while cold", s.ColdRate}}
 	})
 }
+
+func compareLimits(f *findings, now, before route.Limits) {
+	compareEntries(f, map[string]route.Limits{"limits": now}, map[string]route.Limits{"limits": before}, strings.Clone, func(l route.Limits) []field {
+		return []field{{"maximum body size", l.MaxBodyBytes}, {"maximum header size", l.MaxHeaderBytes},
+			{"header timeout", l.HeaderTimeout}, {"idle timeout", l.IdleTimeout}}
+	})
+}
+
+// compareTenants adds the differences between two tables of tenants, of which either may be nil. Keys are only counted,
+// because a finding is printed.
+func compareTenants(f *findings, now, before *tenantauth.Table) {
+	byName := func(t *tenantauth.Table) map[string]tenantauth.Tenant {
+		tenants := map[string]tenantauth.Tenant{}
+		if t != nil {
+			for _, tenant := range t.Tenants() {
+				tenants[tenant.Name] = tenant
+			}
+		}
+		return tenants
+	}
+	compareEntries(f, byName(now), byName(before), tenantEntry, func(t tenantauth.Tenant) []field {
+		return []field{{"priority", t.Priority}, {"has a priority", t.HasPriority}, {"rate", t.Rate}, {"burst", t.Burst}, {"regions", t.Regions}}
+	})
+	if now == nil || before == nil {
+		return
+	}
+	for _, name := range namesOf(byName(now), byName(before)) {
+		if added, removed := now.KeyChanges(before, name); added+removed > 0 {
+			f.add(tenantEntry(name), "keys: %d added, %d removed", added, removed)
+		}
+	}
+}
+
+func tenantEntry(name string) string { return fmt.Sprintf("tenant %q", name) }
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -1,10 +1,13 @@
 package configcheck
 
 import (
+	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"heatherreel/internal/route"
+	"heatherreel/internal/tenantauth"
 )
 
 // Guards against a field of a route, a service or the limits that is added and whose changes are not reported: each field of
@@ -68,3 +71,30 @@
 		panic("a field of a kind that the test does not know")
 	}
 }
+
+// Guards against a change of tenants that is not reported, and against a key in the report.
+func TestTenantsAreCompared(t *testing.T) {
+	table := func(revision uint64, entries ...tenantauth.Entry) *route.Table {
+		built, err := route.Build(revision, nil, nil, route.Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if built.Tenants, err = tenantauth.Build(tenantauth.Secret{1}, entries); err != nil {
+			t.Fatal(err)
+		}
+		return built
+	}
+	entry := func(name string, rate float64, keys ...string) tenantauth.Entry {
+		return tenantauth.Entry{Tenant: tenantauth.Tenant{Name: name, Rate: rate}, Keys: keys}
+	}
+	before := table(1, entry("acme", 10, "secret-1", "secret-2"), entry("gone", 1, "secret-3"))
+	findings := fmt.Sprint(Compare(table(2, entry("acme", 5, "secret-2", "secret-4"), entry("new", 1)), before))
+	for _, want := range []string{"rate: 5, before 10", "keys: 1 added, 1 removed", "gone", "new", "added", "removed"} {
+		if !strings.Contains(findings, want) {
+			t.Errorf("%q is missing in %s", want, findings)
+		}
+	}
+	if strings.Contains(findings, "secret") {
+		t.Errorf("a key is reported: %s", findings)
+	}
+}
--- a/internal/tenantauth/tenantauth.go
+++ b/internal/tenantauth/tenantauth.go
@@ -128,6 +128,20 @@
 	return all
 }
 
+// KeyChanges returns how many keys of a tenant are in t but not in before, and the reverse. Both tables must have been built
+// with the same secret.
+func (t *Table) KeyChanges(before *Table, tenant string) (added, removed int) {
+	missing := func(a, b *Table) (count int) {
+		for d, owner := range a.byKey {
+			if other := b.byKey[d]; owner.Name == tenant && (other == nil || other.Name != tenant) {
+				count++
+			}
+		}
+		return count
+	}
+	return missing(t, before), missing(before, t)
+}
+
 // Request is what identifies the tenant of a request.
 type Request struct {
 	// Authorization are the values of the header field of that name.
