Reserve memory for large answers before their requests run

300 clients that read answers of 540 KB slowly made a process with memory_mb 92 use 127 to 137 MB (TestSlowReaders/route): an answer was counted against the byte budget only when its handler returned, and it is kept then in any case, so that all requests in progress (192 ingress workers) could add theirs at once.

The ingress node reserves the expected size of the route's answers (moving average) before it sends a request to a node, and raises the reservation when the request gets a slot of the local backend server. A request for which there is no room is refused as not run, reason queue_full, with Retry-After. The true size replaces the expected one when the handler returns. An answer counts for at most half of the budget, so that a calm process admits one of any size; expected answers under 16 KB reserve nothing and do not reach the budget; their requests look the average up up to twice more. Only stalled accounts are given up for an expected answer.

Ruled out: one check before the request is routed. With the check at the slot, about one answer for each slot is not counted.

TestNothingStaysAccountedFor also draws the two new steps. Tests of intake, pipeline, platform/caller, gateway, daemon, settings, telemetry and shape pass with -race.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -107,6 +107,11 @@
 		g.releaseSlot(ticket, false)
 		return g.refuse(r, request.NotOwner)
 	}
+	// The answers of the route may have turned out larger while the request waited.
+	if !g.reserveAnswer(r) {
+		g.releaseSlot(ticket, false)
+		return g.refuse(r, request.QueueFull)
+	}
 	return g.run(ctx, r, ticket, p)
 }
 
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -137,6 +137,9 @@
 	defer cancel()
 	a.lastAnswer = routed.NotRun(request.NoServer, overloadRetryAfter)
 	for {
+		if a.unknownReason == "" && !g.reserveAnswer(a.request) {
+			return routed.NotRun(request.QueueFull, overloadRetryAfter)
+		}
 		instance, ok := g.chooseInstance(a, time.Now())
 		if ok {
 			a.lastAnswer = g.send(ctx, a, instance)
@@ -150,6 +153,12 @@
 	}
 }
 
+// reserveAnswer reserves the memory for the answer of a request at its ingress node. It returns false if there is none, so
+// that the request must not be sent.
+func (g *Gateway) reserveAnswer(r routed.Request) bool {
+	return r.ReserveAnswer == nil || r.ReserveAnswer(int64(g.routes.expectedAnswerSize(r.Route)))
+}
+
 // finalAnswer returns the answer for the caller. A refusal is turned into an unknown outcome if an earlier send of the
 // request may have run.
 func (a *activeRequest) finalAnswer() routed.Answer {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,6 +5,7 @@
 package intake
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -67,8 +68,13 @@
 	// batchDivisor is the part of the budget that is freed at once from stalled connections, so that not each
 	// reservation searches for one.
 	batchDivisor = 16
+	// answerDivisor is the part of the budget that one expected answer takes at most.
+	answerDivisor = 2
 )
 
+// LargeAnswer is the expected size in bytes from which the memory of an answer is reserved before its request runs.
+const LargeAnswer = 16 << 10
+
 // Account is what a connection takes.
 type Account struct {
 	group  Group
@@ -349,6 +355,42 @@
 	return victims
 }
 
+// Expect reserves bytes for an answer before its request runs, of which held are reserved already. It returns the bytes that
+// are reserved then, the accounts to give up for them, and false if the request is to be refused. Only stalled accounts are
+// given up. An answer counts for at most half of the budget, so that a calm process admits one of any size.
+func (b *Book) Expect(a *Account, held, bytes int64, now time.Time) (int64, []*Account, bool) {
+	limit := b.limits.Bytes - b.limits.Reserve
+	more := min(bytes, limit/answerDivisor) - held
+	if more <= 0 {
+		return held, nil, true
+	}
+	if a.shed {
+		return held, nil, false
+	}
+	var victims []*Account
+	if need := b.used + more - limit; need > 0 {
+		var enough bool
+		if victims, enough = b.victims(a, need, math.MaxInt64, now); !enough {
+			return held, nil, false
+		}
+		for _, v := range victims {
+			b.giveUp(v)
+		}
+	}
+	b.take(a, more)
+	a.received -= more
+	return held + more, victims, true
+}
+
+// Correct is Take for an answer for which expected bytes are reserved.
+func (b *Book) Correct(a *Account, expected, bytes int64, now time.Time) []*Account {
+	// Another request of the connection may be sending its body.
+	received := a.received
+	b.Release(a, expected)
+	a.received = received
+	return b.Take(a, bytes, now)
+}
+
 func (b *Book) take(a *Account, bytes int64) {
 	a.held += bytes
 	a.received += bytes
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -142,13 +142,47 @@
 	}
 }
 
+// Guards against large answers of requests that are let in although memory is short, against an answer that no process
+// admits, and against bodies that progress and are given up for answers.
+func TestExpectedAnswersKeepToMemory(t *testing.T) {
+	b := New(testLimits())
+	body, unread, reader := open(t, b, "b", Body, start), open(t, b, "u", Handling, start), open(t, b, "r", Handling, start)
+	held, _, ok := b.Expect(unread, 0, 1<<40, start)
+	if !ok || held != 400 {
+		t.Errorf("an idle process: admitted %v, %d bytes", ok, held)
+	}
+	if ok, _ := b.Reserve(body, 300, start); !ok {
+		t.Fatal("refused within the limits")
+	}
+	if more, victims, ok := b.Expect(reader, 0, 300, start); ok || more != 0 || len(victims) > 0 {
+		t.Errorf("an answer over the budget: admitted %v, %d bytes, %d given up", ok, more, len(victims))
+	}
+	b.Correct(unread, held, 500, start)
+	if used, _ := b.Used(); used != 800 || body.received != 300 {
+		t.Errorf("%d bytes in use after the answer, %d of a body", used, body.received)
+	}
+	b.Blocked(unread, start)
+	now := start.Add(2 * time.Second)
+	b.Progress(body, 1<<20, now)
+	held, victims, ok := b.Expect(reader, 0, 300, now)
+	if !ok || !slices.Equal(victims, []*Account{unread}) {
+		t.Errorf("admitted %v, %d given up for an answer", ok, len(victims))
+	}
+	if more, _, ok := b.Expect(reader, held, 350, now); !ok || more != 350 {
+		t.Errorf("raised %v, %d bytes", ok, more)
+	}
+	if used, _ := b.Used(); used != 650 {
+		t.Errorf("%d bytes in use", used)
+	}
+}
+
 // Guards against bytes or connections that stay accounted for, or are returned twice, after any sequence of steps.
 func TestNothingStaysAccountedFor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := New(testLimits())
 		now := start
 		var accounts []*Account
-		held := map[*Account]int64{}
+		held, expected := map[*Account]int64{}, map[*Account]int64{}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			if len(accounts) == 0 || rapid.IntRange(0, 3).Draw(t, "open") == 0 {
@@ -160,7 +194,7 @@
 			}
 			i := rapid.IntRange(0, len(accounts)-1).Draw(t, "account")
 			a, n := accounts[i], int64(rapid.IntRange(1, 400).Draw(t, "bytes"))
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0:
 				b.Enter(a, Stage(rapid.IntRange(int(Head), int(Idle)).Draw(t, "stage")), now)
 			case 1:
@@ -179,7 +213,14 @@
 			case 5:
 				b.Answered(a, held[a], true, now)
 				held[a] = 0
+			case 7:
+				expected[a], _, _ = b.Expect(a, expected[a], n, now)
+			case 8:
+				b.Correct(a, expected[a], n, now)
+				held[a] += n
+				expected[a] = 0
 			case 6:
+				delete(expected, a)
 				b.Close(a)
 				accounts = slices.Delete(accounts, i, i+1)
 			}
--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -53,7 +53,7 @@
 	complete := e.body == nil || e.body.finish()
 	size := int64(len(e.content)) + answerHeadBytes
 	now := time.Now()
-	c.server.Governor.take(c, size, now)
+	c.server.Governor.take(c, size, e.expected, now)
 	e.reserved += size
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/pipeline/governor.go
+++ b/internal/pipeline/governor.go
@@ -169,13 +169,24 @@
 	return g.decided(granted, victims)
 }
 
-// take accounts for an answer.
-func (g *Governor) take(c *conn, bytes int64, now time.Time) {
+// expect reserves bytes for the answer of an exchange. It returns false if the request is to be refused.
+func (g *Governor) expect(e *exchange, bytes int64) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	expected, victims, granted := g.book.Expect(e.conn.account, e.expected, bytes, time.Now())
+	e.expected = expected
+	return g.decided(granted, victims)
+}
+
+// take accounts for an answer, for which expected bytes are reserved.
+func (g *Governor) take(c *conn, bytes, expected int64, now time.Time) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
-	g.giveUp(g.book.Take(c.account, bytes, now))
+	g.giveUp(g.book.Correct(c.account, expected, bytes, now))
 }
 
 // giveUp closes the connections of accounts. It unlocks mu.
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"heatherreel/internal/intake"
 )
 
 // exchange is one request and its answer. It implements http.ResponseWriter. The answer is kept until the handler has
@@ -25,6 +27,8 @@
 	owned   bool
 	// reserved are the bytes that are accounted for until the answer is written.
 	reserved int64
+	// expected are the bytes that are reserved for the answer before it is known. The Governor changes it.
+	expected int64
 	next     *exchange
 	done     bool
 }
@@ -62,6 +66,12 @@
 	return len(p), nil
 }
 
+// ReserveAnswer reserves memory for an answer of an expected size, until the handler returns. A second call raises the size.
+// It returns false if there is no memory, so that the request should be refused.
+func (e *exchange) ReserveAnswer(size int64) bool {
+	return size < intake.LargeAnswer || e.conn.server.Governor.expect(e, size)
+}
+
 // SetReadDeadline sets the deadline for the body; see http.ResponseController.
 func (e *exchange) SetReadDeadline(t time.Time) error {
 	if e.body == nil {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -31,6 +31,9 @@
 	Identity []Field
 	// BodyUnread is set if no route was found before the body was read. The request is refused.
 	BodyUnread bool
+	// ReserveAnswer reserves memory at the ingress node for an answer of an expected size before the request runs, and returns
+	// false if there is none. It is nil where nothing accounts for answers, and is not sent to other nodes.
+	ReserveAnswer func(size int64) bool
 	// Deadline is when the caller stops waiting, or when the timeout of the route ends.
 	Deadline time.Time
 	// Objective is the time by which an answer is on time; zero if the route has none.
