Run the tests of misbehaving clients after the other packages

It is a step of make test of its own now, the last one, with the same flags and KNOWN-RED.txt.

A whole make test was not run.

--- a/Makefile
+++ b/Makefile
@@ -48,11 +48,16 @@
 generate-check: generate
 	@git diff --exit-code -- internal/node/nodepb || { echo "generated code is out of step: run 'make generate' and commit"; exit 1; }
 
+# The tests of this package measure the memory of a whole process under clients that misbehave, one at a time, and run apart
+# from other load: go test runs several packages at once.
+ALONE_PACKAGES := heatherreel/internal/clienttest
+
 # Skips the tests that KNOWN-RED.txt lists, and prints them. Seeds are fixed, so that each run has the same result.
 test:
 	GO="$(GO)" $(GO) run ./scripts/knownred -race -rapid.seed=$(RAPID_SEED) -- $(sort $(RAPID_PACKAGES))
-	GO="$(GO)" $(GO) run ./scripts/knownred -race -- $(filter-out $(RAPID_PACKAGES),$(shell $(GO) list ./...))
+	GO="$(GO)" $(GO) run ./scripts/knownred -race -- $(filter-out $(RAPID_PACKAGES) $(ALONE_PACKAGES),$(shell $(GO) list ./...))
 	HEATHERREEL_CHAOS_SEEDS=1 GO="$(GO)" $(GO) run ./scripts/knownred -tags lockcheck -- $(LOCK_PACKAGES)
+	GO="$(GO)" $(GO) run ./scripts/knownred -race -- $(ALONE_PACKAGES)
 
 # Time for each fuzz target. CI uses the default.
 FUZZ_TIME ?= 5s
