Bound the bytes of unfinished messages from other nodes

64 clients that stop just short of the end of a message at the address for other nodes, or exceed its limit, made a process take 283 and 440 MB, with 92 MB in its settings: drpc reads a message of up to 16 MiB before anything counts it. A server now counts the bytes that its connections have received since they last wrote, and closes a connection that adds to them beyond 20 MiB in all, unless it has at most 64 KiB. One message of the maximum size always fits.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -148,7 +148,7 @@
 
 // Serve accepts connections until ctx ends. It closes the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	return s.drpc.Serve(ctx, listener)
+	return s.drpc.Serve(ctx, budgetListener{listener, &readBudget{}})
 }
 
 // nodeEndpoint decodes calls of the Node service and encodes the answers.
