--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -228,9 +228,9 @@
 	return candidate
 }
 
-// evictedBefore reports whether a is refused before b when the queue is full: calls last, first jobs of tenants above their fair
-// share of the queue, then the less urgent class, then the key with more waiting jobs, then the later deadline. The
-// tenant is compared before the class, so that a tenant that marks all its requests as urgent cannot fill the queue.
+// evictedBefore reports whether a is refused before b when the queue is full: first jobs of tenants above their fair share
+// of the queue, then the less urgent class, then the key with more waiting jobs, then the later deadline; calls come last.
+// The tenant is compared before the class, so that a tenant that marks all its requests as urgent cannot fill the queue.
 func evictedBefore(a, b *job, tenantQueueShare int) bool {
 	if a.Call != b.Call {
 		return b.Call
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -5,7 +5,8 @@
 // then sorts by deadline. Requests that cannot finish in time are refused early. Only requests that were not sent to
 // the backend server are refused. Calls that backend servers make while they execute a request go before new work of
 // their own or a lower rank, have slots reserved, and are refused when they are offered or not at all. Where several
-// classes compete, each has a floor, and none is served better than a more urgent one. The package does no I/O and reads no clock; callers must serialize access.
+// classes compete, each has a floor, and none is served better than a more urgent one. The package does no I/O and reads no
+// clock; callers must serialize access.
 package admission
 
 import (
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -280,8 +280,8 @@
 	}
 }
 
-// asks returns what to ask the lenders, by instance, which is empty for tenants without one, and the time after which one that was asked may be asked again; zero if
-// none was.
+// asks returns what to ask the lenders, by instance. next is the time after which a lender that was asked may be asked again;
+// zero if none was. lenders has the instance for each tenant, empty for one without a lender.
 func (q *quotaTable) asks(lenders map[string]string, now keyrange.Instant) (calls map[string][]quota.Ask, next time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
