Accept heartbeats without keys where keys are granted by calls

The check that came with the validation of heartbeats required the keys that a backend server holds and has released in each heartbeat of a keyed service; those that are granted keys by calls do not report them there.

--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -214,7 +214,8 @@
 		return heartbeat.Reply{}, problem.New(problem.Invalid, "send heartbeats to the node beside the backend server",
 			"the heartbeat names service %q at %q", m.Service, m.Address)
 	}
-	if m.LacksKeys(g.serviceKeyed(), g.server.keysReported()) {
+	// Backend servers that are granted keys by calls do not report them in heartbeats.
+	if !g.grantsByCalls() && m.LacksKeys(g.serviceKeyed(), g.server.keysReported()) {
 		g.events.Emit(eventlog.HeartbeatRefused, eventlog.Name("server", m.Server), eventlog.Name("service", m.Service))
 		return heartbeat.Reply{}, problem.New(problem.Invalid, "correct the heartbeat of the backend server",
 			"the heartbeat does not report the keys that the backend server holds and has released")
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -38,7 +38,7 @@
 // LacksKeys reports whether a heartbeat does not say what its sender holds although each heartbeat of the service does:
 // keyed is set if the configuration in force says that the service has keys, and reportedBefore if an earlier heartbeat
 // reported them. The configuration may not be known yet. Such a heartbeat is of another writer, and taking it for one that
-// holds nothing would end grants that are in force.
+// holds nothing would end grants that are in force. It applies where keys are granted in the replies to heartbeats.
 func (m Message) LacksKeys(keyed, reportedBefore bool) bool {
 	return !m.Ended && !m.KeysReported && (keyed || reportedBefore)
 }
