Keep the ports of gateways under test apart from those of others

The test had looked for a free port on 127.0.0.1 and closed it, and a socket of its own stand-ins, or of another connection on the machine, took it before the gateway listened; the five ports could also be the same, as each was closed before the next was chosen. The gateway now has a loopback address of its own and its ports are chosen together. Crowds, limits and checks are unchanged.

--- a/internal/clienttest/gateway_test.go
+++ b/internal/clienttest/gateway_test.go
@@ -208,7 +208,7 @@
 		t.Fatal(err)
 	}
 	p := &gatewayProcess{output: &bytes.Buffer{}, exited: make(chan struct{}),
-		addresses: addresses{freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)}}
+		addresses: freeAddresses(t)}
 	p.command = exec.Command(program, "gateway", "--settings", writeSettings(t, p.addresses, startBackend(t, p.heartbeats), startStore(t)))
 	p.command.Stdout, p.command.Stderr = p.output, p.output
 	if err := p.command.Start(); err != nil {
@@ -231,15 +231,23 @@
 	return p
 }
 
-// freeAddress returns an address on loopback that nothing listens on.
-func freeAddress(t *testing.T) string {
+// gatewayIP is the loopback address of gateways. Stand-ins and clients have others: a port that is free for the gateway could
+// otherwise be taken by their sockets before it listens.
+const gatewayIP = "127.0.0.3"
+
+// freeAddresses returns addresses that nothing listens on, with different ports.
+func freeAddresses(t *testing.T) addresses {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var a addresses
+	for _, address := range []*string{&a.callers, &a.nodes, &a.heartbeats, &a.ready, &a.metrics} {
+		listener, err := net.Listen("tcp", net.JoinHostPort(gatewayIP, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		*address = listener.Addr().String()
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return a
 }
 
 // awaitAnswer sends an ordinary request and a question of readiness until both are answered with 200, as callers repeat
