Run the race tests of the gateway in processes of their own

No frame of the product is on the thread. It is not tied to one test: it came in TestRandomFaultsWithRollbacks and in TestAnswersOfEarlierEraAreDiscarded.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -5,8 +5,10 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,8 +30,8 @@
 	return n
 }
 
-// withoutRaceDetector returns n, and a quarter of it with the race detector. The runtime of the detector crashed after the
-// tests of large fleets of one process; the pass with the lock-order check runs all of them.
+// withoutRaceDetector returns n, and a quarter of it with the race detector, with which large fleets take ten times as long.
+// The pass with the lock-order check runs all of them.
 func withoutRaceDetector(n int) int {
 	if raceDetector {
 		return max(1, n/4)
@@ -37,22 +39,39 @@
 	return n
 }
 
+// runSchedule runs f as a subtest with a virtual clock; with the race detector, in a process of its own (see TestMain).
+func runSchedule(t *testing.T, name string, f func(*testing.T)) {
+	t.Run(name, func(t *testing.T) {
+		if !raceDetector || os.Getenv(processVariable) == oneSchedule {
+			synctest.Test(t, f)
+			return
+		}
+		var pattern []string
+		for level := range strings.SplitSeq(t.Name(), "/") {
+			pattern = append(pattern, "^"+regexp.QuoteMeta(level)+"$")
+		}
+		output, err := testProcess(t.Context(), oneSchedule, "-test.run="+strings.Join(pattern, "/"), "-test.count=1", "-test.v")
+		if err != nil {
+			t.Fatalf("%v\n%s", err, output)
+		}
+		if !strings.Contains(string(output), "--- PASS: "+t.Name()+" ") {
+			t.Fatalf("the process has not run the schedule:\n%s", output)
+		}
+	})
+}
+
 // Guards against two owners of a key, fences that decrease, requests that run twice although they are not idempotent,
 // refusals of requests that ran, and keys that stay unserved, under random faults that overlap.
 func TestRandomFaults(t *testing.T) {
 	for seed := range scheduleCount(t) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 1)), 4) })
-		})
+		runSchedule(t, fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 1)), 4) })
 	}
 }
 
 // Guards against the same where most nodes read the topics of the store through others.
 func TestRandomFaultsWithFeeds(t *testing.T) {
 	for seed := range withoutRaceDetector(scheduleCount(t)) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 2)), 14) })
-		})
+		runSchedule(t, fmt.Sprintf("seed=%d", seed), func(t *testing.T) { randomFaults(t, rand.New(rand.NewPCG(uint64(seed), 2)), 14) })
 	}
 }
 
--- a/internal/gateway/grant_calls_test.go
+++ b/internal/gateway/grant_calls_test.go
@@ -24,15 +24,13 @@
 // are applied 2 to 12 s later, and where backend servers start again under their former id.
 func TestRandomFaultsWithGrantCalls(t *testing.T) {
 	for seed := range scheduleCount(t) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				random := rand.New(rand.NewPCG(uint64(seed), 3))
-				sim := newSimulation(t)
-				sim.direct, sim.orderRandom = true, rand.New(rand.NewPCG(uint64(seed), 4))
-				sim.orderLoss, sim.reuseServerIDs = 0.3*float64(seed%2), seed%3 == 0
-				sim.startFleet(4)
-				sim.runRandomFaults(random, 4)
-			})
+		runSchedule(t, fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(uint64(seed), 3))
+			sim := newSimulation(t)
+			sim.direct, sim.orderRandom = true, rand.New(rand.NewPCG(uint64(seed), 4))
+			sim.orderLoss, sim.reuseServerIDs = 0.3*float64(seed%2), seed%3 == 0
+			sim.startFleet(4)
+			sim.runRandomFaults(random, 4)
 		})
 	}
 }
--- a/internal/gateway/store_era_test.go
+++ b/internal/gateway/store_era_test.go
@@ -367,16 +367,14 @@
 			}
 		}
 		for _, seed := range seeds {
-			t.Run(fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					random := rand.New(rand.NewPCG(uint64(seed), 5))
-					sim := newSimulation(t)
-					sim.direct, sim.orderRandom = c.direct, rand.New(rand.NewPCG(uint64(seed), 7))
-					sim.orderLoss = 0.3 * float64(seed%2)
-					sim.startFleet(c.keyed)
-					sim.rollBacks = rand.New(rand.NewPCG(uint64(seed), 6))
-					sim.runRandomFaults(random, c.keyed)
-				})
+			runSchedule(t, fmt.Sprintf("%s/seed=%d", c.name, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(uint64(seed), 5))
+				sim := newSimulation(t)
+				sim.direct, sim.orderRandom = c.direct, rand.New(rand.NewPCG(uint64(seed), 7))
+				sim.orderLoss = 0.3 * float64(seed%2)
+				sim.startFleet(c.keyed)
+				sim.rollBacks = rand.New(rand.NewPCG(uint64(seed), 6))
+				sim.runRandomFaults(random, c.keyed)
 			})
 		}
 	}
