Send requests on from servers without a free slot, and end their search early

Ingress nodes choose by load reports that are often older than the requests that fill the slots now.

A request that may be diverted is now refused at once, as server_busy, if its expected wait is over an eighth of its time to the objective; at most two times, as for slow machines. A refusal for lack of room is final once a quarter of the time has passed, unless an earlier send may have run.

--- a/internal/admission/objective_test.go
+++ b/internal/admission/objective_test.go
@@ -75,3 +75,30 @@
 		t.Errorf("started %v, want the one that can be on time, not %d", got, late.Ticket)
 	}
 }
+
+// Guards against a job that waits although its ingress node could send it elsewhere, and against one that is sent elsewhere
+// for a short wait.
+func TestWaitLimitRefusesLongWait(t *testing.T) {
+	const service = 100 * time.Millisecond
+	q, now := NewQueue(Options{Limit: 2, QueueLimit: 20}), time.Unix(0, 0)
+	offer := func(limit time.Duration) Decision {
+		return q.Offer(now, Job{Deadline: now.Add(10 * time.Second), WaitLimit: limit})
+	}
+	first := offer(time.Millisecond)
+	now = now.Add(service)
+	q.Release(now, first.Ticket, true)
+	for range 2 {
+		if d := offer(time.Millisecond); d.Verdict != Started {
+			t.Fatalf("with a free slot: %+v", d)
+		}
+	}
+	if d := offer(service / 4); d.Verdict != Refused || d.Reason != request.ServerBusy {
+		t.Errorf("with an expected wait of half the service time, limit a quarter: %+v", d)
+	}
+	if d := offer(service); d.Verdict != Queued {
+		t.Errorf("with an expected wait of half the service time, limit all of it: %+v", d)
+	}
+	if d := offer(0); d.Verdict != Queued {
+		t.Errorf("without a limit: %+v", d)
+	}
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -94,6 +94,10 @@
 		d.Reason = request.QueueFull
 		return d
 	}
+	if offered.WaitLimit > 0 && q.expectedWait(now, offered) > offered.WaitLimit {
+		d.Reason = request.ServerBusy
+		return d
+	}
 	j := q.newJob(now, offered)
 	j.share = served
 	// Slots are free while jobs wait only if the reserve for calls has just become smaller. The order then decides.
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -38,6 +38,9 @@
 	// Objective is the latency objective as a point in time: an answer after it is late. It is zero if an answer has
 	// the same value until the deadline.
 	Objective time.Time
+	// WaitLimit is the longest expected wait for a slot with which the job is queued: another backend server may have a free
+	// slot. Zero means any.
+	WaitLimit time.Duration
 }
 
 // Ticket identifies one offered job. The tickets of a queue increase.
--- a/internal/choice/large_fleet_test.go
+++ b/internal/choice/large_fleet_test.go
@@ -20,6 +20,9 @@
 	perSecond                   int
 	bytes                       int
 	seconds                     int
+	// diversions is how often a server of the region of the ingress node, at which a request would wait for over an eighth
+	// of the objective, sends it back to be sent elsewhere.
+	diversions int
 }
 
 // fleetResult is what a replay measures: the shares of requests that were answered within the objective, that were refused,
@@ -117,22 +120,33 @@
 			node = random.IntN(f.nodes)/f.dataCentres*f.dataCentres + random.IntN(f.dataCentres/2)
 			node = min(node, f.nodes-1)
 		}
-		candidates := make([]Candidate, f.servers)
-		for i, s := range servers {
-			v := views[node][i]
-			distance := OtherRegion
-			switch own := node % f.dataCentres; {
-			case own == s.dataCentre:
-				distance = SameDataCentre
-			case own%2 == s.dataCentre%2:
-				distance = SameRegion
+		var candidates []Candidate
+		var chosen int
+		var s *fleetServer
+		var r fleetRequest
+		for diversions := 0; ; diversions++ {
+			candidates = make([]Candidate, f.servers)
+			for i, s := range servers {
+				v := views[node][i]
+				distance := OtherRegion
+				switch own := node % f.dataCentres; {
+				case own == s.dataCentre:
+					distance = SameDataCentre
+				case own%2 == s.dataCentre%2:
+					distance = SameRegion
+				}
+				candidates[i] = Candidate{Distance: distance, Load: v.load, Age: now.Sub(v.at), Pending: v.pending, Bytes: f.bytes}
 			}
-			candidates[i] = Candidate{Distance: distance, Load: v.load, Age: now.Sub(v.at), Pending: v.pending, Bytes: f.bytes}
+			chosen = choose(candidates, random.IntN)
+			s, r = servers[chosen], fleetRequest{node, chosen, now}
+			views[node][chosen].pending++
+			wait := s.serviceTime * time.Duration(len(s.queue)+1) / time.Duration(f.slots)
+			if diversions == f.diversions || candidates[chosen].Distance == OtherRegion || s.running < f.slots || wait <= f.objective/8 {
+				break
+			}
+			report(r)
 		}
-		chosen := choose(candidates, random.IntN)
-		s, r := servers[chosen], fleetRequest{node, chosen, now}
 		s.arrivals++
-		views[node][chosen].pending++
 		if candidates[chosen].Distance == OtherRegion {
 			result.distant++
 		}
@@ -176,6 +190,24 @@
 	}
 }
 
+// Guards against requests that wait at a server with full slots, chosen by a report from before they were taken, while others
+// of the region are free.
+func TestBusyServersSendRequestsElsewhere(t *testing.T) {
+	for name, f := range map[string]largeFleet{
+		"27 servers with short requests": {dataCentres: 4, servers: 27, nodes: 72, slots: 6, serviceTime: 60 * time.Millisecond, objective: 300 * time.Millisecond, perSecond: 1900, bytes: 500, seconds: 15},
+		"19 servers with long requests":  {dataCentres: 4, servers: 19, nodes: 78, slots: 12, serviceTime: 340 * time.Millisecond, objective: 1200 * time.Millisecond, perSecond: 420, bytes: 500, seconds: 15},
+		"72 servers":                     {dataCentres: 10, servers: 72, nodes: 195, slots: 5, serviceTime: 290 * time.Millisecond, objective: 800 * time.Millisecond, perSecond: 800, bytes: 3000, seconds: 15},
+	} {
+		waiting := f.replay(Choose)
+		f.diversions = 2
+		diverted := f.replay(Choose)
+		t.Logf("%s: %+.3v, with diversions %+.3v", name, waiting, diverted)
+		if missed, missedWaiting := 1-diverted.onTime, 1-waiting.onTime; missed > 0.8*missedWaiting || diverted.refused > waiting.refused {
+			t.Errorf("%s: %+.3v, without diversions %+.3v", name, diverted, waiting)
+		}
+	}
+}
+
 // Guards against a sample that consists of backend servers that failed or are cold although others are usable.
 func TestSampleLeavesOutFailedServers(t *testing.T) {
 	var candidates []Candidate
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -35,8 +35,8 @@
 	// answerGrace is how long an answer is awaited after the deadline. The node that ran or refused the request knows
 	// the outcome, while a timeout here only knows that the time has passed.
 	answerGrace = 100 * time.Millisecond
-	// maxDiversions bounds how often one request is diverted from a backend server that is temporarily slow. About a
-	// fifth of them is slow at any time, so that a third slow one in a row is rare.
+	// maxDiversions bounds how often one request is diverted from a backend server that is temporarily slow or has no free
+	// slot. About a fifth of them is slow at any time, so that a third slow one in a row is rare.
 	maxDiversions = 2
 	// maxOwnerRedirects bounds the redirects from former owners to new ones for one request: a key rarely moves twice
 	// within the time of a request.
@@ -328,6 +328,9 @@
 		// The calls go to all nodes of their service, so that they are refused at other nodes of this one as well.
 		return false
 	}
+	if a.unknownReason == "" && a.awaited == "" && retry.WaitedTooLong(now, a.started, a.request.Deadline, a.lastAnswer.Reason) {
+		return false
+	}
 	if a.lastAnswer.Reason == request.ServerShedding && a.sends >= maxShedSends {
 		return false
 	}
@@ -350,7 +353,7 @@
 	if !asked {
 		return g.awaitServer(ctx, a, now)
 	}
-	if a.lastAnswer.Reason == request.MachineSlow {
+	if isDiversion(a.lastAnswer.Reason) {
 		// The refusal carried a load report. The next choice takes it into account, and may still pick the same
 		// instance if all others are worse.
 		a.diversions++
@@ -359,6 +362,11 @@
 	return true
 }
 
+// isDiversion reports whether a node refused a request only because another one may serve it sooner.
+func isDiversion(reason request.Reason) bool {
+	return reason == request.MachineSlow || reason == request.ServerBusy
+}
+
 // awaitOwnerChange delays a request whose key has no reachable owner or is moving. It reports whether the request is
 // tried again.
 func (g *Gateway) awaitOwnerChange(ctx context.Context, a *activeRequest, now time.Time) bool {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -142,6 +142,9 @@
 	// MachineSlow means that the machine of the backend server is slow at present, so another backend server may be
 	// faster.
 	MachineSlow Reason = "machine_slow"
+	// ServerBusy means that the request would have waited for a slot of the backend server, while another one may have a free
+	// one.
+	ServerBusy Reason = "server_busy"
 	// LinkFull means that the link of the node is busy with large answers, so that the answer would come too late.
 	LinkFull Reason = "link_full"
 	// CallsRefused means that the calls that the backend server makes for such a request are being refused.
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -56,7 +56,7 @@
 	request.ConnectionLost, request.Canceled, request.DeadlineExceeded, request.MayHaveRun, request.Malformed, request.TooLarge,
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
-	request.MachineSlow, request.LinkFull, request.PathSlow, request.Stopping, request.Unauthenticated,
+	request.MachineSlow, request.ServerBusy, request.LinkFull, request.PathSlow, request.Stopping, request.Unauthenticated,
 	request.ConfigurationStale, request.NoCommonRegion, request.CallsRefused, request.ServerShedding, request.QuotaExceeded}
 
 // reasonOrOther returns the reason, or otherValue if the reason is not in the fixed set.
