Report values of a configuration that are out of range

The decoder of the configuration replaces values out of range by the nearest valid one without a word, so that operators could not see that nodes use another timeout or number of attempts than the one that they published. A maximum header size below 4 KiB is kept to, also at the address for heartbeats, where a longer head is then refused.

Priorities of routes are not limited by the decoder: the check reports those that are above 255 or negative. A header size below 4 KiB is reported, but not raised, because nodes have kept to it so far.

Nodes decode the same tables as before.

--- a/cmd/heatherreelctl/config.go
+++ b/cmd/heatherreelctl/config.go
@@ -9,7 +9,6 @@
 	"heatherreel/internal/configcheck"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
-	"heatherreel/internal/route"
 	"heatherreel/platform/store"
 )
 
@@ -43,20 +42,20 @@
 // checkConfig prints what is wrong with the record in the file, and how it differs from the one in force.
 func (t *tool) checkConfig(path string) error {
 	result := checkOutput{Findings: []configcheck.Finding{}}
-	table, err := t.readTable(path, &result)
+	checked, err := t.readRecord(path, &result)
 	if err != nil {
 		return err
 	}
-	if table != nil {
-		result.Findings = append(result.Findings, configcheck.Check(table)...)
+	if checked.Table != nil {
+		result.Findings = append(result.Findings, configcheck.Check(checked.Table, checked.Replaced)...)
 	}
 	if t.flags.against != "" {
-		inForce, err := t.readTable(t.flags.against, &result)
+		inForce, err := t.readRecord(t.flags.against, &result)
 		if err != nil {
 			return err
 		}
-		if table != nil && inForce != nil {
-			result.Findings = append(result.Findings, configcheck.Compare(table, inForce)...)
+		if checked.Table != nil && inForce.Table != nil {
+			result.Findings = append(result.Findings, configcheck.Compare(checked.Table, inForce.Table)...)
 		}
 	}
 	if err := t.print(result); err != nil {
@@ -65,16 +64,16 @@
 	return result.status()
 }
 
-// readTable decodes the record in a file as a node does. A record that a node refuses gives an error among the findings and
+// readRecord decodes the record in a file as a node does. A record that a node refuses gives an error among the findings and
 // no table.
-func (t *tool) readTable(path string, result *checkOutput) (*route.Table, error) {
+func (t *tool) readRecord(path string, result *checkOutput) (registry.OperatorRecord, error) {
 	document, err := t.readDocument(path)
 	if err != nil {
-		return nil, err
+		return registry.OperatorRecord{}, err
 	}
 	decoded, ok, err := store.DecodeOperatorRecord(registry.Record{Key: store.ConfigKey, Value: document})
 	if ok {
-		return decoded.Table, nil
+		return decoded, nil
 	}
 	detail := "the file is empty, which nodes ignore"
 	if err != nil {
@@ -85,7 +84,7 @@
 		}
 	}
 	result.Findings = append(result.Findings, configcheck.Finding{Severity: configcheck.Error, Entry: "file " + path, Detail: detail})
-	return nil, nil
+	return registry.OperatorRecord{}, nil
 }
 
 // checkOutput is the output of the command config check.
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -3,6 +3,7 @@
 package configcheck
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -43,9 +44,16 @@
 func routeEntry(name string) string   { return fmt.Sprintf("route %q", name) }
 func serviceEntry(name string) string { return fmt.Sprintf("service %q", name) }
 
-// Check returns a warning for each entry that can never match a request, and for each pair of limits that contradict each
-// other.
-func Check(t *route.Table) []Finding {
+// minUsefulHeaderBytes is the maximum size of a head below which a configuration is reported. Nodes keep to a lower one, also
+// at the address for heartbeats, and ordinary heads with a few long fields are over it.
+const minUsefulHeaderBytes = 4 << 10
+
+// maxPriority is the least urgent priority. Nodes limit that of a route to it when a request is queued.
+const maxPriority = 255
+
+// Check returns a warning for each entry that can never match a request, for each pair of limits that contradict each other,
+// and for each value that is out of range. replaced are those in place of which nodes use another one.
+func Check(t *route.Table, replaced []route.Replacement) []Finding {
 	f := findings{severity: Warning}
 	used := map[string]bool{}
 	firsts := map[[2]string]string{}
@@ -66,6 +74,12 @@
 		if r.Timeout > 0 && r.Objective > r.Timeout {
 			f.add(entry, "its target response time of %v is after its timeout of %v", r.Objective, r.Timeout)
 		}
+		switch {
+		case r.Priority > maxPriority:
+			f.add(entry, "its priority of %d is above %d, which nodes use instead", r.Priority, maxPriority)
+		case r.Priority < 0:
+			f.add(entry, "its priority of %d is negative; which one nodes use instead is not defined", r.Priority)
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
 		if !used[name] {
@@ -75,9 +89,26 @@
 	if t.Limits.MaxBodyBytes < 0 {
 		f.add("limits", "the maximum body size of %d bytes is negative, which means no limit", t.Limits.MaxBodyBytes)
 	}
+	if n := t.Limits.MaxHeaderBytes; n > 0 && n < minUsefulHeaderBytes {
+		f.add("limits", "the maximum header size of %d bytes is below %d; ordinary requests and heartbeats may be refused", n, minUsefulHeaderBytes)
+	}
+	addReplaced(&f, replaced)
 	return f.list
 }
 
+// addReplaced adds the values in place of which nodes use others, in the order of their entries.
+func addReplaced(f *findings, replaced []route.Replacement) {
+	for _, r := range slices.SortedFunc(slices.Values(replaced), func(a, b route.Replacement) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field))
+	}) {
+		entry := r.Kind
+		if r.Name != "" {
+			entry = fmt.Sprintf("%s %q", r.Kind, r.Name)
+		}
+		f.add(entry, "%s is %v, which is out of range; nodes use %v", r.Field, r.Published, r.Used)
+	}
+}
+
 // neverMatches returns why no request matches the route; empty if some do. Two routes with the same host and prefix are not
 // its concern.
 func neverMatches(t *route.Table, r route.Route) string {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,8 +65,9 @@
 
 // OperatorRecord is one decoded record that operators wrote. Either Table or DataCentre is set.
 type OperatorRecord struct {
-	// Table is a configuration.
-	Table *route.Table
+	// Table is a configuration, and Replaced the values of its record that are out of range.
+	Table    *route.Table
+	Replaced []route.Replacement
 	// DataCentre is the data centre whose evacuation begins, or ends if Ended is set.
 	DataCentre string
 	Ended      bool
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -67,6 +67,15 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+// Replacement is a value of a published configuration in place of which nodes use another one, because it is out of range.
+type Replacement struct {
+	// Kind is the kind of the entry, such as "route", and Name its name; empty for the limits.
+	Kind, Name string
+	// Field names the value. Published is the number in the record, and Used the one that nodes use.
+	Field           string
+	Published, Used any
+}
+
 // Table is one revision of the configuration of routes and services.
 type Table struct {
 	Revision uint64
