Warn of tenants whose requests are refused

A configuration may hold tenants without keys, and tenants whose regions have none in common with any route of a service. Nodes accept both and refuse all requests of such a tenant, at all services or at that one, which operators noticed only afterwards.

heatherreelctl config check reports both as warnings. It compares regions with the function that nodes use for a request (tenantauth.CommonRegions), for the routes that can match and send requests to the service.

A tenant without keys stays a warning, because an empty list is the way to revoke all keys.

--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -52,7 +52,8 @@
 const maxPriority = 255
 
 // Check returns a warning for each entry that can never match a request, for each pair of limits that contradict each other,
-// and for each value that is out of range. replaced are those in place of which nodes use another one.
+// for each tenant whose requests are refused, and for each value that is out of range. replaced are those in place of which
+// nodes use another one.
 func Check(t *route.Table, replaced []route.Replacement) []Finding {
 	f := findings{severity: Warning}
 	used := map[string]bool{}
@@ -86,6 +87,7 @@
 			f.add(serviceEntry(name), "no route sends requests to it")
 		}
 	}
+	checkTenants(&f, t)
 	if t.Limits.MaxBodyBytes < 0 {
 		f.add("limits", "the maximum body size of %d bytes is negative, which means no limit", t.Limits.MaxBodyBytes)
 	}
@@ -109,6 +111,36 @@
 	}
 }
 
+// checkTenants adds the tenants that have no key, and the services of which no route may serve a tenant.
+func checkTenants(f *findings, t *route.Table) {
+	if t.Tenants == nil {
+		return
+	}
+	// regions are the home regions of the routes of each service.
+	regions := map[string][][]string{}
+	for _, r := range t.Routes() {
+		for _, s := range r.Services {
+			if s.Weight > 0 && neverMatches(t, r) == "" {
+				regions[s.Service] = append(regions[s.Service], r.HomeRegions)
+			}
+		}
+	}
+	services, withoutKeys := slices.Sorted(maps.Keys(regions)), t.Tenants.WithoutKeys()
+	for _, tenant := range t.Tenants.Tenants() {
+		if withoutKeys[tenant.Name] {
+			f.add(tenantEntry(tenant.Name), "it has no keys, so that no request belongs to it")
+		}
+		for _, service := range services {
+			if !slices.ContainsFunc(regions[service], func(homes []string) bool {
+				_, ok := tenantauth.CommonRegions(homes, tenant.Regions)
+				return ok
+			}) {
+				f.add(tenantEntry(tenant.Name), "no route of service %q has a region in common with its regions %v; all its requests to the service are refused", service, tenant.Regions)
+			}
+		}
+	}
+}
+
 // neverMatches returns why no request matches the route; empty if some do. Two routes with the same host and prefix are not
 // its concern.
 func neverMatches(t *route.Table, r route.Route) string {
--- a/internal/tenantauth/tenantauth.go
+++ b/internal/tenantauth/tenantauth.go
@@ -128,6 +128,18 @@
 	return all
 }
 
+// WithoutKeys returns the names of the tenants that have no keys.
+func (t *Table) WithoutKeys() map[string]bool {
+	names := map[string]bool{}
+	for name := range t.tenants {
+		names[name] = true
+	}
+	for _, owner := range t.byKey {
+		delete(names, owner.Name)
+	}
+	return names
+}
+
 // KeyChanges returns how many keys of a tenant are in t but not in before, and the reverse. Both tables must have been built
 // with the same secret.
 func (t *Table) KeyChanges(before *Table, tenant string) (added, removed int) {
@@ -198,15 +210,15 @@
 		d.Tenant = nil
 	}
 	var ok bool
-	if d.Regions, ok = intersect(r.Regions, tenant.Regions); !ok {
+	if d.Regions, ok = CommonRegions(r.Regions, tenant.Regions); !ok {
 		return Decision{Refusal: request.NoCommonRegion}
 	}
 	return d
 }
 
-// intersect returns the regions that are in both lists, of which an empty one stands for all regions. ok is false if there
-// is none.
-func intersect(a, b []string) (both []string, ok bool) {
+// CommonRegions returns the regions that are in both lists, of which an empty one stands for all regions. ok is false if
+// there is none.
+func CommonRegions(a, b []string) (both []string, ok bool) {
 	switch {
 	case len(a) == 0:
 		return b, true
