Add the setting nested_calls

Nodes recognize the calls of their backend server by statistics, reserve slots for calls and refuse requests whose calls are being refused, also on fleets whose services call nobody. There was no way to exclude this as the cause of a refusal.

nested_calls (true if left out) switches all of it off with false: the node marks no request as a call, and ignores the marks of other nodes, so that no slots are reserved, no call goes first and no parent is refused. It takes effect at the next start. The template of the settings is unchanged.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -214,7 +214,7 @@
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
-		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, Limits: gatewayLimits(s),
+		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, IgnoreCalls: !s.NestedCalls, Limits: gatewayLimits(s),
 		Revocation: s.Revocation(),
 	}, dependencies)
 	return d, nil
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -36,7 +36,7 @@
 // only as in force although it needs a restart.
 func TestSettingsReload(t *testing.T) {
 	s := settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: "127.0.0.1:1",
-		StoreAddress: "127.0.0.1:1", MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62}
+		StoreAddress: "127.0.0.1:1", MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62, NestedCalls: true}
 	log := &logBuffer{}
 	d, err := newGatewayDaemon(s, log)
 	if err != nil {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -35,7 +35,7 @@
 	const anyPort = "127.0.0.1:0"
 	d, err := newGatewayDaemon(settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: backendAddress,
 		CallersAddress: callersAddress, NodesAddress: address, HeartbeatsAddress: anyPort, ReadyAddress: anyPort, MetricsAddress: anyPort,
-		StoreAddress: storeAddress, MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62}, &logBuffer{})
+		StoreAddress: storeAddress, MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62, NestedCalls: true}, &logBuffer{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -13,6 +13,9 @@
 // recognizeCall records a request that arrived at this node, and reports whether it is a call of the local backend
 // server.
 func (g *Gateway) recognizeCall(route string) bool {
+	if g.options.IgnoreCalls {
+		return false
+	}
 	g.server.mu.Lock()
 	known := g.server.calls.IsCall(route)
 	call := g.server.calls.Arrive(time.Now(), route)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -34,6 +34,8 @@
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	started := time.Now()
 	g.noteRevision(r.Revision)
+	// Other nodes may recognize calls.
+	r.Call = r.Call && !g.options.IgnoreCalls
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopOwner)
 	defer span.End()
 	progress := newProgressReporter(p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,9 @@
 	LinkMbps float64
 	// LearnCapacity makes the node learn the concurrency limit of its backend server.
 	LearnCapacity bool
-	Limits        Limits
+	// IgnoreCalls makes the node handle calls of backend servers, its own and others, like requests of callers.
+	IgnoreCalls bool
+	Limits      Limits
 	// Revocation is the time after the acknowledgement of a configuration from which an API key that it removed admits no
 	// request; zero if no such time is guaranteed.
 	Revocation time.Duration
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -83,6 +83,8 @@
 	rollBacks *rand.Rand
 	// decodeTime is how long a configuration takes to decode.
 	decodeTime time.Duration
+	// ignoreCalls is Options.IgnoreCalls of the gateways that are started.
+	ignoreCalls bool
 	// events gets the events of the gateways that are started; they are discarded if it is nil. revocation is
 	// Options.Revocation of these gateways.
 	events     *eventlog.Logger
@@ -247,7 +249,7 @@
 	if events == nil {
 		events = eventlog.Discard()
 	}
-	g := New(Options{Self: self, Revocation: sim.revocation, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
+	g := New(Options{Self: self, Revocation: sim.revocation, IgnoreCalls: sim.ignoreCalls, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
 		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, Floor: 120, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
 			Backend: inst, KeyCalls: keyCalls, Events: events, Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -71,6 +71,9 @@
 	// send bodies and read answers; 0 means the defaults of package pipeline.
 	MaxHeaderFields   int `yaml:"max_header_fields"`
 	MinBytesPerSecond int `yaml:"min_bytes_per_second"`
+	// NestedCalls makes the node recognize the requests that the backend server sends while it executes others. ParseGateway
+	// sets it if it is left out.
+	NestedCalls bool `yaml:"nested_calls"`
 	// LearnCapacity makes the node measure the concurrency up to which the backend server keeps its speed.
 	LearnCapacity bool `yaml:"learn_capacity"`
 	// TraceOutput is where spans are written: none, stderr or the path of a file; empty means none. TraceRatio is the
@@ -112,7 +115,7 @@
 
 // ParseGateway decodes and validates the settings in data.
 func ParseGateway(data []byte) (Gateway, error) {
-	var s Gateway
+	s := Gateway{NestedCalls: true}
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
 	if err := decoder.Decode(&s); err != nil {
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -102,3 +102,13 @@
 		}
 	}
 }
+
+// Guards against calls that are not recognized unless a setting asks for it, and against a switch without effect. Templates
+// render settings that are not given as null.
+func TestNestedCallsAreRecognizedUnlessSwitchedOff(t *testing.T) {
+	for text, want := range map[string]bool{"": true, "nested_calls:\n": true, "nested_calls: null\n": true, "nested_calls: true\n": true, "nested_calls: false\n": false} {
+		if s, err := ParseGateway([]byte(gatewaySettings + text)); err != nil || s.NestedCalls != want {
+			t.Errorf("%q: %v, %v", text, s.NestedCalls, err)
+		}
+	}
+}
