Let 0 switch limits of clients off

Limits of clients apply where nothing asks for them, and 0 stood for the default of each, so that no setting took one out of the way of a caller that it hits by mistake.

With 0, max_connections_per_client, max_header_fields and min_bytes_per_second now switch their limit off. Left out or null they have the default, as before. A fraction is refused for them, because 0.5 would be cut off to 0. Without a rate, a body may take until the deadline that its handler has set, and an answer is closed only if no byte of it is read in an interval.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	d.sizes = intake.Sizes{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, RequestMemoryMB: s.RequestMemoryMB,
-		Connections: s.MaxConnections, ConnectionsPerClient: s.MaxConnectionsPerClient}
+		Connections: s.MaxConnections, ConnectionsPerClient: s.MaxConnectionsPerClient.Replacement()}
 	d.governor = pipeline.NewGovernor(d.sizes.Limits(), func(kind intake.Kind) {
 		d.metrics.CountShed(kind)
 		d.events.Emit(eventlog.ClientShed, eventlog.Name("kind", kind.String()))
@@ -236,7 +236,7 @@
 	}
 	guarded := d.governor.Guard(listener, intake.Nodes)
 	d.goServe(func() { _ = d.requestServers.nodes.Serve(ctx, guarded) })
-	maxFields, minRate := d.settings.MaxHeaderFields, int64(d.settings.MinBytesPerSecond)
+	maxFields, minRate := d.settings.MaxHeaderFields.Replacement(), int64(d.settings.MinBytesPerSecond.Replacement())
 	limits := func() pipeline.Limits {
 		return caller.ConnectionLimits(d.gateway.ClientLimits(), maxFields, minRate)
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -259,3 +259,19 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// Guards against a limit for each address that still applies when it is switched off, and against limits for all clients
+// together that go with it.
+func TestLimitPerClientCanBeSwitchedOff(t *testing.T) {
+	sizes := Sizes{MemoryMB: 184, MaxFDs: 4100}
+	with := sizes.Limits()
+	sizes.ConnectionsPerClient = -1
+	without := sizes.Limits()
+	if without.PerClient[Callers] != with.Connections[Callers] || without.HeadsPerClient[Callers] != with.Heads[Callers] {
+		t.Errorf("%+v", without)
+	}
+	without.PerClient[Callers], without.HeadsPerClient[Callers] = with.PerClient[Callers], with.HeadsPerClient[Callers]
+	if without != with {
+		t.Errorf("other limits have changed: %+v, before %+v", without, with)
+	}
+}
--- a/internal/intake/sizes.go
+++ b/internal/intake/sizes.go
@@ -6,7 +6,8 @@
 type Sizes struct {
 	// MemoryMB is the memory limit of the process, and MaxFDs its limit of descriptors.
 	MemoryMB, MaxFDs int
-	// RequestMemoryMB, Connections and ConnectionsPerClient replace the limits that are derived.
+	// RequestMemoryMB, Connections and ConnectionsPerClient replace the limits that are derived. With a negative
+	// ConnectionsPerClient, one client may have as many connections as all together.
 	RequestMemoryMB, Connections, ConnectionsPerClient int
 }
 
@@ -54,7 +55,10 @@
 		}
 		connections = max(connections, minConnections)
 	}
-	perClient := min(connections, cmp.Or(s.ConnectionsPerClient, max(1, connections/perClientDivisor)))
+	perClient := connections
+	if s.ConnectionsPerClient >= 0 {
+		perClient = min(connections, cmp.Or(s.ConnectionsPerClient, max(1, connections/perClientDivisor)))
+	}
 	nodes := cmp.Or(s.MaxFDs, unknownFDs) / nodeDescriptorDivisor
 	const upkeepPerClient = upkeepConnections / perClientDivisor
 	l := Limits{Bytes: bytes, Reserve: bytes / reserveDivisor, ShortBytes: shortBytes,
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -188,7 +188,7 @@
 func (b *body) extend() error {
 	c, limits := b.conn, b.conn.server.limits()
 	end := b.began.Add(limits.HeaderTimeout + limits.timeFor(b.arrived))
-	if !b.deadline.IsZero() && b.deadline.Before(end) {
+	if !b.deadline.IsZero() && (limits.MinBytesPerSecond == 0 || b.deadline.Before(end)) {
 		end = b.deadline
 	}
 	c.mu.Lock()
--- a/internal/pipeline/governor_test.go
+++ b/internal/pipeline/governor_test.go
@@ -192,6 +192,40 @@
 	}
 }
 
+// Guards against a rate that still applies when it is switched off, and against bodies without any limit of time then.
+func TestBodiesWithoutRateAreCutAtDeadline(t *testing.T) {
+	limits := DefaultLimits()
+	limits.HeaderTimeout, limits.MinBytesPerSecond = 200*time.Millisecond, 0
+	for name, c := range map[string]struct {
+		// deadline is what the handler sets; 0 for none.
+		deadline time.Duration
+		status   int
+	}{
+		"within the deadline": {testTimeout, 200},
+		"past the deadline":   {400 * time.Millisecond, 400},
+		"no deadline":         {0, 400},
+	} {
+		address := startServer(t, &Server{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if c.deadline > 0 {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(c.deadline))
+			}
+			bodyHandler(w, req)
+		})})
+		client := dial(t, address)
+		_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\n")
+		go func() {
+			for range 30 {
+				_, _ = io.WriteString(client, "x")
+				<-time.After(30 * time.Millisecond)
+			}
+		}()
+		response, err := http.ReadResponse(client.reader, nil)
+		if err != nil || response.StatusCode != c.status {
+			t.Errorf("%s: %+v, %v", name, response, err)
+		}
+	}
+}
+
 // Guards against connections at another server that send nothing and take all descriptors, against given-up connections
 // that stay accounted for, and against used ones that are given up.
 func TestGuardGivesUpUnusedConnections(t *testing.T) {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -337,6 +337,26 @@
 	}
 }
 
+// Guards against a caller that does not read its answers and is kept because no rate is required.
+func TestCallersThatStopReadingAreCutWithoutRate(t *testing.T) {
+	limits := DefaultLimits()
+	limits.WriteTimeout, limits.MinBytesPerSecond = 300*time.Millisecond, 0
+	ended := make(chan struct{})
+	address := startServer(t, &Server{Limits: func() Limits { return limits }, Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		_, _ = w.Write(make([]byte, 16<<20))
+		go func() {
+			<-req.Context().Done()
+			close(ended)
+		}()
+	})})
+	dial(t, address).send(t, "GET /")
+	select {
+	case <-ended:
+	case <-time.After(testTimeout):
+		t.Error("a caller that does not read is kept")
+	}
+}
+
 // Guards against a caller that does not read its answers and is kept, and against one that reads slowly and is cut.
 func TestOnlyCallersThatStopReadingAreCut(t *testing.T) {
 	const size = 16 << 20
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -61,16 +62,16 @@
 	// PipelineDepth is the number of requests on one connection that are in progress at the same time; 0 means the
 	// default, DefaultPipelineDepth.
 	PipelineDepth int `yaml:"pipeline_depth"`
-	// MaxConnections is the limit of connections of callers, and MaxConnectionsPerClient that for one address of them;
-	// RequestMemoryMB is the memory for the heads, bodies and answers of requests in MB. 0 means the defaults of package
-	// intake, which follow from MemoryMB and MaxFDs.
-	MaxConnections          int `yaml:"max_connections"`
-	MaxConnectionsPerClient int `yaml:"max_connections_per_client"`
-	RequestMemoryMB         int `yaml:"request_memory_mb"`
-	// MaxHeaderFields is the limit of fields in the head of a request, and MinBytesPerSecond the rate at which a caller must
-	// send bodies and read answers; 0 means the defaults of package pipeline.
-	MaxHeaderFields   int `yaml:"max_header_fields"`
-	MinBytesPerSecond int `yaml:"min_bytes_per_second"`
+	// MaxConnections is the limit of connections of callers, and RequestMemoryMB the memory for the heads, bodies and answers
+	// of requests in MB. 0 means the defaults of package intake, which follow from MemoryMB and MaxFDs: both protect the
+	// memory of the process, so that they cannot be switched off.
+	MaxConnections  int `yaml:"max_connections"`
+	RequestMemoryMB int `yaml:"request_memory_mb"`
+	// MaxConnectionsPerClient is the limit of connections of callers from one address, MaxHeaderFields that of fields in the
+	// head of a request, and MinBytesPerSecond the rate at which a caller must send bodies and read answers.
+	MaxConnectionsPerClient OptionalLimit `yaml:"max_connections_per_client"`
+	MaxHeaderFields         OptionalLimit `yaml:"max_header_fields"`
+	MinBytesPerSecond       OptionalLimit `yaml:"min_bytes_per_second"`
 	// NestedCalls makes the node recognize the requests that the backend server sends while it executes others. ParseGateway
 	// sets it if it is left out.
 	NestedCalls bool `yaml:"nested_calls"`
@@ -82,6 +83,36 @@
 	TraceRatio  float64 `yaml:"trace_ratio"`
 }
 
+// OptionalLimit is a limit of clients that can be switched off. Its zero value is one that is left out.
+type OptionalLimit struct {
+	// Given is set if the settings have the limit. Number is the limit then; 0 switches it off.
+	Given  bool
+	Number int
+}
+
+// UnmarshalYAML implements yaml.Unmarshaler. It is not called for null.
+func (l *OptionalLimit) UnmarshalYAML(value *yaml.Node) error {
+	var number float64
+	if err := value.Decode(&number); err != nil {
+		return err
+	}
+	// Decoding to an int would cut 0.5 off to 0, which switches the limit off.
+	if number != math.Trunc(number) {
+		return fmt.Errorf("line %d: %s is not a whole number", value.Line, value.Value)
+	}
+	l.Given = true
+	return value.Decode(&l.Number)
+}
+
+// Replacement returns the number that replaces a default limit: 0 if the default applies, and a negative number if the limit
+// is switched off.
+func (l OptionalLimit) Replacement() int {
+	if l.Given && l.Number == 0 {
+		return -1
+	}
+	return l.Number
+}
+
 // DefaultPipelineDepth is the default of Gateway.PipelineDepth.
 const DefaultPipelineDepth = 16
 
@@ -168,9 +199,9 @@
 		value int
 	}{
 		{"max_fds", s.MaxFDs}, {"revocation_ms", s.RevocationMS}, {"pipeline_depth", s.PipelineDepth},
-		{"max_connections", s.MaxConnections}, {"max_connections_per_client", s.MaxConnectionsPerClient},
-		{"request_memory_mb", s.RequestMemoryMB}, {"max_header_fields", s.MaxHeaderFields},
-		{"min_bytes_per_second", s.MinBytesPerSecond},
+		{"max_connections", s.MaxConnections}, {"max_connections_per_client", s.MaxConnectionsPerClient.Number},
+		{"request_memory_mb", s.RequestMemoryMB}, {"max_header_fields", s.MaxHeaderFields.Number},
+		{"min_bytes_per_second", s.MinBytesPerSecond.Number},
 	} {
 		if f.value < 0 || f.value > maxSetting {
 			faults = append(faults, fmt.Errorf("%s must be from 0 to %d", f.name, int(maxSetting)))
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -112,3 +112,27 @@
 		}
 	}
 }
+
+// Guards against a limit of clients that cannot be switched off, and against one that is off although the settings do not say
+// so: templates render settings that are not given as null.
+func TestClientLimitsAreSwitchedOffByZeroOnly(t *testing.T) {
+	for _, name := range []string{"max_connections_per_client", "max_header_fields", "min_bytes_per_second"} {
+		for value, want := range map[string]int{"": 0, "null": 0, "0": -1, "70": 70} {
+			s, err := ParseGateway([]byte(gatewaySettings + name + ": " + value + "\n"))
+			limits := map[string]OptionalLimit{"max_connections_per_client": s.MaxConnectionsPerClient, "max_header_fields": s.MaxHeaderFields,
+				"min_bytes_per_second": s.MinBytesPerSecond}
+			if got := limits[name].Replacement(); err != nil || got != want {
+				t.Errorf("%s: %q: %d, want %d; %v", name, value, got, want, err)
+			}
+		}
+		for _, odd := range []string{"-1", "0.5", ".nan", "many", "1e300", "99999999999999999999", "[0]", "{}"} {
+			if _, err := ParseGateway([]byte(gatewaySettings + name + ": " + odd + "\n")); !errors.Is(err, problem.Invalid) && !errors.Is(err, problem.Malformed) {
+				t.Errorf("%s: %s: %v", name, odd, err)
+			}
+		}
+	}
+	s, err := ParseGateway([]byte(gatewaySettings))
+	if err != nil || s.MaxConnectionsPerClient.Replacement() != 0 || s.MaxHeaderFields.Replacement() != 0 || s.MinBytesPerSecond.Replacement() != 0 {
+		t.Errorf("without these settings: %+v, %v", s, err)
+	}
+}
