Split the fleet of the engine tests by subject

The faults of a scenario are in fleet_faults_test.go now, and the ownership of slices and its checks in fleet_ownership_test.go.

go test -list . ./internal/engine names the same 42 tests before and after.

--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -12,13 +12,11 @@
 	"heatherreel/internal/config"
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/fake"
-	"heatherreel/internal/keyspace"
 	"heatherreel/internal/lease"
 	"heatherreel/internal/ledger"
 	"heatherreel/internal/operator"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/scenario"
-	"heatherreel/internal/serving"
 	"heatherreel/internal/settings"
 	"heatherreel/internal/telemetry"
 )
@@ -258,103 +256,6 @@
 	})
 }
 
-// Stop implements scenario.Environment.
-func (f *fleet) Stop(name string) error {
-	n, err := f.node(name)
-	if err != nil {
-		return err
-	}
-	f.goroutines.Add(1)
-	go func() {
-		defer f.goroutines.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), settings.DefaultShutdownTimeout)
-		defer cancel()
-		n.engine.Drain(ctx)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.kill(n)
-	}()
-	return nil
-}
-
-// Kill implements scenario.Environment.
-func (f *fleet) Kill(name string) error {
-	n, err := f.node(name)
-	if err == nil {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.kill(n)
-	}
-	return err
-}
-
-// Pause implements scenario.Environment.
-func (f *fleet) Pause(name string) error {
-	n, err := f.node(name)
-	if err == nil {
-		n.host.Pause()
-	}
-	return err
-}
-
-// Resume implements scenario.Environment.
-func (f *fleet) Resume(name string) error {
-	n, err := f.node(name)
-	if err == nil {
-		n.host.Resume()
-	}
-	return err
-}
-
-// Cut implements scenario.Environment.
-func (f *fleet) Cut(a, b string) error {
-	f.network.Cut(a, b)
-	return nil
-}
-
-// Heal implements scenario.Environment.
-func (f *fleet) Heal(a, b string) error {
-	f.network.Heal(a, b)
-	return nil
-}
-
-// SetLog implements scenario.Environment.
-func (f *fleet) SetLog(state scenario.LogState, delay time.Duration) error {
-	f.log.SetFaults(fake.LogFaults{Down: state == scenario.LogDown, Delay: delay})
-	return nil
-}
-
-// LoseReplies implements scenario.Environment.
-func (f *fleet) LoseReplies(n int) error {
-	faults := f.log.Faults()
-	faults.LostReplies = n
-	f.log.SetFaults(faults)
-	return nil
-}
-
-// TruncateLog implements scenario.Environment.
-func (f *fleet) TruncateLog(n int) error {
-	f.log.ApplyRetention(ledger.Offset(max(f.log.Len()-n+1, 1)))
-	return nil
-}
-
-// SetBackend implements scenario.Environment.
-func (f *fleet) SetBackend(name string, state scenario.BackendState) error {
-	n, err := f.node(name)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	n.silent = state == scenario.BackendFrozen || state == scenario.BackendSilent
-	f.mu.Unlock()
-	faults := fake.BackendFaults{Frozen: state == scenario.BackendFrozen}
-	if state == scenario.BackendCold {
-		faults.ColdRequests, faults.ColdMS, faults.ColdSlots = 100, 50, 3
-	}
-	n.backend.SetFaults(faults)
-	return nil
-}
-
 // Publish implements scenario.Environment. It appends the document with the current revision as its base.
 func (f *fleet) Publish(document []byte) error {
 	next, err := config.Decode(document)
@@ -399,106 +300,6 @@
 // Now implements scenario.Environment.
 func (f *fleet) Now() time.Time { return time.Now() }
 
-// ownerCheckInterval is how often Advance checks that no slice has two owners.
-const ownerCheckInterval = 10 * time.Millisecond
-
-// Advance implements scenario.Environment. Meanwhile it checks regularly that no slice has two owners.
-func (f *fleet) Advance(d time.Duration) {
-	end := time.Now().Add(d)
-	for {
-		f.checkOwners()
-		remaining := time.Until(end)
-		if remaining <= 0 {
-			return
-		}
-		<-time.After(min(remaining, ownerCheckInterval))
-	}
-}
-
-// checkOwners fails the test if two nodes would serve one slice. After a change of home regions it also checks keys.
-func (f *fleet) checkOwners() {
-	for id, owners := range f.nodesBySlice() {
-		if len(owners) > 1 {
-			f.t.Errorf("slice %s is served by %v", id, owners)
-		}
-	}
-	if f.homeRegionsChanged {
-		f.checkKeyOwners()
-	}
-}
-
-// nodesBySlice returns the names of the nodes that would serve each slice now.
-func (f *fleet) nodesBySlice() map[keyspace.SliceID][]string {
-	nodes := map[keyspace.SliceID][]string{}
-	for _, n := range f.liveNodes() {
-		for _, id := range n.servableSlices() {
-			nodes[id] = append(nodes[id], n.Name)
-		}
-	}
-	return nodes
-}
-
-// servableSlices returns the slices that a node would serve now. A paused node counts as long as its lease holds,
-// because it would serve them if it were resumed now.
-func (n *fleetNode) servableSlices() []keyspace.SliceID {
-	if n.host.Killed() {
-		return nil
-	}
-	if _, owns := n.engine.leases.owns(time.Now()); !owns {
-		return nil
-	}
-	var servable []keyspace.SliceID
-	n.engine.serving.withLock(func(t *serving.Table) {
-		for _, g := range t.Grants() {
-			if state, _, _ := t.StateOf(g.Slice); state == serving.Serving {
-				servable = append(servable, g.Slice)
-			}
-		}
-	})
-	return servable
-}
-
-// Ownership implements scenario.Environment.
-func (f *fleet) Ownership(service string) (scenario.Ownership, error) {
-	var ownership scenario.Ownership
-	owningNodes := map[string]bool{}
-	served := 0
-	for id, owners := range f.nodesBySlice() {
-		if id.Service != service {
-			continue
-		}
-		served++
-		if len(owners) > 1 {
-			ownership.MultiplyOwned++
-		}
-		for _, name := range owners {
-			owningNodes[name] = true
-		}
-	}
-	ownership.Owners = len(owningNodes)
-	ownership.Slices = f.sliceCount(service)
-	ownership.Unserved = ownership.Slices - served
-	return ownership, nil
-}
-
-// sliceCount returns the number of slices of a service in all its groups, as known to the first node that knows any.
-func (f *fleet) sliceCount(service string) int {
-	for _, n := range f.liveNodes() {
-		count := 0
-		n.engine.ledger.read(func(s *ledger.State, _ *config.Configuration) {
-			for id, g := range s.Groups {
-				if id.Service == service {
-					count += len(g.Slices)
-				}
-			}
-		})
-		if count > 0 {
-			return count
-		}
-	}
-	return 0
-}
-
 // Executions implements scenario.Environment.
 func (f *fleet) Executions() (executions int, duplicates []string) {
 	for service, store := range f.storeByService {
