Decide in one place which requests get no route

Gateway.route built the same answer for five reasons and called finishRequest for each. The reasons are in unroutedReason now, in the same order, and there is one call. Behaviour is unchanged.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -85,19 +85,8 @@
 func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
 	proofAsOf := g.proof.asOf()
 	table, matched, service := g.routes.find(r.Host, r.Path)
-	switch {
-	case g.requestsEnded.isSet():
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.Stopping, overloadRetryAfter))
-	case table == nil:
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
-	case matched == nil:
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NoRoute, 0))
-	case r.BodyUnread:
-		// The configuration in force has changed since the route was looked for.
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
-	}
-	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.TooLarge, 0))
+	if reason, retryAfter := g.unroutedReason(r, table, matched); reason != "" {
+		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(reason, retryAfter))
 	}
 	r.Service, r.Route, r.Idempotent, r.Priority = service, matched.Name, matched.Idempotent, matched.Priority
 	r.HomeRegions, r.Revision, r.OriginService = matched.HomeRegions, table.Revision, g.self.Service
@@ -131,6 +120,25 @@
 	return g.finishRequest(a, answer)
 }
 
+// unroutedReason returns why a request gets no route, and when the caller is to return; empty if it gets the matched one.
+func (g *Gateway) unroutedReason(r routed.Request, table *route.Table, matched *route.Route) (request.Reason, time.Duration) {
+	switch {
+	case g.requestsEnded.isSet():
+		return request.Stopping, overloadRetryAfter
+	case table == nil:
+		return request.NotConfigured, notConfiguredRetryAfter
+	case matched == nil:
+		return request.NoRoute, 0
+	case r.BodyUnread:
+		// The configuration in force has changed since the route was looked for.
+		return request.NotConfigured, notConfiguredRetryAfter
+	}
+	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
+		return request.TooLarge, 0
+	}
+	return "", 0
+}
+
 // serve sends the request to one node after the other until it has its answer.
 func (g *Gateway) serve(ctx context.Context, a *activeRequest) routed.Answer {
 	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline.Add(answerGrace))
