Record what an answer says about its instance in one place

The answers of the local instance and of other nodes were recorded by two copies of the same steps: the load, a planned stop and a backend server that sheds all. Both use recordAnswer now. The answer of another node is recorded before its revision is noted, and not partly afterwards; the two do not depend on each other. Behaviour is unchanged otherwise.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -223,14 +223,9 @@
 	member, known := g.members.get(instance)
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
-		g.members.requestAnswered(instance, answer.Load, true, time.Now())
-		switch answer.Reason {
-		case request.Stopping:
-			g.members.recordStop(member, time.Now())
-		case request.Canceled:
+		g.recordAnswer(instance, member, answer)
+		if answer.Reason == request.Canceled {
 			answer.Reason = cancelReason(ctx)
-		case request.ServerShedding:
-			g.members.recordShedding(instance, answer.RetryAfter, time.Now())
 		}
 		a.countServerAttempt(answer)
 		return answer
@@ -254,17 +249,23 @@
 	if err != nil {
 		return g.callFailure(ctx, a, member.Instance, err)
 	}
-	g.members.requestAnswered(member.Instance, answer.Load, true, time.Now())
+	g.recordAnswer(member.Instance, member, answer)
 	g.noteRevision(answer.Revision)
-	switch answer.Reason {
-	case request.NotOwner:
+	if answer.Reason == request.NotOwner {
 		g.refreshTopicLimited(registry.RangesTopic)
+	}
+	return answer
+}
+
+// recordAnswer records what an answer says about its instance. member is the record of the instance when it was asked.
+func (g *Gateway) recordAnswer(instance string, member registry.Member, answer routed.Answer) {
+	g.members.requestAnswered(instance, answer.Load, true, time.Now())
+	switch answer.Reason {
 	case request.Stopping:
 		g.members.recordStop(member, time.Now())
 	case request.ServerShedding:
-		g.members.recordShedding(member.Instance, answer.RetryAfter, time.Now())
+		g.members.recordShedding(instance, answer.RetryAfter, time.Now())
 	}
-	return answer
 }
 
 // repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
