--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -81,7 +81,7 @@
 	if reason := g.refusalReason(r); reason != "" {
 		return g.refuse(r, reason)
 	}
-	if r.Keyed && g.serviceKeyed() {
+	if g.needsKey(r) {
 		g.server.countRequest(r.Key)
 		if reason := g.awaitKey(ctx, r, p); reason != "" {
 			return g.refuse(r, reason)
@@ -105,7 +105,7 @@
 		g.releaseSlot(ticket, false)
 		return g.refuse(r, reason)
 	}
-	if r.Keyed && g.serviceKeyed() && !g.server.holdsKey(r.Key, g.deps.Now()) {
+	if g.needsKey(r) && !g.server.holdsKey(r.Key, g.deps.Now()) {
 		g.releaseSlot(ticket, false)
 		return g.refuse(r, request.NotOwner)
 	}
@@ -117,6 +117,9 @@
 	return g.run(ctx, r, ticket, p)
 }
 
+// needsKey reports whether only a backend server that holds the key of a request may run it.
+func (g *Gateway) needsKey(r routed.Request) bool { return r.Keyed && g.serviceKeyed() }
+
 // holdsKey reports whether the backend server holds a key.
 func (t *serverTracker) holdsKey(key uint16, now keyrange.Instant) bool {
 	t.mu.Lock()
@@ -144,7 +147,7 @@
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting),
 		eventlog.Duration("delay", r.Delay))
-	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
+	if reason == request.Stopping && g.needsKey(r) {
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
 	}
@@ -210,10 +213,7 @@
 // withinEvacuationGrace reports whether a request is for a key that may still be served here, because the evacuation of
 // the data centre became known less than evacuationGrace ago.
 func (g *Gateway) withinEvacuationGrace(r routed.Request) bool {
-	if !r.Keyed || !g.serviceKeyed() {
-		return false
-	}
-	return g.routes.evacuatedFor(g.self.DataCentre) < evacuationGrace
+	return g.needsKey(r) && g.routes.evacuatedFor(g.self.DataCentre) < evacuationGrace
 }
 
 // evacuationGrace is how long an evacuated data centre still serves its keys while they move away. An evacuated data
