Return the slot of a refused request in one place

Six refusals returned the slot first and then refused, in two calls. A refusal that forgets the first one would leak a slot, so both are in refuseAtSlot now. Behaviour is unchanged.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -102,17 +102,14 @@
 	}
 	// The state may have changed while the request waited.
 	if reason := g.refusalReason(r); reason != "" {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, reason)
+		return g.refuseAtSlot(r, ticket, reason)
 	}
 	if g.needsKey(r) && !g.server.holdsKey(r.Key, g.deps.Now()) {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.NotOwner)
+		return g.refuseAtSlot(r, ticket, request.NotOwner)
 	}
 	// The answers of the route may have turned out larger while the request waited.
 	if !g.reserveAnswer(r) {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.QueueFull)
+		return g.refuseAtSlot(r, ticket, request.QueueFull)
 	}
 	return g.run(ctx, r, ticket, p)
 }
@@ -154,6 +151,12 @@
 	return routed.NotRun(reason, retryAfter)
 }
 
+// refuseAtSlot refuses a request that has got a slot, and returns the slot to the queue.
+func (g *Gateway) refuseAtSlot(r routed.Request, ticket admission.Ticket, reason request.Reason) routed.Answer {
+	g.releaseSlot(ticket, false)
+	return g.refuse(r, reason)
+}
+
 // expectedSlotWait estimates when a slot is free for a request that is refused now and retried.
 func expectedSlotWait(l routed.Load) time.Duration {
 	ahead := max(1, l.Running+l.Waiting-l.Slots+1)
@@ -381,15 +384,13 @@
 // run sends the request to the backend server on a worker of the backend pool and returns the answer.
 func (g *Gateway) run(ctx context.Context, r routed.Request, ticket admission.Ticket, p *progressReporter) routed.Answer {
 	if time.Until(r.Deadline) < minRunTime || ctx.Err() != nil {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.DeadlineTooClose)
+		return g.refuseAtSlot(r, ticket, request.DeadlineTooClose)
 	}
 	g.server.mu.Lock()
 	if !g.server.allowCold(time.Now()) {
 		// The limit also counts requests that have waited since before the backend server was known to be cold.
 		g.server.mu.Unlock()
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.BackendFull)
+		return g.refuseAtSlot(r, ticket, request.BackendFull)
 	}
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.lastHeartbeat.Server}
 	g.server.mu.Unlock()
@@ -397,8 +398,7 @@
 	result := make(chan routed.Answer, 1)
 	err := g.backendPool.Submit(func() { result <- g.exchange(ctx, e, ticket) })
 	if err != nil {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.QueueFull)
+		return g.refuseAtSlot(r, ticket, request.QueueFull)
 	}
 	for {
 		select {
