Let retryAfter read the load itself

Its three callers computed the load report of the same moment for it. Reading it twice in refuse gives the same report, because the mutex is held and loadLocked changes nothing. Behaviour is unchanged.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -57,14 +57,15 @@
 	case !g.server.shedGate.Allow(now):
 		return request.ServerShedding, g.server.shedGate.RetryAfter(now)
 	case !r.Call && !g.server.calls.AdmitParent(now, r.Route):
-		return request.CallsRefused, g.server.retryAfter(now, g.server.loadLocked(now))
+		return request.CallsRefused, g.server.retryAfter(now)
 	}
 	return "", 0
 }
 
 // retryAfter returns when a caller that is refused now is to return. Where classes compete or calls are made, callers
 // get times of their own. The caller holds mu.
-func (t *serverTracker) retryAfter(now time.Time, l routed.Load) time.Duration {
+func (t *serverTracker) retryAfter(now time.Time) time.Duration {
+	l := t.loadLocked(now)
 	wait := expectedSlotWait(l)
 	if !t.queue.Contended(now) || l.ServiceTime <= 0 {
 		return wait
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -136,7 +136,7 @@
 	g.server.mu.Lock()
 	now := time.Now()
 	load := g.server.loadLocked(now)
-	retryAfter := g.server.retryAfter(now, load)
+	retryAfter := g.server.retryAfter(now)
 	g.server.mu.Unlock()
 	if cause, counted := refusalCause(r, reason); counted {
 		g.deps.Metrics.CountRefusal(cause)
@@ -458,7 +458,6 @@
 	if a.Outcome == request.NotRun && a.RetryAfter == 0 {
 		g.server.mu.Lock()
 		defer g.server.mu.Unlock()
-		now := time.Now()
-		a.RetryAfter = g.server.retryAfter(now, g.server.loadLocked(now))
+		a.RetryAfter = g.server.retryAfter(time.Now())
 	}
 }
