Rename two methods whose names need an explanation

serverTracker.succeeds could be read as success; it tells whether a heartbeat is from the successor of the present incarnation and is isFromSuccessor now. activeRequest.sleep shared its name with the function that it calls and is awaitNextTry now.

--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -415,13 +415,13 @@
 		if a.awaited != "" {
 			a.tried = append(a.tried, a.awaited)
 		}
-		return a.sleep(ctx, now)
+		return a.awaitNextTry(ctx, now)
 	}
 	return false
 }
 
-// sleep waits for serverRetryInterval. It returns false if the request has waited for too long already.
-func (a *activeRequest) sleep(ctx context.Context, now time.Time) bool {
+// awaitNextTry waits for serverRetryInterval. It returns false if the request has waited for too long already.
+func (a *activeRequest) awaitNextTry(ctx context.Context, now time.Time) bool {
 	maxWait := min(maxServerWait, a.request.Deadline.Sub(a.started)/serverWaitDivisor)
 	if now.Sub(a.started) > maxWait {
 		return false
--- a/internal/gateway/second_send.go
+++ b/internal/gateway/second_send.go
@@ -126,7 +126,7 @@
 			return ok
 		}
 		a.tried = append(a.tried[:0], a.awaited)
-		if !a.sleep(ctx, now) {
+		if !a.awaitNextTry(ctx, now) {
 			return false
 		}
 	}
--- a/internal/gateway/server_tracker.go
+++ b/internal/gateway/server_tracker.go
@@ -311,7 +311,7 @@
 		return true, true
 	case sameIncarnation && m.Sequence <= t.lastHeartbeat.Sequence:
 		return false, false
-	case !sameIncarnation && t.lastHeartbeat.Server != "" && !t.succeeds(m, now):
+	case !sameIncarnation && t.lastHeartbeat.Server != "" && !t.isFromSuccessor(m, now):
 		return false, false
 	case !sameIncarnation:
 		t.ended, t.drainUntil = false, 0
@@ -359,10 +359,10 @@
 // succeeded the present one.
 const successorInterval = 500 * time.Millisecond
 
-// succeeds reports whether a heartbeat is of a later incarnation than the last one. Usually its start time is later. After
+// isFromSuccessor reports whether a heartbeat is of a later incarnation than the last one. Usually its start time is later. After
 // the time of day jumped back it need not be: then the present incarnation sends no heartbeats any more, and the other one
 // sends several. Single heartbeats of an earlier incarnation may arrive late. The caller holds mu.
-func (t *serverTracker) succeeds(m heartbeat.Message, now keyrange.Instant) bool {
+func (t *serverTracker) isFromSuccessor(m heartbeat.Message, now keyrange.Instant) bool {
 	sender := incarnation{m.Server, m.StartedUnixMS}
 	if sender != t.superseded && m.StartedUnixMS > t.lastHeartbeat.StartedUnixMS {
 		return true
