--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -34,6 +34,8 @@
 func (g *Gateway) execute(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	started := time.Now()
 	g.noteRevision(r.Revision)
+	// Other nodes may recognize calls.
+	r.Call = r.Call && !g.options.IgnoreCalls
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopOwner)
 	defer span.End()
 	progress := newProgressReporter(p)
@@ -79,7 +81,7 @@
 	if reason := g.refusalReason(r); reason != "" {
 		return g.refuse(r, reason)
 	}
-	if r.Keyed && g.serviceKeyed() {
+	if g.needsKey(r) {
 		g.server.countRequest(r.Key)
 		if reason := g.awaitKey(ctx, r, p); reason != "" {
 			return g.refuse(r, reason)
@@ -100,21 +102,21 @@
 	}
 	// The state may have changed while the request waited.
 	if reason := g.refusalReason(r); reason != "" {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, reason)
+		return g.refuseAtSlot(r, ticket, reason)
 	}
-	if r.Keyed && g.serviceKeyed() && !g.server.holdsKey(r.Key, g.deps.Now()) {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.NotOwner)
+	if g.needsKey(r) && !g.server.holdsKey(r.Key, g.deps.Now()) {
+		return g.refuseAtSlot(r, ticket, request.NotOwner)
 	}
 	// The answers of the route may have turned out larger while the request waited.
 	if !g.reserveAnswer(r) {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.QueueFull)
+		return g.refuseAtSlot(r, ticket, request.QueueFull)
 	}
 	return g.run(ctx, r, ticket, p)
 }
 
+// needsKey reports whether only a backend server that holds the key of a request may run it.
+func (g *Gateway) needsKey(r routed.Request) bool { return r.Keyed && g.serviceKeyed() }
+
 // holdsKey reports whether the backend server holds a key.
 func (t *serverTracker) holdsKey(key uint16, now keyrange.Instant) bool {
 	t.mu.Lock()
@@ -134,7 +136,7 @@
 	g.server.mu.Lock()
 	now := time.Now()
 	load := g.server.loadLocked(now)
-	retryAfter := g.server.retryAfter(now, load)
+	retryAfter := g.server.retryAfter(now)
 	g.server.mu.Unlock()
 	if cause, counted := refusalCause(r, reason); counted {
 		g.deps.Metrics.CountRefusal(cause)
@@ -142,13 +144,19 @@
 	g.events.Emit(eventlog.RequestNotAdmitted, eventlog.RequestID(r.ID), eventlog.Name("service", r.Service),
 		eventlog.Name("reason", string(reason)), eventlog.Count("running", load.Running), eventlog.Count("waiting", load.Waiting),
 		eventlog.Duration("delay", r.Delay))
-	if reason == request.Stopping && r.Keyed && g.serviceKeyed() {
+	if reason == request.Stopping && g.needsKey(r) {
 		// Only this node can run the request.
 		return routed.NotRun(reason, restartTime)
 	}
 	return routed.NotRun(reason, retryAfter)
 }
 
+// refuseAtSlot refuses a request that has got a slot, and returns the slot to the queue.
+func (g *Gateway) refuseAtSlot(r routed.Request, ticket admission.Ticket, reason request.Reason) routed.Answer {
+	g.releaseSlot(ticket, false)
+	return g.refuse(r, reason)
+}
+
 // expectedSlotWait estimates when a slot is free for a request that is refused now and retried.
 func expectedSlotWait(l routed.Load) time.Duration {
 	ahead := max(1, l.Running+l.Waiting-l.Slots+1)
@@ -208,10 +216,7 @@
 // withinEvacuationGrace reports whether a request is for a key that may still be served here, because the evacuation of
 // the data centre became known less than evacuationGrace ago.
 func (g *Gateway) withinEvacuationGrace(r routed.Request) bool {
-	if !r.Keyed || !g.serviceKeyed() {
-		return false
-	}
-	return g.routes.evacuatedFor(g.self.DataCentre) < evacuationGrace
+	return g.needsKey(r) && g.routes.evacuatedFor(g.self.DataCentre) < evacuationGrace
 }
 
 // evacuationGrace is how long an evacuated data centre still serves its keys while they move away. An evacuated data
@@ -395,15 +400,13 @@
 // run sends the request to the backend server on a worker of the backend pool and returns the answer.
 func (g *Gateway) run(ctx context.Context, r routed.Request, ticket admission.Ticket, p *progressReporter) routed.Answer {
 	if time.Until(r.Deadline) < minRunTime || ctx.Err() != nil {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.DeadlineTooClose)
+		return g.refuseAtSlot(r, ticket, request.DeadlineTooClose)
 	}
 	g.server.mu.Lock()
 	if !g.server.allowCold(time.Now()) {
 		// The limit also counts requests that have waited since before the backend server was known to be cold.
 		g.server.mu.Unlock()
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.BackendFull)
+		return g.refuseAtSlot(r, ticket, request.BackendFull)
 	}
 	e := routed.Exchange{Request: r, Address: g.self.BackendAddress, Server: g.server.lastHeartbeat.Server}
 	g.server.mu.Unlock()
@@ -411,8 +414,7 @@
 	result := make(chan routed.Answer, 1)
 	err := g.backendPool.Submit(func() { result <- g.exchange(ctx, e, ticket) })
 	if err != nil {
-		g.releaseSlot(ticket, false)
-		return g.refuse(r, request.QueueFull)
+		return g.refuseAtSlot(r, ticket, request.QueueFull)
 	}
 	for {
 		select {
@@ -472,7 +474,6 @@
 	if a.Outcome == request.NotRun && a.RetryAfter == 0 {
 		g.server.mu.Lock()
 		defer g.server.mu.Unlock()
-		now := time.Now()
-		a.RetryAfter = g.server.retryAfter(now, g.server.loadLocked(now))
+		a.RetryAfter = g.server.retryAfter(time.Now())
 	}
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -85,19 +85,8 @@
 func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
 	proofAsOf := g.proof.asOf()
 	table, matched, service := g.routes.find(r.Host, r.Path)
-	switch {
-	case g.requestsEnded.isSet():
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.Stopping, overloadRetryAfter))
-	case table == nil:
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
-	case matched == nil:
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NoRoute, 0))
-	case r.BodyUnread:
-		// The configuration in force has changed since the route was looked for.
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
-	}
-	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
-		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.TooLarge, 0))
+	if reason, retryAfter := g.unroutedReason(r, table, matched); reason != "" {
+		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(reason, retryAfter))
 	}
 	r.Service, r.Route, r.Idempotent, r.Priority = service, matched.Name, matched.Idempotent, matched.Priority
 	r.HomeRegions, r.Revision, r.OriginService = matched.HomeRegions, table.Revision, g.self.Service
@@ -131,6 +120,25 @@
 	return g.finishRequest(a, answer)
 }
 
+// unroutedReason returns why a request gets no route, and when the caller is to return; empty if it gets the matched one.
+func (g *Gateway) unroutedReason(r routed.Request, table *route.Table, matched *route.Route) (request.Reason, time.Duration) {
+	switch {
+	case g.requestsEnded.isSet():
+		return request.Stopping, overloadRetryAfter
+	case table == nil:
+		return request.NotConfigured, notConfiguredRetryAfter
+	case matched == nil:
+		return request.NoRoute, 0
+	case r.BodyUnread:
+		// The configuration in force has changed since the route was looked for.
+		return request.NotConfigured, notConfiguredRetryAfter
+	}
+	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
+		return request.TooLarge, 0
+	}
+	return "", 0
+}
+
 // serve sends the request to one node after the other until it has its answer.
 func (g *Gateway) serve(ctx context.Context, a *activeRequest) routed.Answer {
 	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline.Add(answerGrace))
@@ -215,14 +223,9 @@
 	member, known := g.members.get(instance)
 	if instance == g.self.Instance {
 		answer := g.execute(ctx, a.request, node.DispatchProgress{})
-		g.members.requestAnswered(instance, answer.Load, true, time.Now())
-		switch answer.Reason {
-		case request.Stopping:
-			g.members.recordStop(member, time.Now())
-		case request.Canceled:
+		g.recordAnswer(instance, member, answer)
+		if answer.Reason == request.Canceled {
 			answer.Reason = cancelReason(ctx)
-		case request.ServerShedding:
-			g.members.recordShedding(instance, answer.RetryAfter, time.Now())
 		}
 		a.countServerAttempt(answer)
 		return answer
@@ -246,17 +249,23 @@
 	if err != nil {
 		return g.callFailure(ctx, a, member.Instance, err)
 	}
-	g.members.requestAnswered(member.Instance, answer.Load, true, time.Now())
+	g.recordAnswer(member.Instance, member, answer)
 	g.noteRevision(answer.Revision)
-	switch answer.Reason {
-	case request.NotOwner:
+	if answer.Reason == request.NotOwner {
 		g.refreshTopicLimited(registry.RangesTopic)
+	}
+	return answer
+}
+
+// recordAnswer records what an answer says about its instance. member is the record of the instance when it was asked.
+func (g *Gateway) recordAnswer(instance string, member registry.Member, answer routed.Answer) {
+	g.members.requestAnswered(instance, answer.Load, true, time.Now())
+	switch answer.Reason {
 	case request.Stopping:
 		g.members.recordStop(member, time.Now())
 	case request.ServerShedding:
-		g.members.recordShedding(member.Instance, answer.RetryAfter, time.Now())
+		g.members.recordShedding(instance, answer.RetryAfter, time.Now())
 	}
-	return answer
 }
 
 // repetition returns where the request is sent again if the outcome of the send that begins is unknown. Such a send
@@ -414,13 +423,13 @@
 		if a.awaited != "" {
 			a.tried = append(a.tried, a.awaited)
 		}
-		return a.sleep(ctx, now)
+		return a.awaitNextTry(ctx, now)
 	}
 	return false
 }
 
-// sleep waits for serverRetryInterval. It returns false if the request has waited for too long already.
-func (a *activeRequest) sleep(ctx context.Context, now time.Time) bool {
+// awaitNextTry waits for serverRetryInterval. It returns false if the request has waited for too long already.
+func (a *activeRequest) awaitNextTry(ctx context.Context, now time.Time) bool {
 	maxWait := min(maxServerWait, a.request.Deadline.Sub(a.started)/serverWaitDivisor)
 	if now.Sub(a.started) > maxWait {
 		return false
