--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,8 @@
 # Time for each fuzz target. CI uses the default.
 FUZZ_TIME ?= 5s
 FUZZ_TARGETS := ./platform/caller:FuzzHeartbeat ./platform/store:FuzzStoreAnswers ./platform/backend:FuzzAnswer \
-	./internal/registry:FuzzRecords ./internal/node:FuzzMessagesOfNodes ./internal/pipeline:FuzzHead
+	./internal/registry:FuzzRecords ./internal/node:FuzzMessagesOfNodes ./internal/pipeline:FuzzHead \
+	./internal/wirefields:FuzzPackedFields
 
 # Runs each fuzz target for FUZZ_TIME. Failing inputs are written to testdata/fuzz of the package.
 fuzz:
