Send the heads of requests and answers between nodes packed

A node that has shown that it accepts them now gets requests in packed calls of Dispatch. The name of the call is "d" instead of 33 bytes, the head is in the form of package wirefields, and host, services, route, regions, agent, instance and clock are sent once per connection unless they change. Body, times and all other fields stay in their proto fields.

A node announces in answers to other calls, and to probes, that it accepts packed calls. The sender keeps that by address. Nodes of earlier versions refuse the name of the call before they read the request, so that a request to a node that was replaced by an earlier version at the same address has not run: it is sent again in the old form.

--- a/internal/node/any_bytes_test.go
+++ b/internal/node/any_bytes_test.go
@@ -81,6 +81,9 @@
 			if r := node.DecodeDispatch(&dispatch, time.Now(), 0); r.Deadline.After(time.Now().Add(2 * time.Hour)) {
 				t.Errorf("the deadline is %v", r.Deadline)
 			}
+			if r, err := node.DecodePackedDispatch(&dispatch, time.Now()); err == nil && r.Deadline.After(time.Now().Add(2*time.Hour)) {
+				t.Errorf("the deadline in a packed call is %v", r.Deadline)
+			}
 		}
 		var topic nodepb.TopicResponse
 		if proto.Unmarshal(data, &topic) == nil {
@@ -91,6 +94,7 @@
 		var response nodepb.DispatchResponse
 		if proto.Unmarshal(data, &response) == nil {
 			node.DecodeDispatchAnswer(&response)
+			_, _ = node.DecodePackedAnswer(&response, &routed.Request{ID: "id", Keyed: true, Key: 7})
 		}
 	})
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -43,6 +43,8 @@
 	correlation atomic.Uint64
 	// clock identifies the clock of this process in requests.
 	clock uint64
+	// packingPeers are the nodes to which requests are sent in packed calls of Dispatch.
+	packingPeers packingPeers
 }
 
 var _ Peers = (*Client)(nil)
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -21,6 +21,8 @@
 	// openedAt is when the connection was opened, and openTime how long that took.
 	openedAt time.Time
 	openTime time.Duration
+	// packed is the state of packed calls. Only the call that has taken the connection from the pool uses it.
+	packed packedState
 }
 
 // dial opens a connection. If it fails, nothing was sent.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
 	"heatherreel/internal/bootclock"
@@ -16,9 +19,13 @@
 // service.
 func NewRouterServer(service RouterService) (*Server, error) {
 	mux := drpcmux.New()
-	if err := nodepb.DRPCRegisterRouter(mux, &routerEndpoint{service: service, pathDelays: newPathDelays()}); err != nil {
+	endpoint := &routerEndpoint{service: service, pathDelays: newPathDelays()}
+	if err := nodepb.DRPCRegisterRouter(mux, endpoint); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the router service: %w", err)
 	}
+	if err := mux.Register(packedEndpoint{endpoint}, packedDescription{}); err != nil {
+		return nil, problem.New(problem.Invalid, "report this as a defect", "register packed calls: %w", err)
+	}
 	if err := nodepb.DRPCRegisterNode(mux, &pingEndpoint{}); err != nil {
 		return nil, problem.New(problem.Invalid, "report this as a defect", "register the ping service: %w", err)
 	}
@@ -45,20 +52,24 @@
 func (e *routerEndpoint) Dispatch(m *nodepb.DispatchRequest, stream nodepb.DRPCRouter_DispatchStream) error {
 	delay := e.pathDelays.observe(m.Clock, decodeReading(m.SentUs), decodeDuration(m.PathDelayUs), bootclock.Now())
 	r := decodeDispatch(m, time.Now(), delay)
-	progress := DispatchProgress{Interval: dispatchProgressInterval, Report: func() {
+	return stream.Send(encodeDispatchAnswer(e.service.Dispatch(stream.Context(), r, dispatchProgress(stream))))
+}
+
+// dispatchProgress returns a DispatchProgress that reports on the stream of a request.
+func dispatchProgress(stream nodepb.DRPCRouter_DispatchStream) DispatchProgress {
+	return DispatchProgress{Interval: dispatchProgressInterval, Report: func() {
 		// An error closes the stream, which cancels the context of the request.
 		if stream.Send(&nodepb.DispatchResponse{Running: true}) == nil {
 			_ = flush(stream)
 		}
 	}}
-	return stream.Send(encodeDispatchAnswer(e.service.Dispatch(stream.Context(), r, progress)))
 }
 
 // Probe implements nodepb.DRPCRouterServer. It submits no job to a worker pool, as it only checks whether the node
 // runs.
 func (e *routerEndpoint) Probe(_ context.Context, m *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
 	instance, load := e.service.Probe(m.RangesEnd)
-	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load)}, nil
+	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), AcceptsPacked: true}, nil
 }
 
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
@@ -68,6 +79,34 @@
 // to another node as well, if r.Repetition allows that. The answer is still awaited, until ctx ends or the node refuses a
 // new connection. onSilent must not block; it may be called when Dispatch has just returned.
 func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(PeerState)) (routed.Answer, error) {
+	if !c.packingPeers.accepts(address) {
+		return c.dispatch(ctx, address, r, onSilent, false)
+	}
+	onSilent = onlyOnce(onSilent)
+	answer, err := c.dispatch(ctx, address, r, onSilent, true)
+	if errors.Is(err, errPackedCallRefused) {
+		// A process of an earlier version runs at the address now. The request has not run.
+		c.packingPeers.record(address, false)
+		return c.dispatch(ctx, address, r, onSilent, false)
+	}
+	return answer, err
+}
+
+// onlyOnce returns a function that calls report the first time. It is nil if report is.
+func onlyOnce(report func(PeerState)) func(PeerState) {
+	if report == nil {
+		return nil
+	}
+	var reported atomic.Bool
+	return func(state PeerState) {
+		if reported.CompareAndSwap(false, true) {
+			report(state)
+		}
+	}
+}
+
+// dispatch sends a request in a packed call or in one that nodes of all versions accept.
+func (c *Client) dispatch(ctx context.Context, address string, r routed.Request, onSilent func(PeerState), packed bool) (routed.Answer, error) {
 	conn, err := c.connPool.take(ctx, address, !r.Idempotent)
 	if err != nil {
 		return routed.Answer{}, err
@@ -80,7 +119,13 @@
 		r.ArriveWithin = sendTime(len(r.Body)) + dispatchSilenceLimit - dispatchProgressInterval
 	}
 	conn.watchdog.arm(rule, sendTime(len(r.Body)))
-	answer, err := exchangeDispatch(ctx, conn, encodeDispatch(r, sent, sendTimes{clock: c.clock, sent: bootclock.Now(), pathDelay: conn.pathDelay(sent)}))
+	times := sendTimes{clock: c.clock, sent: bootclock.Now(), pathDelay: conn.pathDelay(sent)}
+	var answer routed.Answer
+	if packed {
+		answer, err = exchangePackedDispatch(ctx, conn, &r, sent, times)
+	} else {
+		answer, err = c.exchangeDispatch(ctx, address, conn, encodeDispatch(r, sent, times))
+	}
 	conn.watchdog.disarm()
 	return answer, c.finishCall(address, conn, c.explainSilence(address, conn, sent, dispatchProgressInterval, err))
 }
@@ -98,17 +143,39 @@
 	}
 }
 
-// exchangeDispatch sends a request on a connection and waits for its answer.
-func exchangeDispatch(ctx context.Context, conn *connection, m *nodepb.DispatchRequest) (routed.Answer, error) {
-	stream, err := nodepb.NewDRPCRouterClient(conn).Dispatch(ctx, m)
+// exchangeDispatch sends a request on a connection and waits for its answer, which shows whether the node accepts packed
+// calls.
+func (c *Client) exchangeDispatch(ctx context.Context, address string, conn *connection, m *nodepb.DispatchRequest) (routed.Answer, error) {
+	response, err := receiveDispatch(ctx, conn, conn, m)
 	if err != nil {
 		return routed.Answer{}, err
 	}
+	c.packingPeers.record(address, response.AcceptsPacked)
+	return decodeDispatchAnswer(response), nil
+}
+
+// exchangePackedDispatch sends a request in a packed call and waits for its answer.
+func exchangePackedDispatch(ctx context.Context, conn *connection, r *routed.Request, now time.Time, t sendTimes) (routed.Answer, error) {
+	m, state := encodePackedDispatch(*r, now, t, conn.packed)
+	response, err := receiveDispatch(ctx, conn, packedConn{conn}, m)
+	if err != nil {
+		return routed.Answer{}, explainRefusal(err)
+	}
+	conn.packed = state
+	return decodePackedAnswer(response, r, &conn.packed)
+}
+
+// receiveDispatch sends a request by the calls of caller on a connection and waits for the response with its answer.
+func receiveDispatch(ctx context.Context, conn *connection, caller drpc.Conn, m *nodepb.DispatchRequest) (*nodepb.DispatchResponse, error) {
+	stream, err := nodepb.NewDRPCRouterClient(caller).Dispatch(ctx, m)
+	if err != nil {
+		return nil, &sendError{err}
+	}
 	defer stream.Close()
 	for {
 		response, err := stream.Recv()
 		if err != nil {
-			return routed.Answer{}, err
+			return nil, err
 		}
 		if response.Running {
 			continue
@@ -117,7 +184,7 @@
 			// The answer is complete, but the connection cannot be used again.
 			_ = conn.Close()
 		}
-		return decodeDispatchAnswer(response), nil
+		return response, nil
 	}
 }
 
@@ -129,5 +196,8 @@
 		return "", routed.Load{}, err
 	}
 	response, err := nodepb.NewDRPCRouterClient(conn).Probe(ctx, &nodepb.ProbeRequest{RangesEnd: rangesEnd})
+	if err == nil {
+		c.packingPeers.record(address, response.AcceptsPacked)
+	}
 	return response.GetInstance(), decodeLoad(response.GetLoad()), c.finishCall(address, conn, err)
 }
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -63,16 +63,29 @@
 }
 
 func encodeDispatch(r routed.Request, now time.Time, t sendTimes) *nodepb.DispatchRequest {
+	m := encodeDispatchBase(r, now, t)
+	setDispatchHead(m, r)
+	return m
+}
+
+// encodeDispatchBase encodes all but the head of a request, that is, the fields that packed_header can replace.
+func encodeDispatchBase(r routed.Request, now time.Time, t sendTimes) *nodepb.DispatchRequest {
 	return &nodepb.DispatchRequest{
-		Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Path: []byte(r.Path), Header: encodeHeader(r.Header), Body: r.Body,
+		Body:       r.Body,
 		DeadlineUs: encodeDuration(r.Deadline.Sub(now)), Keyed: r.Keyed, Key: uint32(r.Key),
-		OriginService: r.OriginService, Service: r.Service, Idempotent: r.Idempotent, Priority: uint32(r.Priority),
-		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert, Route: r.Route, Traceparent: []byte(r.Traceparent),
+		Idempotent: r.Idempotent, Priority: uint32(r.Priority),
+		HomeRegions: r.HomeRegions, Revision: r.Revision, ObjectiveUs: encodeObjective(r.Objective, now), MayDivert: r.MayDivert,
 		Clock: t.clock, SentUs: encodeDuration(t.sent), PathDelayUs: encodeDuration(t.pathDelay), ArriveWithinUs: encodeDuration(r.ArriveWithin),
-		Tenant: r.Tenant, Call: r.Call,
+		Call: r.Call,
 	}
 }
 
+func setDispatchHead(m *nodepb.DispatchRequest, r routed.Request) {
+	m.Id, m.Method, m.Host, m.Path, m.Header = []byte(r.ID), []byte(r.Method), []byte(r.Host), []byte(r.Path), encodeHeader(r.Header)
+	m.OriginService, m.Service, m.Route, m.Tenant = r.OriginService, r.Service, r.Route, r.Tenant
+	m.Traceparent = []byte(r.Traceparent)
+}
+
 // encodeObjective returns the microseconds until an objective, and 0 if there is none. As 0 is reserved for that, an
 // objective that is due now is encoded as -1.
 func encodeObjective(objective, now time.Time) int64 {
@@ -95,13 +108,22 @@
 
 // decodeDispatch decodes a request that arrived at now and was on its way for delay before. Its times count from the send.
 func decodeDispatch(m *nodepb.DispatchRequest, now time.Time, delay time.Duration) routed.Request {
+	r := decodeDispatchBase(m, now, delay)
+	r.ID, r.Method, r.Host, r.Path, r.Header = string(m.Id), string(m.Method), string(m.Host), string(m.Path), decodeHeader(m.Header)
+	r.OriginService, r.Service, r.Route, r.Tenant = m.OriginService, m.Service, m.Route, m.Tenant
+	r.Traceparent = string(m.Traceparent)
+	return r
+}
+
+// decodeDispatchBase decodes all but the head of a request.
+func decodeDispatchBase(m *nodepb.DispatchRequest, now time.Time, delay time.Duration) routed.Request {
 	sent := now.Add(-delay)
 	return routed.Request{
-		ID: string(m.Id), Method: string(m.Method), Host: string(m.Host), Path: string(m.Path), Header: decodeHeader(m.Header), Body: m.Body,
+		Body:     m.Body,
 		Deadline: sent.Add(decodeDuration(m.DeadlineUs)), Keyed: m.Keyed, Key: uint16(m.Key),
-		OriginService: m.OriginService, Service: m.Service, Idempotent: m.Idempotent, Priority: int(m.Priority),
-		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert, Route: m.Route, Traceparent: string(m.Traceparent),
-		Delay: delay, ArriveWithin: decodeDuration(m.ArriveWithinUs), Tenant: m.Tenant, Call: m.Call,
+		Idempotent: m.Idempotent, Priority: int(m.Priority),
+		HomeRegions: m.HomeRegions, Revision: m.Revision, Objective: decodeObjective(m.ObjectiveUs, sent), MayDivert: m.MayDivert,
+		Delay: delay, ArriveWithin: decodeDuration(m.ArriveWithinUs), Call: m.Call,
 	}
 }
 
@@ -124,21 +146,40 @@
 }
 
 func encodeDispatchAnswer(a routed.Answer) *nodepb.DispatchResponse {
+	a = withinLimit(a)
+	m := encodeDispatchAnswerBase(a)
+	m.Instance, m.Header, m.AcceptsPacked = a.Instance, encodeHeader(a.Header), true
+	return m
+}
+
+// withinLimit returns the answer, or one that states that the body is too large.
+func withinLimit(a routed.Answer) routed.Answer {
 	if len(a.Body) > maxAnswerBody {
 		a.Outcome, a.Reason, a.Status, a.Header, a.Body = request.Unknown, request.AnswerTooLarge, 0, nil, nil
 	}
+	return a
+}
+
+// encodeDispatchAnswerBase encodes all but the fields that packed_header can replace.
+func encodeDispatchAnswerBase(a routed.Answer) *nodepb.DispatchResponse {
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: encodeDuration(a.RetryAfter),
-		Status: uint32(a.Status), Header: encodeHeader(a.Header), Body: a.Body, Offered: a.ReachedServer,
-		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner,
+		Status: uint32(a.Status), Body: a.Body, Offered: a.ReachedServer,
+		Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner,
 	}
 }
 
 func decodeDispatchAnswer(m *nodepb.DispatchResponse) routed.Answer {
+	a := decodeDispatchAnswerBase(m)
+	a.Instance, a.Header = m.Instance, decodeHeader(m.Header)
+	return a
+}
+
+func decodeDispatchAnswerBase(m *nodepb.DispatchResponse) routed.Answer {
 	return routed.Answer{
 		Outcome: decodeOutcome(m.Outcome), Reason: request.Reason(m.Reason), RetryAfter: decodeDuration(m.RetryAfterUs),
-		Status: int(m.Status), Header: decodeHeader(m.Header), Body: m.Body, ReachedServer: m.Offered,
-		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner,
+		Status: int(m.Status), Body: m.Body, ReachedServer: m.Offered,
+		Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner,
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -69,7 +69,7 @@
 
 // HandleRPC implements drpc.Handler.
 func (c *requestCounter) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc == dispatchCall || rpc == forwardCall {
+	if rpc == packedDispatchCall || rpc == dispatchCall || rpc == forwardCall {
 		c.begin()
 		defer c.end()
 	}
--- a/internal/wirefields/wirefields.go
+++ b/internal/wirefields/wirefields.go
@@ -63,6 +63,7 @@
 	RecentOriginService
 	RecentService
 	RecentRoute
+	RecentRegions
 	// RecentAgent is the slot of the field User-Agent.
 	RecentAgent
 	RecentInstance
@@ -215,13 +216,20 @@
 	return r.err
 }
 
+// More reports whether the sequence goes on.
+func (r *Reader) More() bool { return len(r.packed) > 0 }
+
 // Text reads a text.
 func (r *Reader) Text() string { return r.text(noSlot) }
 
-// Slot reads a text that has a slot.
+// Slot reads a text that has a slot. Callers may keep it for long, as it shares no memory with the sequence unless it is too
+// long to be referred to.
 func (r *Reader) Slot(slot int) string {
 	s := r.text(slot)
 	r.next.keep(slot, s)
+	if s == r.next[slot] {
+		return r.next[slot]
+	}
 	return s
 }
 
