Read needed ownership records through the feeds

A node whose request was refused with not_owner, whose probe named a newer end, or that had written a range table ended its poll and read the ranges topic from the store at once, also where it follows a feed, and a node that reads from the store repeated a read whose answer was on its way.

The needed end is now named: a not_owner answer carries the end up to which the refusing node has read, and its era. A follower asks its feed for that end (TopicRequest.needed); a feed that has it answers from memory, otherwise it ends its batch delay and awaits the answer to its poll for 50 ms before it reads the store. A follower reads from the store itself if the feed fails or has not begun to answer within feedGrace (400 ms); this read is not interrupted, so that leases are extended as before. A refusal that names the owner, or shows nothing that the node has not read, causes no read, unless the node is still behind after the longest batch delay. Answers of earlier versions, or of another era, cause a read as before. The decisions are in internal/feed (Reader.Next, Request.Satisfies).

Unchanged: reads after a failed feed, a new era, or a write with an unknown outcome, and all reads of the operators' topic.

--- a/internal/fake/platform_store.go
+++ b/internal/fake/platform_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// links holds the link to each instance that does not get its answers at once.
 	links     map[string]*storeLink
 	callCount int
+	// calls counts the calls by kind; see CallKind.
+	calls map[CallKind]int
 	// era is the number in all answers, and staleEras are lower ones in the answers to some instances.
 	era       uint64
 	staleEras map[string]uint64
@@ -57,7 +60,7 @@
 
 // NewPlatformStore returns an empty store.
 func NewPlatformStore() *PlatformStore {
-	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, silent: map[string]bool{}, links: map[string]*storeLink{}, staleEras: map[string]uint64{}}
+	return &PlatformStore{topics: map[string]*storeTopic{}, unreachable: map[string]bool{}, silent: map[string]bool{}, links: map[string]*storeLink{}, staleEras: map[string]uint64{}, calls: map[CallKind]int{}}
 }
 
 // SetDown sets whether the calls of all instances fail.
@@ -138,6 +141,21 @@
 	return s.callCount
 }
 
+// CallKind is a kind of calls: the operation and the topic. Polling is set for reads that wait for records.
+type CallKind struct {
+	Operation registry.Operation
+	Topic     string
+	Polling   bool
+}
+
+// Calls returns the number of calls of each kind so far. A call that is given up before it reaches the store is not
+// counted.
+func (s *PlatformStore) Calls() map[CallKind]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
 // ClientFor returns a client that makes its calls as the instance.
 func (s *PlatformStore) ClientFor(instance string) registry.Store {
 	return &platformStoreClient{store: s, instance: instance}
@@ -154,7 +172,7 @@
 
 // beginCall waits for storeLatency and returns an error if ctx ends or the instance cannot reach the store. It returns
 // with store.mu locked in all cases; the caller must unlock it.
-func (c *platformStoreClient) beginCall(ctx context.Context) error {
+func (c *platformStoreClient) beginCall(ctx context.Context, kind CallKind) error {
 	timer := time.NewTimer(storeLatency)
 	defer timer.Stop()
 	select {
@@ -165,6 +183,7 @@
 	}
 	c.store.mu.Lock()
 	c.store.callCount++
+	c.store.calls[kind]++
 	if c.store.down || c.store.unreachable[c.instance] {
 		// No answer of the store itself.
 		return problem.New(problem.Overloaded, "wait for the store", "the store is down")
@@ -240,7 +259,7 @@
 
 // newest returns the answer to Newest before its transfer.
 func (c *platformStoreClient) newest(ctx context.Context, topic string) (registry.Page, error) {
-	err := c.beginCall(ctx)
+	err := c.beginCall(ctx, CallKind{Operation: registry.OperationNewest, Topic: topic})
 	defer c.store.mu.Unlock()
 	if err != nil {
 		return registry.Page{}, err
@@ -270,7 +289,7 @@
 	defer waitTimer.Stop()
 	for first := true; ; first = false {
 		if first {
-			if err := c.beginCall(ctx); err != nil {
+			if err := c.beginCall(ctx, CallKind{Operation: registry.OperationRead, Topic: topic, Polling: wait > 0}); err != nil {
 				c.store.mu.Unlock()
 				return registry.Page{}, err
 			}
@@ -349,7 +368,7 @@
 
 // append makes an append. unanswered is set if it gets no answer.
 func (c *platformStoreClient) append(ctx context.Context, topic string, at int64, r registry.Record) (end int64, unanswered bool, err error) {
-	err = c.beginCall(ctx)
+	err = c.beginCall(ctx, CallKind{Operation: registry.OperationAppend, Topic: topic})
 	defer c.store.mu.Unlock()
 	if err != nil {
 		return 0, false, err
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,10 @@
 	// Urgent is set while requests wait for a record at the follower. The feed then passes on new records at once, and
 	// answers after Wait that there are none.
 	Urgent bool
+	// Needed is an end that the topic is known to have and that the follower has not reached; 0 if there is none. A feed
+	// that has it answers at once. Otherwise it reads at once, and answers when it has the end or a read of the store that
+	// was sent after the request arrived shows that there is none.
+	Needed int64
 }
 
 // FromInEra returns From as an offset of an era of the store. A follower that has read in an earlier era gets all records,
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -42,7 +42,10 @@
 	span.Result(answer.Outcome, answer.Reason)
 	g.deps.Metrics.RecordRequest(telemetry.Owner, r.Service, answer.Outcome, answer.Reason, time.Since(started))
 	if answer.Reason == request.NotOwner {
-		table, _ := g.ranges.get(r.Service)
+		// The era is read first: an end of a later one is then named under an earlier era, and ignored.
+		answer.RangesEra = g.era.current.Load()
+		table, end := g.ranges.get(r.Service)
+		answer.RangesEnd = max(0, end)
 		if owned, ok := table.Find(r.Key); ok && owned.Owner.Instance != g.self.Instance {
 			answer.Owner = owned.Owner.Instance
 		}
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -162,8 +163,8 @@
 )
 
 // answer returns the answer to a request that arrived after readsBefore completed reads, if there is one by now, and a
-// channel that is closed when that may have changed. The records must be newer than those of the follower, or be those
-// of a read that was completed after the request arrived; the last read must not be older than maxAge.
+// channel that is closed when that may have changed. The records must satisfy the request (feed.Request.Satisfies), and the
+// last read must not be older than maxAge.
 func (s *servedTopic) answer(r feed.Request, readsBefore int, arrived, now keyrange.Instant, maxAge time.Duration) (feed.Answer, served, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,7 +172,7 @@
 	switch end := s.records.End(); {
 	case !known || !s.serving || s.failed || s.current && !s.records.Held():
 		return feed.Answer{}, servedNever, nil
-	case s.current && now.Sub(s.readAt) <= maxAge && (end > from || end == from && s.reads > readsBefore):
+	case s.current && now.Sub(s.readAt) <= maxAge && r.Satisfies(from, end, s.reads-readsBefore, s.readAt >= arrived):
 		page, snapshot := s.records.Since(from)
 		page.Era = s.era
 		return feed.Answer{Page: page, Snapshot: snapshot, ReadOffset: s.readAt.Sub(arrived)}, servedNow, nil
@@ -215,6 +216,9 @@
 	if r.Urgent {
 		defer g.skipBatchDelay(r.Topic)()
 	}
+	if r.Needed > 0 && r.Era == g.era.current.Load() {
+		g.needRecords(r.Topic, r.Needed)
+	}
 	for {
 		answer, result, changed := s.answer(r, readsBefore, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge())
 		switch result {
@@ -269,8 +273,7 @@
 
 // follow reads the next records through a feed. An interrupted read returns context.Canceled.
 func (tr *topicReader) follow(ctx context.Context, f registry.Member, from int64) (topicRead, error) {
-	times := tr.g.feedTimes(tr.topic)
-	wait := times.wait()
+	wait := tr.g.feedTimes(tr.topic).wait()
 	if from < 0 {
 		// A feed has the records already, and the node cannot serve without them.
 		wait = feedGrace
@@ -289,17 +292,53 @@
 		// A request began to wait before the poll could be interrupted.
 		return topicRead{}, errBecameUrgent
 	}
-	callCtx, stop := context.WithTimeout(ctx, wait+followTimeout)
+	if from >= 0 && tr.needed.Load() > from {
+		return topicRead{}, errNeedsRecords
+	}
+	return tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent, Era: tr.era})
+}
+
+// neededWait is how long a feed reads until it has the records that a follower needs. The follower reads from the store
+// after feedGrace.
+const neededWait = feedGrace * 3 / 4
+
+// followNeeded reads the records up to the needed end through a feed. The read is not interrupted: reads that are
+// interrupted one after the other would never complete, and the lease would expire.
+func (tr *topicReader) followNeeded(ctx context.Context, f registry.Member, from, needed int64) (topicRead, error) {
+	ctx, transfer := registry.TrackTransfer(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	grace := time.AfterFunc(feedGrace, func() {
+		if transfer.Received() == 0 {
+			cancel(errFeedLate)
+		}
+	})
+	defer grace.Stop()
+	read, err := tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: neededWait, Needed: needed, Era: tr.era})
+	if errors.Is(err, errFeedLate) {
+		tr.g.recordFeedFailure(tr, f.Instance, err)
+	}
+	return read, err
+}
+
+// errFeedLate means that a feed has not begun to answer within feedGrace. It is not used for as long as one that refuses
+// reads.
+var errFeedLate = problem.New(problem.Overloaded, "read from the store", "no answer within %v", feedGrace)
+
+// askFeed makes a read through a feed.
+func (tr *topicReader) askFeed(ctx context.Context, f registry.Member, r feed.Request) (topicRead, error) {
+	maxAge, from := tr.g.feedTimes(tr.topic).maxAge(), r.From
+	callCtx, stop := context.WithTimeout(ctx, r.Wait+followTimeout)
 	defer stop()
 	sent := tr.g.deps.Now()
-	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent, Era: tr.era})
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, r)
 	asOf := sent.Add(answer.ReadOffset)
 	switch {
 	case ctx.Err() != nil:
 		return topicRead{}, context.Cause(ctx)
 	case err == nil && !tr.g.observePeerEra(answer.Page.Era):
 		err = problem.New(problem.Unavailable, "read from the store", "records of era %d, after one of era %d", answer.Page.Era, tr.g.era.current.Load())
-	case err == nil && (answer.Page.Era == tr.era && answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
+	case err == nil && (answer.Page.Era == tr.era && answer.Page.End < from || answer.ReadOffset < -maxAge || asOf > tr.g.deps.Now()):
 		err = problem.New(problem.Malformed, "run the same version on all nodes", "records up to %d for a reader at %d, read %v after the request arrived",
 			answer.Page.End, from, answer.ReadOffset)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -439,7 +439,7 @@
 // Probe implements node.RouterService.
 func (g *Gateway) Probe(rangesEnd int64) (string, routed.Load) {
 	if _, end := g.ranges.get(g.self.Service); rangesEnd > end {
-		g.refreshTopic(registry.RangesTopic)
+		g.needRecords(registry.RangesTopic, rangesEnd)
 	}
 	return g.self.Instance, g.loadReport()
 }
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -250,7 +250,7 @@
 	g.noteRevision(answer.Revision)
 	switch answer.Reason {
 	case request.NotOwner:
-		g.refreshTopicLimited(registry.RangesTopic)
+		g.noteNotOwner(answer)
 	case request.Stopping:
 		g.members.recordStop(member, time.Now())
 	case request.ServerShedding:
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -208,9 +208,13 @@
 	case err == nil:
 		g.notifyOwners(next.AffectedInstances(before), g.reconciled.rangesEnd)
 		g.events.Emit(eventlog.RangesWritten, eventlog.Count("last_fence", int(next.LastFence)), eventlog.Count("ranges", len(next.Ranges)))
+		g.needRecords(registry.RangesTopic, g.reconciled.rangesEnd)
+		return
 	case problem.KindOf(err) == problem.Conflict:
 		// Another node was first, or an earlier write of this node has taken effect. The reader gets that table soon
 		// and then triggers reconciliation again.
+		g.needRecords(registry.RangesTopic, end+1)
+		return
 	case problem.KindOf(err) == problem.Overloaded || isNotSent(err):
 		g.ranges.dropPendingWrite(end)
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
@@ -231,10 +235,13 @@
 	switch {
 	case err == nil:
 		g.events.Emit(eventlog.RangesSettled, eventlog.Count("end", int(g.reconciled.rangesEnd)))
-	case problem.KindOf(err) != problem.Conflict:
+		g.needRecords(registry.RangesTopic, g.reconciled.rangesEnd)
+	case problem.KindOf(err) == problem.Conflict:
+		g.needRecords(registry.RangesTopic, end+1)
+	default:
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
+		g.refreshTopic(registry.RangesTopic)
 	}
-	g.refreshTopic(registry.RangesTopic)
 }
 
 // notifyOwners tells instances that their ownership of keys has changed. Other nodes read the change within the batch
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"heatherreel/internal/eventlog"
+	"heatherreel/internal/feed"
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/routed"
 	"heatherreel/internal/telemetry"
 )
 
@@ -62,7 +64,11 @@
 	// poll is the read in progress that waits for records; nil if there is none. lastRefreshNS is when
 	// refreshTopicLimited last ended one, and outdatedSinceNS when another node first reported a newer record after the
 	// last completed read, zero if none did; both in Unix nanoseconds.
-	poll            atomic.Pointer[poll]
+	poll atomic.Pointer[poll]
+	// readEnd is the end up to which the topic is read, and needed an end that it is known to have, zero if that is read.
+	// checksAnswer is set while awaitPollAnswer waits.
+	readEnd, needed atomic.Int64
+	checksAnswer    atomic.Bool
 	lastRefreshNS   atomic.Int64
 	outdatedSinceNS atomic.Int64
 	// waiters counts the requests, and the urgent reads of followers, that wait for a record; the reader skips its batch
@@ -99,30 +105,52 @@
 	through  string
 }
 
+// readMode is how the next records are read.
+type readMode int
+
+const (
+	// readWaiting waits for new records. readNeeded gets those up to topicReader.needed through the feed, if there is one.
+	readWaiting readMode = iota
+	readNeeded
+	// readDirect goes to the store and does not wait: its answer holds what the store had when it was sent.
+	readDirect
+)
+
 // run reads until ctx ends.
 func (tr *topicReader) run(ctx context.Context) {
 	defer tr.served.stop()
 	if !tr.ownRecords {
 		tr.awaitMembers(ctx)
 	}
-	from, storeLost, backoff, noWait := int64(-1), false, minBackoff, false
+	from, storeLost, backoff, mode := int64(-1), false, minBackoff, readWaiting
 	var asOf keyrange.Instant
 	for ctx.Err() == nil {
 		started := time.Now()
 		if era := tr.g.era.current.Load(); era != tr.era {
 			// Offsets of an earlier era name other records, and a proof of it has ended.
 			tr.restarted = tr.restarted || from >= 0
-			from, asOf, tr.era, noWait = -1, 0, era, false
+			from, asOf, tr.era, mode = -1, 0, era, readWaiting
+			tr.readEnd.Store(-1)
+			tr.needed.Store(0)
+		}
+		needed := tr.needed.Load()
+		if mode == readWaiting && from >= 0 && needed > from {
+			mode = readNeeded
 		}
-		read, err := tr.read(ctx, from, noWait)
-		again := noWait
-		noWait = false
+		read, err := tr.read(ctx, from, mode)
+		again, neededRead := mode == readDirect, mode != readWaiting
+		mode = readWaiting
 		switch {
 		case err == nil && (read.page.Era != tr.g.era.current.Load() || read.page.Era != tr.era && !read.snapshot):
 			// The page begins at an offset of another era, or is not of the newest one any more.
 			continue
 		case err == nil:
 			tr.era = read.page.Era
+			tr.readEnd.Store(read.page.End)
+			if !read.page.Partial && (neededRead || read.page.End >= needed) {
+				// An end that the store does not have is one of another era.
+				tr.needed.CompareAndSwap(needed, 0)
+			}
 			tr.logRecords(read, again, time.Since(started))
 			// Followers need not wait until this node has decoded the records.
 			tr.served.apply(read)
@@ -149,12 +177,12 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, errBecameUrgent):
+		case errors.Is(err, errBecameUrgent) || errors.Is(err, errNeedsRecords):
 			continue
 		case errors.Is(err, errNotFollowed) || errors.Is(err, context.Canceled):
 			// The feed failed, or the read was interrupted. The next one goes to the store and does not wait for records:
 			// reads that are interrupted one after the other would never complete, and the lease would expire.
-			noWait = true
+			mode = readDirect
 			continue
 		case problem.KindOf(err) == problem.PastRetention:
 			from = -1
@@ -199,19 +227,25 @@
 // errBecameUrgent is the cause of the end of a read through a feed that begins again as an urgent one.
 var errBecameUrgent = errors.New("requests wait for a record")
 
+// errNeedsRecords is the cause of the end of a read that begins again as one of the records that are needed.
+var errNeedsRecords = errors.New("the topic has newer records")
+
 // errNotFollowed means that a read through a feed failed, which is recorded.
 var errNotFollowed = errors.New("the feed failed")
 
 // read reads the next records, or the newest records of all keys if from is negative, through a feed or from the store.
-// It waits for new records unless noWait is set. A read that does not wait goes to the store: its answer holds what the
-// store had when it was sent.
-func (tr *topicReader) read(ctx context.Context, from int64, noWait bool) (topicRead, error) {
+func (tr *topicReader) read(ctx context.Context, from int64, mode readMode) (topicRead, error) {
 	f, found := tr.chooseFeed()
-	if !found || noWait || from < 0 && tr.ownRecords && !tr.restarted {
-		return tr.readStore(ctx, from, noWait)
+	if !found || mode == readDirect || from < 0 && tr.ownRecords && !tr.restarted {
+		return tr.readStore(ctx, from, mode == readDirect)
+	}
+	read, err := topicRead{}, error(nil)
+	if mode == readNeeded {
+		read, err = tr.followNeeded(ctx, f, from, tr.needed.Load())
+	} else {
+		read, err = tr.follow(ctx, f, from)
 	}
-	read, err := tr.follow(ctx, f, from)
-	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, errBecameUrgent) {
+	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, errBecameUrgent) && !errors.Is(err, errNeedsRecords) {
 		return topicRead{}, errNotFollowed
 	}
 	return read, err
@@ -313,6 +347,47 @@
 	tr.poll.Load().interrupt(context.Canceled)
 }
 
+// needRecords makes the reader of a topic read up to an end that the topic is known to have, through its feed if it has
+// one.
+func (g *Gateway) needRecords(topic string, end int64) {
+	for _, tr := range g.topicReaders {
+		if tr.topic == topic {
+			tr.need(end)
+		}
+	}
+}
+
+// need makes the reader read up to an end that the topic is known to have.
+func (tr *topicReader) need(end int64) {
+	if end <= tr.readEnd.Load() {
+		return
+	}
+	for needed := tr.needed.Load(); needed < end && !tr.needed.CompareAndSwap(needed, end); needed = tr.needed.Load() {
+	}
+	tr.endBatchDelay()
+	tr.refresh(false)
+}
+
+// refresh does what is due to get the needed records. awaited is feed.Reader.Awaited.
+func (tr *topicReader) refresh(awaited bool) {
+	p := tr.poll.Load()
+	reader := feed.Reader{End: tr.readEnd.Load(), Needed: tr.needed.Load(), Polling: p != nil, Follows: p != nil && p.feed != "", Awaited: awaited}
+	switch reader.Next() {
+	case feed.RefreshThroughFeed:
+		p.interrupt(errNeedsRecords)
+	case feed.RefreshFromStore:
+		p.interrupt(context.Canceled)
+	case feed.RefreshAwaited:
+		if tr.checksAnswer.CompareAndSwap(false, true) {
+			time.AfterFunc(feed.PollAnswerTime, func() {
+				tr.checksAnswer.Store(false)
+				tr.refresh(tr.poll.Load() == p)
+			})
+		}
+	case feed.RefreshNotNeeded:
+	}
+}
+
 // minRefreshInterval bounds the rate of reads that are caused by other nodes.
 const minRefreshInterval = 400 * time.Millisecond
 
@@ -339,17 +414,39 @@
 	if revision <= g.routes.revision() {
 		return
 	}
-	now := time.Now().UnixNano()
 	for _, tr := range g.topicReaders {
-		if tr.topic != g.deps.OperatorTopic || tr.outdatedSinceNS.CompareAndSwap(0, now) {
-			continue
-		}
-		if since := tr.outdatedSinceNS.Load(); since > 0 && now-since > int64(answerDelay) {
+		if tr.topic == g.deps.OperatorTopic && tr.isOutdated(answerDelay) {
 			g.refreshTopicLimited(tr.topic)
 		}
 	}
 }
 
+// isOutdated records that another node has a newer record, and reports whether one first had it longer ago than the given
+// time and no read has completed since.
+func (tr *topicReader) isOutdated(after time.Duration) bool {
+	now := time.Now().UnixNano()
+	if tr.outdatedSinceNS.CompareAndSwap(0, now) {
+		return false
+	}
+	since := tr.outdatedSinceNS.Load()
+	return since > 0 && now-since > int64(after)
+}
+
+// noteNotOwner makes the node read the range tables again if a refusal shows that it has missed a change. A request whose
+// owner the refusal names needs no newer table, so that the change is then awaited for the longest batch delay.
+func (g *Gateway) noteNotOwner(a routed.Answer) {
+	if a.RangesEnd <= 0 || a.RangesEra != g.era.current.Load() {
+		// The other node runs an earlier version, or its offset is one of another era.
+		g.refreshTopicLimited(registry.RangesTopic)
+		return
+	}
+	for _, tr := range g.topicReaders {
+		if tr.topic == registry.RangesTopic && a.RangesEnd > tr.readEnd.Load() && (a.Owner == "" || tr.isOutdated(ingressBatchDelay)) {
+			tr.need(a.RangesEnd)
+		}
+	}
+}
+
 // applyOperator applies a record of the operators.
 func (g *Gateway) applyOperator(r registry.Record) {
 	decoded, ok, err := g.deps.DecodeOperator(r)
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -130,7 +130,7 @@
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: encodeDuration(a.RetryAfter),
 		Status: uint32(a.Status), Header: encodeHeader(a.Header), Body: a.Body, Offered: a.ReachedServer,
-		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner,
+		Instance: a.Instance, Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner, RangesEnd: a.RangesEnd, RangesEra: a.RangesEra,
 	}
 }
 
@@ -138,7 +138,7 @@
 	return routed.Answer{
 		Outcome: decodeOutcome(m.Outcome), Reason: request.Reason(m.Reason), RetryAfter: decodeDuration(m.RetryAfterUs),
 		Status: int(m.Status), Header: decodeHeader(m.Header), Body: m.Body, ReachedServer: m.Offered,
-		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner,
+		Instance: m.Instance, Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner, RangesEnd: m.RangesEnd, RangesEra: m.RangesEra,
 	}
 }
 
--- a/internal/node/topic_messages.go
+++ b/internal/node/topic_messages.go
@@ -20,7 +20,8 @@
 // ReadTopic implements nodepb.DRPCRouterServer. An error of the service is encoded in the response, so that it does not
 // count as an error of the connection.
 func (e *routerEndpoint) ReadTopic(ctx context.Context, m *nodepb.TopicRequest) (*nodepb.TopicResponse, error) {
-	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait), Urgent: m.Urgent, Era: m.Era})
+	answer, err := e.service.ReadTopic(ctx, feed.Request{Topic: m.Topic, From: m.From, Wait: min(decodeDuration(m.WaitUs), maxStoreWait), Urgent: m.Urgent, Era: m.Era,
+		Needed: m.Needed})
 	if err != nil {
 		return &nodepb.TopicResponse{Failure: failureKind(err), Detail: failureDetail(err)}, nil
 	}
@@ -42,7 +43,7 @@
 	sent := time.Now()
 	conn.watchdog.transfer.Store(registry.TransferOf(ctx))
 	conn.watchdog.arm(silenceRule{limit: r.Wait + topicSilenceLimit, patience: untilLimit}, 0)
-	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait), Urgent: r.Urgent, Era: r.Era})
+	response, err := nodepb.NewDRPCRouterClient(conn).ReadTopic(ctx, &nodepb.TopicRequest{Topic: r.Topic, From: r.From, WaitUs: encodeDuration(r.Wait), Urgent: r.Urgent, Era: r.Era, Needed: r.Needed})
 	conn.watchdog.disarm()
 	conn.watchdog.transfer.Store(nil)
 	if err = c.finishCall(address, conn, c.explainSilence(address, conn, sent, r.Wait, err)); err != nil {
--- a/internal/node/topic_test.go
+++ b/internal/node/topic_test.go
@@ -16,6 +16,8 @@
 	"heatherreel/internal/problem"
 	"heatherreel/internal/quota"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
 )
 
 // feedRouter answers reads of topics with an answer, or an error.
@@ -39,7 +41,7 @@
 	server, err := node.NewRouterServer(router)
 	requireNoError(t, err)
 	f := newFixtureFor(t, server.Serve)
-	want := feed.Request{Topic: "operators", From: -1, Wait: 1200 * time.Millisecond, Urgent: true}
+	want := feed.Request{Topic: "operators", From: -1, Wait: 1200 * time.Millisecond, Urgent: true, Needed: 12}
 	for _, offset := range []time.Duration{-1499999 * time.Nanosecond, 0, 700*time.Millisecond + 1} {
 		router.answer = feed.Answer{Snapshot: true, ReadOffset: offset, Page: registry.Page{End: 7,
 			Records: []registry.Record{{Key: "config", Value: []byte("v")}, {Key: "gone"}, {Key: "large", Value: bytes.Repeat([]byte("route "), 40<<10)}}}}
@@ -115,3 +117,26 @@
 
 // Lend implements node.RouterService.
 func (*feedRouter) Lend(string, []quota.Ask) []quota.Grant { return nil }
+
+// refusingRouter refuses each request because it does not own the key.
+type refusingRouter struct{ echoRouter }
+
+// Dispatch implements node.RouterService.
+func (*refusingRouter) Dispatch(context.Context, routed.Request, node.DispatchProgress) routed.Answer {
+	a := routed.NotRun(request.NotOwner, 0)
+	a.Owner, a.RangesEnd, a.RangesEra = "i-2", 41, 3
+	return a
+}
+
+// Guards against a refusal that does not name the end of the ownership records on its way: the node that gets it would read
+// them again although it has them.
+func TestRefusalNamesEndOfOwnershipRecords(t *testing.T) {
+	server, err := node.NewRouterServer(&refusingRouter{})
+	requireNoError(t, err)
+	f := newFixtureFor(t, server.Serve)
+	got, err := f.client.Dispatch(t.Context(), f.relay.Address(), routed.Request{ID: "r", Deadline: time.Now().Add(5 * time.Second)}, nil)
+	requireNoError(t, err)
+	if got.Owner != "i-2" || got.RangesEnd != 41 || got.RangesEra != 3 {
+		t.Errorf("answer %+v", got)
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -143,6 +143,10 @@
 	// Owner is set when that node refused the request because it does not own the key: it is the owner's instance as
 	// far as the node knows, or empty if it knows none.
 	Owner string
+	// RangesEnd is the end up to which that node had read the range tables when it refused the request because it does not
+	// own the key, and RangesEra the era of the store in which that is an offset; 0 in other answers.
+	RangesEnd int64
+	RangesEra uint64
 }
 
 // NotRun returns the answer to a request that was not executed.
