Let feeds collect changes of the ownership for longer

Each feed read the ranges topic about once per change: requests that waited for a moving key and the probes of successors, which named the newest end, ended its batch delay of 500 ms, and a second has several changes.

- A request for a key that is moving away waits for the end of the move at its former owner, for ownerRetryInterval (400 ms) at most, and is then told the new owner.
It was refused at once and waited at its ingress node, whose feed read each change at once meanwhile.
If the former owner's process ends within that time, the outcome is unknown, as for a request that waits for a key that is moving to a node.
- The probe of the successor names the end that the node had two probes (1 s) before, so that it repairs a missed read but ends no batch delay.
Owners are still notified of each change that concerns them with its end.
- Feeds collect changes of the ownership for 1 s, as ingress nodes that read from the store do.
The poll after a delay is shorter by as much: a read ends at most 2 s (leasePollTimeout and ownerBatchDelay) after the one before it, as up to now, so that neither the proofs for leases nor the time until a failed feed is noticed change.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -20,6 +20,9 @@
 	// keyWaitTimeout is how long a request waits for a key that is moving to this node: two heartbeat intervals of 870
 	// ms.
 	keyWaitTimeout = 1800 * time.Millisecond
+	// handoverWaitTimeout is how long a request waits at the former owner of a key for the end of a move, so that it can be
+	// told the new owner. An ingress node would have to read the change from the store.
+	handoverWaitTimeout = ownerRetryInterval
 	// minRunTime is the remaining time below which a request is not worth sending to the backend server.
 	minRunTime = 10 * time.Millisecond
 	// queueWaitPercent is the part of its remaining time, in percent, for which a request waits for a slot. A caller
@@ -229,7 +232,10 @@
 	}
 	timeout := time.NewTimer(min(keyWaitTimeout, remaining))
 	defer timeout.Stop()
-	for {
+	handedOver := time.NewTimer(handoverWaitTimeout)
+	defer handedOver.Stop()
+	for handoverDue := true; ; {
+		changed := g.ranges.changes()
 		g.server.mu.Lock()
 		held, rangesChanged := g.server.holds.Usable(r.Key, g.deps.Now()), g.server.rangesChanged
 		g.server.mu.Unlock()
@@ -237,10 +243,14 @@
 			return ""
 		}
 		table, _ := g.ranges.get(r.Service)
-		if owned, ok := table.Find(r.Key); !ok || owned.Owner.Instance != g.self.Instance || owned.Next != "" {
+		owned, ok := table.Find(r.Key)
+		if !ok || owned.Owner.Instance != g.self.Instance || owned.Next != "" && !handoverDue {
 			return request.NotOwner
 		}
 		select {
+		case <-changed:
+		case <-handedOver.C:
+			handoverDue = false
 		case <-rangesChanged:
 		case <-p.C:
 			p.report()
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -243,11 +243,16 @@
 	}
 }
 
-// feedTimes are the times by which a node reads a topic from the store while others follow it.
+// feedTimes are the times by which a node reads a topic from the store while others follow it: the poll timeout, the batch
+// delay, and the longest time from the end of one read to the end of the next. A poll after a batch delay is the shorter.
 type feedTimes struct {
-	poll, batchDelay time.Duration
+	poll, batchDelay, cycle time.Duration
 }
 
+// feedRangesBatchDelay is the batch delay of a feed for the range tables. The owners that a change concerns are notified,
+// requests for a moved key are redirected, and those that cannot be end the delay.
+const feedRangesBatchDelay = time.Second
+
 // A follower notices after the poll timeout that its feed has failed. It then reads the topic from the store, so that a
 // configuration is in force 2 s after its acknowledgement.
 const feedOperatorPollTimeout = 800 * time.Millisecond
@@ -256,17 +261,21 @@
 func (g *Gateway) feedTimes(topic string) feedTimes {
 	switch topic {
 	case registry.MembersTopic:
-		return feedTimes{memberPollTimeout, memberBatchDelay}
+		return feedTimes{memberPollTimeout, memberBatchDelay, memberPollTimeout + memberBatchDelay}
 	case registry.RangesTopic:
-		// Owners may be among the followers.
-		return feedTimes{leasePollTimeout, ownerBatchDelay}
+		// Owners may be among the followers; the proof for their leases is as old as that of an owner that reads from the
+		// store.
+		return feedTimes{leasePollTimeout, feedRangesBatchDelay, leasePollTimeout + ownerBatchDelay}
 	default:
-		return feedTimes{feedOperatorPollTimeout, 0}
+		return feedTimes{feedOperatorPollTimeout, 0, feedOperatorPollTimeout}
 	}
 }
 
 // wait returns how long a follower waits for the next read of its feed.
-func (t feedTimes) wait() time.Duration { return t.poll + t.batchDelay + feedGrace }
+func (t feedTimes) wait() time.Duration { return t.cycle + feedGrace }
+
+// pollAfter returns the poll timeout after a batch delay.
+func (t feedTimes) pollAfter(delay time.Duration) time.Duration { return min(t.poll, t.cycle-delay) }
 
 // maxAge returns the greatest age of the last completed read of a feed, counted from when it was sent.
 func (t feedTimes) maxAge() time.Duration { return t.poll + t.wait() }
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -415,6 +415,9 @@
 	// instance is the instance that was probed last, and failures the number of its consecutive failed probes.
 	instance string
 	failures int
+	// ends are the ends up to which the ownership records were read at the last probes, the older one first. An end that
+	// the instance has not read two probes later was missed; it may collect newer ones.
+	ends [2]int64
 }
 
 // probeSuccessor probes the next instance of the service. After repeated failures it has reconcile open a suspicion
@@ -429,8 +432,9 @@
 		return
 	}
 	if next.Instance != g.successorProbe.instance {
-		g.successorProbe = probeState{instance: next.Instance}
+		g.successorProbe = probeState{instance: next.Instance, ends: g.successorProbe.ends}
 	}
+	defer func(end int64) { g.successorProbe.ends = [2]int64{g.successorProbe.ends[1], end} }(g.ranges.currentEnd())
 	err := g.probeMember(next)
 	// An instance that does not answer in time is probed again at once: a process that is merely restarting refuses
 	// connections instead.
@@ -454,7 +458,7 @@
 func (g *Gateway) probeMember(m registry.Member) error {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
-	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, g.ranges.currentEnd())
+	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, g.successorProbe.ends[0])
 	if err == nil && instance != m.Instance {
 		err = problem.New(problem.Invalid, "wait until the record of the instance is removed", "instance %s answers at the address of instance %s", instance, m.Instance)
 	}
--- a/internal/gateway/store_calls_test.go
+++ b/internal/gateway/store_calls_test.go
@@ -139,6 +139,10 @@
 				if reads > (feeds+2)*appends {
 					t.Errorf("%d reads at %d appends, want at most %d", reads, appends, (feeds+2)*appends)
 				}
+				// A feed reads once in each batch delay, and at once what the writer and the owners that a change concerns need.
+				if limit := feeds*int(span/feedRangesBatchDelay) + 3*appends; reads > limit {
+					t.Errorf("%d reads at %d appends by %d feeds, want at most %d", reads, appends, feeds, limit)
+				}
 				// Without faults, the polls in progress and the feeds return each record.
 				if direct := made[fake.CallKind{Operation: registry.OperationRead, Topic: registry.RangesTopic}]; direct > appends/10 {
 					t.Errorf("%d reads that do not wait at %d appends", direct, appends)
@@ -148,6 +152,20 @@
 	}
 }
 
+// Guards against leases whose proof is older because feeds collect changes for longer: the next poll is shorter by as much.
+func TestBatchDelayMakesProofsNoOlder(t *testing.T) {
+	g := &Gateway{}
+	times := g.feedTimes(registry.RangesTopic)
+	if limit := leasePollTimeout + ownerBatchDelay; times.wait() > limit+feedGrace {
+		t.Errorf("a follower waits for %v, want at most %v", times.wait(), limit+feedGrace)
+	}
+	for delay := time.Duration(0); delay <= times.batchDelay; delay += 50 * time.Millisecond {
+		if poll := times.pollAfter(delay); poll <= 0 || poll > leasePollTimeout || delay+poll > leasePollTimeout+ownerBatchDelay {
+			t.Errorf("a poll of %v follows a delay of %v", poll, delay)
+		}
+	}
+}
+
 // awaitEnd returns how long an instance takes to read the range tables up to an end.
 func (sim *simulation) awaitEnd(name string, end int64) time.Duration {
 	began := time.Now()
@@ -243,3 +261,70 @@
 		}
 	})
 }
+
+// Guards against a moved key that is served later because nodes read the change of its owner later: requests wait for it, at
+// nodes that are not told of the change.
+func TestMovedKeyIsServedSoon(t *testing.T) {
+	// A grant that is not released ends after MaxHold. The new owner's backend server takes the key at its next heartbeat, and
+	// a request that was refused is sent again after ownerRetryInterval at most.
+	const within = keyrange.MaxHold + heartbeatInterval + ownerRetryInterval
+	for seed := range uint64(withoutRaceDetector(8)) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 8))
+				sim := newSimulation(t)
+				defer sim.close()
+				far := startRegion(sim, 30)
+				sim.mu.Lock()
+				for _, inst := range sim.instances {
+					inst.server.serviceTime = 10 * time.Millisecond
+				}
+				sim.mu.Unlock()
+				var callers sync.WaitGroup
+				var mu sync.Mutex
+				var total, slowest time.Duration
+				sent := 0
+				for range 12 {
+					from, to := 3*random.IntN(10), 3*random.IntN(9)
+					if to >= from {
+						to += 3
+					}
+					sim.planMove(random, far[from], far[to])
+					key := -1
+					for range 100 {
+						table, _ := sim.instances[far[from]].gateway.ranges.get("keyed")
+						if moving := table.Outgoing(far[from]); len(moving) > 0 {
+							key = int(moving[0].From)
+							break
+						}
+						time.Sleep(time.Millisecond)
+					}
+					if key < 0 {
+						continue
+					}
+					for _, name := range far[:12] {
+						wait := time.Duration(random.IntN(1000)) * time.Millisecond
+						callers.Go(func() {
+							time.Sleep(wait)
+							began := time.Now()
+							a := sim.sendRequest(name, fmt.Sprintf("%s-%d", name, began.UnixNano()), "/keyed/", key, 4*time.Second)
+							took := time.Since(began)
+							mu.Lock()
+							defer mu.Unlock()
+							sent++
+							total += took
+							slowest = max(slowest, took)
+							if a.Outcome != request.Done || took > within {
+								t.Errorf("seed %d: %s got %v %q after %v", seed, name, a.Outcome, a.Reason, took)
+							}
+						})
+					}
+					// The next move begins when this one has ended.
+					callers.Wait()
+					time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+				}
+				t.Logf("seed %d: %d requests, %v each, %v at most", seed, sent, (total / time.Duration(max(1, sent))).Round(time.Microsecond), slowest)
+			})
+		})
+	}
+}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -75,6 +75,8 @@
 	// delay meanwhile. cancelDelay ends a batch delay in progress.
 	waiters     atomic.Int64
 	cancelDelay atomic.Pointer[context.CancelFunc]
+	// delayed is the batch delay after the last completed read; only the reader uses it.
+	delayed time.Duration
 }
 
 // poll is a read that waits for records.
@@ -170,7 +172,7 @@
 				tr.g.interruptReaders(tr)
 				tr.g.events.Emit(eventlog.StoreRegained, eventlog.Name("topic", tr.topic))
 			}
-			storeLost, backoff = false, minBackoff
+			storeLost, backoff, tr.delayed = false, minBackoff, 0
 			if len(read.page.Records) > 0 && !read.page.Partial && !read.followed {
 				tr.delayForBatch(ctx)
 			}
@@ -268,7 +270,7 @@
 		defer tr.poll.Store(nil)
 		wait := tr.wait()
 		if tr.served.hasFollowers(time.Now()) {
-			wait = tr.g.feedTimes(tr.topic).poll
+			wait = tr.g.feedTimes(tr.topic).pollAfter(tr.delayed)
 		}
 		if tr.topic == tr.g.deps.OperatorTopic && hasTenants(tr.g.routes.current()) {
 			wait = min(wait, tenantPollTimeout)
@@ -293,7 +295,9 @@
 	if tr.served.hasFollowers(time.Now()) {
 		delay = tr.g.feedTimes(tr.topic).batchDelay
 	}
+	began := time.Now()
 	sleep(ctx, delay)
+	tr.delayed = min(delay, time.Since(began))
 }
 
 // skipBatchDelay ends the batch delay of the reader of a topic, and makes it and its feed skip further ones, until release
