Start moves of keys together

A node wrote the ranges each time a move of keys started, and all feeds read each write. Writes that only start moves are now at least 250 ms apart at each node (minMoveInterval); moves that wait go with the next write in any case. All other changes are written at once as before: keys without an owner or that are handed over, and keys that leave a backend server which drains, restarts, is evacuated or is suspected.

--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -283,11 +283,37 @@
 	}
 	if g.isPlanner(candidates) {
 		changed = t.AssignUnowned(candidates) > 0 || changed
-		changed = t.MoveToNewCandidates(candidates) > 0 || changed
+		if g.mayStartMoves(changed) {
+			changed = t.MoveToNewCandidates(candidates) > 0 || changed
+		}
 	}
 	return changed
 }
 
+// minMoveInterval is the shortest time between a write of the ranges and a write that only starts moves. All feeds read each
+// write, and a move that starts does not serve a key sooner. Other changes are written at once: keys that have no owner, that
+// are handed over or that leave a backend server which drains, restarts, is evacuated or is suspected.
+const minMoveInterval = 250 * time.Millisecond
+
+// mayStartMoves reports whether moves may start now. changed is set if the table is written in any case.
+func (g *Gateway) mayStartMoves(changed bool) bool {
+	return changed || time.Since(g.reconciled.rangesWrittenAt) >= minMoveInterval
+}
+
+// startPlannedMoves starts the moves that balance has planned, if they may start now.
+func (g *Gateway) startPlannedMoves(t *keyrange.Table, changed bool) bool {
+	if !g.mayStartMoves(changed) {
+		return false
+	}
+	started := false
+	if moves := g.plannedMoves.Swap(nil); moves != nil {
+		for _, m := range *moves {
+			started = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || started
+		}
+	}
+	return started
+}
+
 // isPlanner reports whether this node assigns keys for the whole service: the first of the candidates does. Two nodes
 // with different views may both plan; only one of their writes takes effect.
 func (g *Gateway) isPlanner(candidates []keyrange.Candidate) bool {
@@ -314,11 +340,7 @@
 	if g.server.isDraining(g.deps.Now()) || g.routes.isEvacuated(g.self.DataCentre) {
 		changed = t.Drain(g.self.Instance, candidates) > 0 || changed
 	}
-	if moves := g.plannedMoves.Swap(nil); moves != nil {
-		for _, m := range *moves {
-			changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
-		}
-	}
+	changed = g.startPlannedMoves(t, changed) || changed
 	for _, refused := range g.server.refusedSpans() {
 		changed = t.RaiseFence(owner, refused.From, refused.To, refused.Fence) || changed
 	}
@@ -328,7 +350,8 @@
 			return g.nextOwner(instance, candidates)
 		}) > 0 || changed
 	}
-	return changed
+	// Those that did not start before go with a change since.
+	return g.startPlannedMoves(t, changed) || changed
 }
 
 // nextOwner returns the backend server of the instance that keys move to, or another candidate if that instance has
--- a/internal/gateway/store_calls_test.go
+++ b/internal/gateway/store_calls_test.go
@@ -166,6 +166,42 @@
 	}
 }
 
+// Guards against a write of the ownership for each key that starts to move, which all feeds read.
+func TestMovesStartTogether(t *testing.T) {
+	const span, interval = 5 * time.Second, 20 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		random := rand.New(rand.NewPCG(1, 9))
+		// Without heartbeats, keys that move are neither released nor taken, so that all writes are of moves that start.
+		sim.mu.Lock()
+		sim.heldHeartbeats["k0"] = true
+		sim.mu.Unlock()
+		started := func() int {
+			table, _ := sim.instances["k0"].gateway.ranges.get("keyed")
+			return len(table.Outgoing("k0"))
+		}
+		movingBefore, before := started(), storeCalls(sim.store.Calls())
+		for range 4 {
+			sim.planMove(random, "k0", "k1")
+			time.Sleep(interval)
+		}
+		time.Sleep(2 * minMoveInterval)
+		if started() == movingBefore {
+			t.Error("no move has started")
+		}
+		for range span / interval {
+			sim.planMove(random, "k0", "k1")
+			time.Sleep(interval)
+		}
+		appends := storeCalls(sim.store.Calls()).since(before).of(registry.OperationAppend, registry.RangesTopic)
+		t.Logf("%d appends", appends)
+		if limit := int((span+2*minMoveInterval)/minMoveInterval) + 3; appends > limit {
+			t.Errorf("%d appends, want at most %d", appends, limit)
+		}
+	})
+}
+
 // awaitEnd returns how long an instance takes to read the range tables up to an end.
 func (sim *simulation) awaitEnd(name string, end int64) time.Duration {
 	began := time.Now()
