Treat a feed without the needed records as one that refuses

A feed that had not read the needed records in 300 ms answered "unavailable", so that its followers ended their polls and did not use it for 5 s. It may only have a slow store, and all nodes of a region would then have read from that store. It now refuses such a read: the follower that needs the records reads from the store, and does not use the feed for 1 s.

A feed of an earlier version does not know TopicRequest.needed, and kept the follower waiting in its batch delay. The request is therefore also marked urgent, on which such a feed passes on new records at once.

TestNeededRecordsArriveThroughFeed has a case for a feed whose store does not answer, and checks the number of reads of each case.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -213,11 +213,12 @@
 	}
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
-	if r.Urgent {
-		defer g.skipBatchDelay(r.Topic)()
-	}
-	if r.Needed > 0 && r.Era == g.era.current.Load() {
+	switch {
+	case r.Needed > 0 && r.Era == g.era.current.Load():
+		// The records may be held, so that the batch delay need not end.
 		g.needRecords(r.Topic, r.Needed)
+	case r.Urgent:
+		defer g.skipBatchDelay(r.Topic)()
 	}
 	for {
 		answer, result, changed := s.answer(r, readsBefore, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge())
@@ -231,6 +232,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			if r.Needed > 0 {
+				return feed.Answer{}, problem.New(problem.Overloaded, "read from the store", "the records up to %d were not read in %v", r.Needed, r.Wait)
+			}
 			if r.Urgent {
 				if answer, ok := s.unchanged(r, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge()); ok {
 					return answer, nil
@@ -323,7 +327,8 @@
 		}
 	})
 	defer grace.Stop()
-	read, err := tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: neededWait, Needed: needed, Era: tr.era})
+	// A feed of an earlier version does not know Needed. It passes on new records at once, as for any urgent read.
+	read, err := tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: neededWait, Urgent: true, Needed: needed, Era: tr.era})
 	if errors.Is(err, errFeedLate) {
 		tr.g.recordFeedFailure(tr, f.Instance, err)
 	}
--- a/internal/gateway/store_calls_test.go
+++ b/internal/gateway/store_calls_test.go
@@ -231,14 +231,18 @@
 	for _, c := range []struct {
 		name   string
 		within time.Duration
+		// direct is the number of reads of the store that do not wait.
+		direct int
 		fault  func(sim *simulation, through string)
 	}{
-		{"feed in a batch delay", prompt, func(sim *simulation, _ string) {
+		{"feed in a batch delay", prompt, 0, func(sim *simulation, _ string) {
 			sim.appendOther()
 			time.Sleep(prompt)
 		}},
-		{"missed by the feed", feed.PollAnswerTime + prompt, func(sim *simulation, _ string) { sim.store.SetMissWakeups(true) }},
-		{"silent feed", feedGrace + prompt, func(sim *simulation, through string) { feedFaults["silent"](sim, through) }},
+		{"missed by the feed", feed.PollAnswerTime + prompt, 1, func(sim *simulation, _ string) { sim.store.SetMissWakeups(true) }},
+		{"silent feed", feedGrace + prompt, 1, func(sim *simulation, through string) { feedFaults["silent"](sim, through) }},
+		// The feed reads as well.
+		{"store does not answer the feed", feedGrace + prompt, 2, func(sim *simulation, through string) { feedFaults["store does not answer"](sim, through) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -255,10 +259,12 @@
 				if took := sim.awaitEnd(follower, end); took > c.within {
 					t.Errorf("the record took %v, want at most %v", took, c.within)
 				}
-				// Each node that reads from the store has a poll in progress, and begins the next one.
+				if f, _ := sim.instances[follower].gateway.members.feed(time.Now()); c.within > feedGrace && f.Instance == through {
+					t.Error("the feed is used although it has failed")
+				}
 				made := storeCalls(sim.store.Calls()).since(before)
-				if direct := made[fake.CallKind{Operation: registry.OperationRead, Topic: registry.RangesTopic}]; direct > 1 {
-					t.Errorf("%d reads that do not wait: %v", direct, made)
+				if direct := made[fake.CallKind{Operation: registry.OperationRead, Topic: registry.RangesTopic}]; direct > c.direct {
+					t.Errorf("%d reads that do not wait, want at most %d: %v", direct, c.direct, made)
 				}
 			})
 		})
