--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -162,8 +163,8 @@
 )
 
 // answer returns the answer to a request that arrived after readsBefore completed reads, if there is one by now, and a
-// channel that is closed when that may have changed. The records must be newer than those of the follower, or be those
-// of a read that was completed after the request arrived; the last read must not be older than maxAge.
+// channel that is closed when that may have changed. The records must satisfy the request (feed.Request.Satisfies), and the
+// last read must not be older than maxAge.
 func (s *servedTopic) answer(r feed.Request, readsBefore int, arrived, now keyrange.Instant, maxAge time.Duration) (feed.Answer, served, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,7 +172,7 @@
 	switch end := s.records.End(); {
 	case !known || !s.serving || s.failed || s.current && !s.records.Held():
 		return feed.Answer{}, servedNever, nil
-	case s.current && now.Sub(s.readAt) <= maxAge && (end > from || end == from && s.reads > readsBefore):
+	case s.current && now.Sub(s.readAt) <= maxAge && r.Satisfies(from, end, s.reads-readsBefore, s.readAt >= arrived):
 		page, snapshot := s.records.Since(from)
 		page.Era = s.era
 		return feed.Answer{Page: page, Snapshot: snapshot, ReadOffset: s.readAt.Sub(arrived)}, servedNow, nil
@@ -212,7 +213,11 @@
 	}
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
-	if r.Urgent {
+	switch {
+	case r.Needed > 0 && r.Era == g.era.current.Load():
+		// The records may be held, so that the batch delay need not end.
+		g.needRecords(r.Topic, r.Needed)
+	case r.Urgent:
 		defer g.skipBatchDelay(r.Topic)()
 	}
 	for {
@@ -227,6 +232,9 @@
 		select {
 		case <-changed:
 		case <-timer.C:
+			if r.Needed > 0 {
+				return feed.Answer{}, problem.New(problem.Overloaded, "read from the store", "the records up to %d were not read in %v", r.Needed, r.Wait)
+			}
 			if r.Urgent {
 				if answer, ok := s.unchanged(r, arrived, g.deps.Now(), g.feedTimes(r.Topic).maxAge()); ok {
 					return answer, nil
@@ -239,11 +247,16 @@
 	}
 }
 
-// feedTimes are the times by which a node reads a topic from the store while others follow it.
+// feedTimes are the times by which a node reads a topic from the store while others follow it: the poll timeout, the batch
+// delay, and the longest time from the end of one read to the end of the next. A poll after a batch delay is the shorter.
 type feedTimes struct {
-	poll, batchDelay time.Duration
+	poll, batchDelay, cycle time.Duration
 }
 
+// feedRangesBatchDelay is the batch delay of a feed for the range tables. The owners that a change concerns are notified,
+// requests for a moved key are redirected, and those that cannot be end the delay.
+const feedRangesBatchDelay = time.Second
+
 // A follower notices after the poll timeout that its feed has failed. It then reads the topic from the store, so that a
 // configuration is in force 2 s after its acknowledgement.
 const feedOperatorPollTimeout = 800 * time.Millisecond
@@ -252,25 +265,28 @@
 func (g *Gateway) feedTimes(topic string) feedTimes {
 	switch topic {
 	case registry.MembersTopic:
-		return feedTimes{memberPollTimeout, memberBatchDelay}
+		return feedTimes{memberPollTimeout, memberBatchDelay, memberPollTimeout + memberBatchDelay}
 	case registry.RangesTopic:
-		// Owners may be among the followers.
-		return feedTimes{leasePollTimeout, ownerBatchDelay}
+		// Owners may be among the followers; the proof for their leases is as old as that of an owner that reads from the
+		// store.
+		return feedTimes{leasePollTimeout, feedRangesBatchDelay, leasePollTimeout + ownerBatchDelay}
 	default:
-		return feedTimes{feedOperatorPollTimeout, 0}
+		return feedTimes{feedOperatorPollTimeout, 0, feedOperatorPollTimeout}
 	}
 }
 
 // wait returns how long a follower waits for the next read of its feed.
-func (t feedTimes) wait() time.Duration { return t.poll + t.batchDelay + feedGrace }
+func (t feedTimes) wait() time.Duration { return t.cycle + feedGrace }
+
+// pollAfter returns the poll timeout after a batch delay.
+func (t feedTimes) pollAfter(delay time.Duration) time.Duration { return min(t.poll, t.cycle-delay) }
 
 // maxAge returns the greatest age of the last completed read of a feed, counted from when it was sent.
 func (t feedTimes) maxAge() time.Duration { return t.poll + t.wait() }
 
 // follow reads the next records through a feed. An interrupted read returns context.Canceled.
 func (tr *topicReader) follow(ctx context.Context, f registry.Member, from int64) (topicRead, error) {
-	times := tr.g.feedTimes(tr.topic)
-	wait := times.wait()
+	wait := tr.g.feedTimes(tr.topic).wait()
 	if from < 0 {
 		// A feed has the records already, and the node cannot serve without them.
 		wait = feedGrace
@@ -289,17 +305,54 @@
 		// A request began to wait before the poll could be interrupted.
 		return topicRead{}, errBecameUrgent
 	}
-	callCtx, stop := context.WithTimeout(ctx, wait+followTimeout)
+	if from >= 0 && tr.needed.Load() > from {
+		return topicRead{}, errNeedsRecords
+	}
+	return tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent, Era: tr.era})
+}
+
+// neededWait is how long a feed reads until it has the records that a follower needs. The follower reads from the store
+// after feedGrace.
+const neededWait = feedGrace * 3 / 4
+
+// followNeeded reads the records up to the needed end through a feed. The read is not interrupted: reads that are
+// interrupted one after the other would never complete, and the lease would expire.
+func (tr *topicReader) followNeeded(ctx context.Context, f registry.Member, from, needed int64) (topicRead, error) {
+	ctx, transfer := registry.TrackTransfer(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	grace := time.AfterFunc(feedGrace, func() {
+		if transfer.Received() == 0 {
+			cancel(errFeedLate)
+		}
+	})
+	defer grace.Stop()
+	// A feed of an earlier version does not know Needed. It passes on new records at once, as for any urgent read.
+	read, err := tr.askFeed(ctx, f, feed.Request{Topic: tr.topic, From: from, Wait: neededWait, Urgent: true, Needed: needed, Era: tr.era})
+	if errors.Is(err, errFeedLate) {
+		tr.g.recordFeedFailure(tr, f.Instance, err)
+	}
+	return read, err
+}
+
+// errFeedLate means that a feed has not begun to answer within feedGrace. It is not used for as long as one that refuses
+// reads.
+var errFeedLate = problem.New(problem.Overloaded, "read from the store", "no answer within %v", feedGrace)
+
+// askFeed makes a read through a feed.
+func (tr *topicReader) askFeed(ctx context.Context, f registry.Member, r feed.Request) (topicRead, error) {
+	maxAge, from := tr.g.feedTimes(tr.topic).maxAge(), r.From
+	callCtx, stop := context.WithTimeout(ctx, r.Wait+followTimeout)
 	defer stop()
 	sent := tr.g.deps.Now()
-	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, feed.Request{Topic: tr.topic, From: from, Wait: wait, Urgent: urgent, Era: tr.era})
+	answer, err := tr.g.deps.Peers.ReadTopic(callCtx, f.Address, r)
 	asOf := sent.Add(answer.ReadOffset)
 	switch {
 	case ctx.Err() != nil:
 		return topicRead{}, context.Cause(ctx)
 	case err == nil && !tr.g.observePeerEra(answer.Page.Era):
 		err = problem.New(problem.Unavailable, "read from the store", "records of era %d, after one of era %d", answer.Page.Era, tr.g.era.current.Load())
-	case err == nil && (answer.Page.Era == tr.era && answer.Page.End < from || answer.ReadOffset < -times.maxAge() || asOf > tr.g.deps.Now()):
+	case err == nil && (answer.Page.Era == tr.era && answer.Page.End < from || answer.ReadOffset < -maxAge || asOf > tr.g.deps.Now()):
 		err = problem.New(problem.Malformed, "run the same version on all nodes", "records up to %d for a reader at %d, read %v after the request arrived",
 			answer.Page.End, from, answer.ReadOffset)
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -252,7 +252,7 @@
 	g.recordAnswer(member.Instance, member, answer)
 	g.noteRevision(answer.Revision)
 	if answer.Reason == request.NotOwner {
-		g.refreshTopicLimited(registry.RangesTopic)
+		g.noteNotOwner(answer)
 	}
 	return answer
 }
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -208,9 +208,13 @@
 	case err == nil:
 		g.notifyOwners(next.AffectedInstances(before), g.reconciled.rangesEnd)
 		g.events.Emit(eventlog.RangesWritten, eventlog.Count("last_fence", int(next.LastFence)), eventlog.Count("ranges", len(next.Ranges)))
+		g.needRecords(registry.RangesTopic, g.reconciled.rangesEnd)
+		return
 	case problem.KindOf(err) == problem.Conflict:
 		// Another node was first, or an earlier write of this node has taken effect. The reader gets that table soon
 		// and then triggers reconciliation again.
+		g.needRecords(registry.RangesTopic, end+1)
+		return
 	case problem.KindOf(err) == problem.Overloaded || isNotSent(err):
 		g.ranges.dropPendingWrite(end)
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
@@ -231,10 +235,13 @@
 	switch {
 	case err == nil:
 		g.events.Emit(eventlog.RangesSettled, eventlog.Count("end", int(g.reconciled.rangesEnd)))
-	case problem.KindOf(err) != problem.Conflict:
+		g.needRecords(registry.RangesTopic, g.reconciled.rangesEnd)
+	case problem.KindOf(err) == problem.Conflict:
+		g.needRecords(registry.RangesTopic, end+1)
+	default:
 		g.events.Emit(eventlog.RangesNotWritten, eventlog.Cause(err))
+		g.refreshTopic(registry.RangesTopic)
 	}
-	g.refreshTopic(registry.RangesTopic)
 }
 
 // notifyOwners tells instances that their ownership of keys has changed. Other nodes read the change within the batch
@@ -276,11 +283,37 @@
 	}
 	if g.isPlanner(candidates) {
 		changed = t.AssignUnowned(candidates) > 0 || changed
-		changed = t.MoveToNewCandidates(candidates) > 0 || changed
+		if g.mayStartMoves(changed) {
+			changed = t.MoveToNewCandidates(candidates) > 0 || changed
+		}
 	}
 	return changed
 }
 
+// minMoveInterval is the shortest time between a write of the ranges and a write that only starts moves. All feeds read each
+// write, and a move that starts does not serve a key sooner. Other changes are written at once: keys that have no owner, that
+// are handed over or that leave a backend server which drains, restarts, is evacuated or is suspected.
+const minMoveInterval = 250 * time.Millisecond
+
+// mayStartMoves reports whether moves may start now. changed is set if the table is written in any case.
+func (g *Gateway) mayStartMoves(changed bool) bool {
+	return changed || time.Since(g.reconciled.rangesWrittenAt) >= minMoveInterval
+}
+
+// startPlannedMoves starts the moves that balance has planned, if they may start now.
+func (g *Gateway) startPlannedMoves(t *keyrange.Table, changed bool) bool {
+	if !g.mayStartMoves(changed) {
+		return false
+	}
+	started := false
+	if moves := g.plannedMoves.Swap(nil); moves != nil {
+		for _, m := range *moves {
+			started = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || started
+		}
+	}
+	return started
+}
+
 // isPlanner reports whether this node assigns keys for the whole service: the first of the candidates does. Two nodes
 // with different views may both plan; only one of their writes takes effect.
 func (g *Gateway) isPlanner(candidates []keyrange.Candidate) bool {
@@ -307,11 +340,7 @@
 	if g.server.isDraining(g.deps.Now()) || g.routes.isEvacuated(g.self.DataCentre) {
 		changed = t.Drain(g.self.Instance, candidates) > 0 || changed
 	}
-	if moves := g.plannedMoves.Swap(nil); moves != nil {
-		for _, m := range *moves {
-			changed = t.Move(g.self.Instance, m.to, m.span.From, m.span.To) > 0 || changed
-		}
-	}
+	changed = g.startPlannedMoves(t, changed) || changed
 	for _, refused := range g.server.refusedSpans() {
 		changed = t.RaiseFence(owner, refused.From, refused.To, refused.Fence) || changed
 	}
@@ -321,7 +350,8 @@
 			return g.nextOwner(instance, candidates)
 		}) > 0 || changed
 	}
-	return changed
+	// Those that did not start before go with a change since.
+	return g.startPlannedMoves(t, changed) || changed
 }
 
 // nextOwner returns the backend server of the instance that keys move to, or another candidate if that instance has
@@ -408,6 +438,9 @@
 	// instance is the instance that was probed last, and failures the number of its consecutive failed probes.
 	instance string
 	failures int
+	// ends are the ends up to which the ownership records were read at the last probes, the older one first. An end that
+	// the instance has not read two probes later was missed; it may collect newer ones.
+	ends [2]int64
 }
 
 // probeSuccessor probes the next instance of the service. After repeated failures it has reconcile open a suspicion
@@ -422,8 +455,9 @@
 		return
 	}
 	if next.Instance != g.successorProbe.instance {
-		g.successorProbe = probeState{instance: next.Instance}
+		g.successorProbe = probeState{instance: next.Instance, ends: g.successorProbe.ends}
 	}
+	defer func(end int64) { g.successorProbe.ends = [2]int64{g.successorProbe.ends[1], end} }(g.ranges.currentEnd())
 	err := g.probeMember(next)
 	// An instance that does not answer in time is probed again at once: a process that is merely restarting refuses
 	// connections instead.
@@ -447,7 +481,7 @@
 func (g *Gateway) probeMember(m registry.Member) error {
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
-	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, g.ranges.currentEnd())
+	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, g.successorProbe.ends[0])
 	if err == nil && instance != m.Instance {
 		err = problem.New(problem.Invalid, "wait until the record of the instance is removed", "instance %s answers at the address of instance %s", instance, m.Instance)
 	}
--- a/internal/node/router_messages.go
+++ b/internal/node/router_messages.go
@@ -165,7 +165,7 @@
 	return &nodepb.DispatchResponse{
 		Outcome: encodeOutcome(a.Outcome), Reason: string(a.Reason), RetryAfterUs: encodeDuration(a.RetryAfter),
 		Status: uint32(a.Status), Body: a.Body, Offered: a.ReachedServer,
-		Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner,
+		Load: encodeLoad(a.Load), Revision: a.Revision, Owner: a.Owner, RangesEnd: a.RangesEnd, RangesEra: a.RangesEra,
 	}
 }
 
@@ -179,7 +179,7 @@
 	return routed.Answer{
 		Outcome: decodeOutcome(m.Outcome), Reason: request.Reason(m.Reason), RetryAfter: decodeDuration(m.RetryAfterUs),
 		Status: int(m.Status), Body: m.Body, ReachedServer: m.Offered,
-		Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner,
+		Load: decodeLoad(m.Load), Revision: m.Revision, Owner: m.Owner, RangesEnd: m.RangesEnd, RangesEra: m.RangesEra,
 	}
 }
 
