--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -321,7 +321,7 @@
 	ctx, transfer := registry.TrackTransfer(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	grace := time.AfterFunc(feedGrace, func() {
+	grace := tr.g.controlPool.After(feedGrace, func() {
 		if transfer.Received() == 0 {
 			cancel(errFeedLate)
 		}
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -383,7 +383,7 @@
 		p.interrupt(context.Canceled)
 	case feed.RefreshAwaited:
 		if tr.checksAnswer.CompareAndSwap(false, true) {
-			time.AfterFunc(feed.PollAnswerTime, func() {
+			tr.g.controlPool.After(feed.PollAnswerTime, func() {
 				tr.checksAnswer.Store(false)
 				tr.refresh(tr.poll.Load() == p)
 			})
