Make a planner without a table ask for earlier ones in an era above 0

Cause: a process that finds no table of its service, and has seen one era only, took that for a new service and assigned all keys 2.5 s after its start. If the store has lost the only table, and the planner restarts within the 8.25 s after that, another node may have a lease under the lost table.

Change: an answer to a probe says, once the store was rolled back, which era its node has seen, which revision it has in force and whether it knows no table of its service and no grant of an earlier process of it can be in force (storeera.Report). In an era above 0, a planner without a table asks the other nodes of its service. It begins at once if all deny, otherwise it waits for ClaimWait as for a table of an earlier era. Silence and earlier versions count as no denial. In era 0 no field is set and nobody is asked.

Fences that were granted come from tables that the store has shown in an era; those of era e are from e x 2^32 up to the first of e+1, and a table is lost only with a new era.

--- /dev/null
+++ b/internal/gateway/era_reports.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+
+	"heatherreel/internal/lockorder"
+	"heatherreel/internal/registry"
+	"heatherreel/internal/storeera"
+)
+
+// eraReport returns what this node tells others of earlier eras; the zero value unless the store was rolled back.
+func (g *Gateway) eraReport() storeera.Report {
+	era := g.era.current.Load()
+	if era == 0 {
+		return storeera.Report{}
+	}
+	return storeera.Report{Era: era, Revision: g.routes.revision(), NoRanges: g.knowsNoRanges()}
+}
+
+// knowsNoRanges reports whether this process knows no table of its service, and no grant of an earlier process of the node
+// is in force.
+func (g *Gateway) knowsNoRanges() bool {
+	table, _ := g.ranges.get(g.self.Service)
+	return table == nil && !g.ranges.isUnreadable(g.self.Service) && g.server.grantedNothing(g.deps.Now())
+}
+
+// maxReportProbes is the number of members that are asked at once. It leaves workers of the control pool free.
+const maxReportProbes = 3
+
+// askForReports asks members for their reports and then calls end with those that have answered, by instance. Both happen
+// on the control pool.
+func (g *Gateway) askForReports(members []registry.Member, end func(answers map[string]storeera.Report)) {
+	answers := map[string]storeera.Report{}
+	if len(members) == 0 {
+		end(answers)
+		return
+	}
+	mu := lockorder.New(lockorder.Calls)
+	var next, running atomic.Int64
+	ask := func() {
+		for i := next.Add(1) - 1; i < int64(len(members)); i = next.Add(1) - 1 {
+			if report, ok := g.askForReport(members[i]); ok {
+				mu.Lock()
+				answers[members[i].Instance] = report
+				mu.Unlock()
+			}
+		}
+		if running.Add(-1) == 0 {
+			end(answers)
+		}
+	}
+	workers := min(maxReportProbes, len(members))
+	running.Store(int64(workers))
+	for range workers {
+		if g.controlPool.Submit(ask) != nil && running.Add(-1) == 0 {
+			end(answers)
+		}
+	}
+}
+
+// askForReport asks a member for its report.
+func (g *Gateway) askForReport(m registry.Member) (storeera.Report, bool) {
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	// The end is below that of any read, so that the member reads nothing because of the probe.
+	instance, load, err := g.deps.Peers.Probe(ctx, m.Address, -1)
+	return load.Store, err == nil && instance == m.Instance
+}
+
+// confirmNoRanges asks the other nodes of the service whether they know a table of it, which the store does not show.
+func (g *Gateway) confirmNoRanges(era uint64) {
+	if !g.knowsNoRanges() || !g.ranges.asking.CompareAndSwap(false, true) {
+		return
+	}
+	var others []registry.Member
+	for _, m := range g.members.ofService(g.self.Service) {
+		if m.Instance != g.self.Instance {
+			others = append(others, m)
+		}
+	}
+	asked := witnesses(others)
+	g.askForReports(others, func(answers map[string]storeera.Report) {
+		defer g.ranges.asking.Store(false)
+		if storeera.NoRangesConfirmed(era, asked, answers) {
+			g.ranges.confirmNone(era)
+			g.reconcileTrigger.Fire()
+		}
+	})
+}
+
+// witnesses returns the members as package storeera knows them.
+func witnesses(members []registry.Member) []storeera.Witness {
+	all := make([]storeera.Witness, 0, len(members))
+	for _, m := range members {
+		all = append(all, storeera.Witness{Instance: m.Instance, Region: m.Region})
+	}
+	return all
+}
+
+// confirmNone records that no node of the service knows a table of it.
+func (t *rangeTable) confirmNone(era uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ownership.ConfirmNone(era)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -441,7 +441,9 @@
 	if _, end := g.ranges.get(g.self.Service); rangesEnd > end {
 		g.refreshTopic(registry.RangesTopic)
 	}
-	return g.self.Instance, g.loadReport()
+	load := g.loadReport()
+	load.Store = g.eraReport()
+	return g.self.Instance, load
 }
 
 // randomIndex returns a random number from 0 to n-1.
--- a/internal/gateway/grant_calls.go
+++ b/internal/gateway/grant_calls.go
@@ -224,6 +224,13 @@
 	t.holds.AssumeEarlierGrants(now, hold)
 }
 
+// grantedNothing reports whether no grant can be in force, also none of an earlier process of the node.
+func (t *serverTracker) grantedNothing(now keyrange.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holds.HoldsNothing(now)
+}
+
 // refusedSpans returns the spans that the backend server has refused.
 func (t *serverTracker) refusedSpans() []keyhold.Span {
 	t.mu.Lock()
--- a/internal/gateway/range_table.go
+++ b/internal/gateway/range_table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"heatherreel/internal/keyhold"
@@ -36,6 +37,8 @@
 	// tables were read in it.
 	ownership storeera.Ownership
 	readInEra map[string]bool
+	// asking is set while other nodes are asked whether they know a table of the service of this node.
+	asking atomic.Bool
 }
 
 // suspicionKey identifies one suspicion of a service.
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -159,9 +159,13 @@
 	if table != nil {
 		next = table.Clone()
 	}
-	firstFence, mayChange := g.ranges.mayChange(g.self.Service, g.isPlanner(g.ownerCandidates(next)), g.deps.Now())
+	planner := g.isPlanner(g.ownerCandidates(next))
+	firstFence, mayChange := g.ranges.mayChange(g.self.Service, planner, g.deps.Now())
 	if !mayChange {
 		// Leases of an earlier era of the store may be in force.
+		if table == nil && planner {
+			g.confirmNoRanges(era)
+		}
 		return
 	}
 	begun := next.BeginEra(firstFence)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -10,6 +10,7 @@
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/storeera"
 )
 
 // NewRouterServer returns a server that decodes the calls of the Router service of node.proto and passes them to
@@ -58,7 +59,7 @@
 // runs.
 func (e *routerEndpoint) Probe(_ context.Context, m *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
 	instance, load := e.service.Probe(m.RangesEnd)
-	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load)}, nil
+	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), Era: load.Store.Era, Revision: load.Store.Revision, NoRanges: load.Store.NoRanges}, nil
 }
 
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
@@ -129,5 +130,7 @@
 		return "", routed.Load{}, err
 	}
 	response, err := nodepb.NewDRPCRouterClient(conn).Probe(ctx, &nodepb.ProbeRequest{RangesEnd: rangesEnd})
-	return response.GetInstance(), decodeLoad(response.GetLoad()), c.finishCall(address, conn, err)
+	load = decodeLoad(response.GetLoad())
+	load.Store = storeera.Report{Era: response.GetEra(), Revision: response.GetRevision(), NoRanges: response.GetNoRanges()}
+	return response.GetInstance(), load, c.finishCall(address, conn, err)
 }
--- a/internal/node/store_era_test.go
+++ b/internal/node/store_era_test.go
@@ -9,15 +9,21 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/routed"
+	"heatherreel/internal/storeera"
 )
 
 // eraRouter answers calls of the store with a page and an error.
 type eraRouter struct {
 	feedRouter
-	page registry.Page
-	err  error
+	page   registry.Page
+	err    error
+	report storeera.Report
 }
 
+// Probe implements node.RouterService.
+func (r *eraRouter) Probe(int64) (string, routed.Load) { return "k1", routed.Load{Store: r.report} }
+
 // StoreCall implements node.RouterService.
 func (r *eraRouter) StoreCall(context.Context, registry.Call) (registry.Page, error) {
 	return r.page, r.err
@@ -43,3 +49,19 @@
 		t.Errorf("the request of era 5 arrived with era %d, the answer of era 6 with %d, %v", router.request.Era, answer.Page.Era, err)
 	}
 }
+
+// Guards against a report on earlier eras of the store that is lost between nodes, and one that is taken from a node that
+// gave none.
+func TestReportsOnErasPassBetweenNodes(t *testing.T) {
+	router := &eraRouter{}
+	server, err := node.NewRouterServer(router)
+	requireNoError(t, err)
+	f := newFixtureFor(t, server.Serve)
+	for _, report := range []storeera.Report{{}, {Era: 3, Revision: 7, NoRanges: true}} {
+		router.report = report
+		instance, load, err := f.client.Probe(t.Context(), f.relay.Address(), -1)
+		if err != nil || instance != "k1" || load.Store != report {
+			t.Errorf("%s reports %+v, want %+v, %v", instance, load.Store, report, err)
+		}
+	}
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherreel/internal/request"
+	"heatherreel/internal/storeera"
 )
 
 // Field is one header field in the order of the message.
@@ -115,6 +116,8 @@
 	Slowdown float64
 	// OwnershipCurrent reports whether the node has recently read the ownership of keys, so that it can take keys over.
 	OwnershipCurrent bool
+	// Store is what the node knows of earlier eras of the store. Only answers to probes have it.
+	Store storeera.Report
 }
 
 // Answer is the result of a request.
--- a/internal/storeera/storeera.go
+++ b/internal/storeera/storeera.go
@@ -94,6 +94,8 @@
 	// seen an earlier era.
 	leasesEndAt keyrange.Instant
 	inherited   bool
+	// noneKnown is set if no node knows a table of the service of this node.
+	noneKnown bool
 }
 
 // Era returns the highest era seen.
@@ -105,6 +107,7 @@
 	seen, verdict := o.seen.Observe(era)
 	o.seen = seen
 	if verdict == First || verdict == Newer {
+		o.noneKnown = false
 		o.leasesEndAt = now.Add(keyrange.ClaimWait)
 		o.inherited = o.inherited || verdict == Newer
 	}
@@ -119,12 +122,18 @@
 // write that was begun in an earlier era and carried out by chance.
 func (o *Ownership) Outdated(next, lastFence uint64) bool { return o.seen.era > 0 && next < lastFence }
 
+// ConfirmNone records that no node of the service knows a table of it in the era, or may have keys granted under one. A
+// process that has seen an earlier era waits nevertheless.
+func (o *Ownership) ConfirmNone(era uint64) {
+	o.noneKnown = o.noneKnown || era == o.seen.era && !o.inherited
+}
+
 // MayChange reports whether the table of a service may be changed. The first table of an era is written once no lease of
 // an earlier era is in force, by the planner or, if it does not, by another node, so that a node that reads that table
-// may grant at once. A process that has seen one era only and finds no table at all does not wait, since that is how each
-// new service begins.
+// may grant at once. Without a table in the store, a new service begins, which need not wait, or the store has lost the
+// table. ConfirmNone tells them apart.
 func (o *Ownership) MayChange(found bool, lastFence uint64, planner bool, now keyrange.Instant) bool {
-	if o.seen.era == 0 || found && o.InForce(lastFence) || !found && !o.inherited {
+	if o.seen.era == 0 || found && o.InForce(lastFence) || !found && o.noneKnown {
 		return true
 	}
 	at := o.leasesEndAt
