Ask other nodes for the newest revision after a rollback of the store

Cause: a node that had missed a configuration when the store lost it, or a process that started since, took reads of the older one for a proof that this is the newest, and admitted keys that the lost one had revoked.

Change: storeera.Revisions decides since when the configuration in force is proved. In an era above 0, and with tenants in the configuration, a node asks three members of each region by a probe; their answers hold the highest revision that they know. Reads in the era prove the configuration once one member of each region has answered and the store shows the highest revision named, or 10 s after the node has seen the era. Answers to requests count too. A proof of the era is withdrawn when a newer revision becomes known within these 10 s. A member that has seen the era for 10 s ends the doubt at once, so that a process that starts long after a rollback does not wait, also while a region does not answer.

Also changed: a node with the newer configuration in force had no proof until the store showed it again, without a bound. The 10 s now apply to it as well; otherwise the nodes that know more would refuse for longer than the one that had missed it. Nothing is asked and no field is set in era 0 (TestNoReportsWithoutRollback); keys are served throughout a rollback that lost no configuration (TestKeysAreServedThroughRollback).

--- a/internal/gateway/era_reports.go
+++ b/internal/gateway/era_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 
 	"heatherreel/internal/lockorder"
@@ -15,7 +16,11 @@
 	if era == 0 {
 		return storeera.Report{}
 	}
-	return storeera.Report{Era: era, Revision: g.routes.revision(), NoRanges: g.knowsNoRanges()}
+	inForce := g.routes.revision()
+	r := storeera.Report{Era: era, NoRanges: g.knowsNoRanges()}
+	now := g.deps.Now()
+	g.proof.update(func(p *storeera.Revisions) { r.Revision, r.Settled = p.Highest(inForce), p.Settled(now) })
+	return r
 }
 
 // knowsNoRanges reports whether this process knows no table of its service, and no grant of an earlier process of the node
@@ -28,12 +33,13 @@
 // maxReportProbes is the number of members that are asked at once. It leaves workers of the control pool free.
 const maxReportProbes = 3
 
-// askForReports asks members for their reports and then calls end with those that have answered, by instance. Both happen
-// on the control pool.
-func (g *Gateway) askForReports(members []registry.Member, end func(answers map[string]storeera.Report)) {
+// askForReports asks members for their reports on the control pool. It calls answered with the answers so far, by instance,
+// after each answer, or once if there is no member to ask; and end after the last one.
+func (g *Gateway) askForReports(members []registry.Member, answered func(answers map[string]storeera.Report), end func()) {
 	answers := map[string]storeera.Report{}
 	if len(members) == 0 {
-		end(answers)
+		answered(answers)
+		end()
 		return
 	}
 	mu := lockorder.New(lockorder.Calls)
@@ -43,18 +49,20 @@
 			if report, ok := g.askForReport(members[i]); ok {
 				mu.Lock()
 				answers[members[i].Instance] = report
+				soFar := maps.Clone(answers)
 				mu.Unlock()
+				answered(soFar)
 			}
 		}
 		if running.Add(-1) == 0 {
-			end(answers)
+			end()
 		}
 	}
 	workers := min(maxReportProbes, len(members))
 	running.Store(int64(workers))
 	for range workers {
 		if g.controlPool.Submit(ask) != nil && running.Add(-1) == 0 {
-			end(answers)
+			end()
 		}
 	}
 }
@@ -81,12 +89,11 @@
 	}
 	asked := witnesses(others)
 	g.askForReports(others, func(answers map[string]storeera.Report) {
-		defer g.ranges.asking.Store(false)
 		if storeera.NoRangesConfirmed(era, asked, answers) {
 			g.ranges.confirmNone(era)
 			g.reconcileTrigger.Fire()
 		}
-	})
+	}, func() { g.ranges.asking.Store(false) })
 }
 
 // witnesses returns the members as package storeera knows them.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 	incarnation atomic.Int64
 	routes      *routeTable
 	members     *memberTable
-	proof       configurationProof
+	proof       *configurationProof
 	quotas      *quotaTable
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
@@ -240,6 +240,7 @@
 	g.deps.Store = eraStore{observedStore{d.Store, d.Events, d.Metrics}, g}
 	g.incarnation.Store(o.Self.Incarnation)
 	g.routes = newRouteTable()
+	g.proof = newConfigurationProof()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -83,7 +83,7 @@
 
 // route finds the route of a request and serves it.
 func (g *Gateway) route(ctx context.Context, r routed.Request) routed.Answer {
-	proofAsOf := g.proof.asOf()
+	proofAsOf := g.proof.asOf(g.deps.Now())
 	table, matched, service := g.routes.find(r.Host, r.Path)
 	switch {
 	case g.requestsEnded.isSet():
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -50,6 +50,7 @@
 	g.members.dropMissing(time.Now())
 	g.announceMember()
 	g.removePredecessor()
+	g.confirmRevision()
 	if !g.serviceKeyed() || !g.members.isSynced() {
 		return
 	}
--- a/internal/gateway/store_era.go
+++ b/internal/gateway/store_era.go
@@ -38,6 +38,9 @@
 	g.era.seen = seen
 	g.era.current.Store(seen.Era())
 	g.era.known.Store(true)
+	if era > 0 && (verdict == storeera.Newer || verdict == storeera.First) {
+		g.proof.update(func(r *storeera.Revisions) { r.BeginEra(era, g.deps.Now()) })
+	}
 	if verdict == storeera.Newer {
 		g.beginEra(previous, era)
 	}
@@ -57,7 +60,6 @@
 	delay := rand.N(storeera.RewriteSpread)
 	g.era.rewriteAt.Store(time.Now().Add(delay).UnixNano())
 	g.routes.beginEra(time.Now())
-	g.proof.beginEra()
 	g.members.beginEra(time.Now())
 	g.ranges.beginEra(era, g.deps.Now())
 	for _, s := range g.served {
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -6,9 +6,11 @@
 
 	"heatherreel/internal/eventlog"
 	"heatherreel/internal/keyrange"
+	"heatherreel/internal/lockorder"
 	"heatherreel/internal/request"
 	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/storeera"
 	"heatherreel/internal/tenantauth"
 )
 
@@ -21,39 +23,49 @@
 // be at most 2 s old, and known keys are served for 3 s without a path to the store, where it may be 4.5 s old.
 const tenantPollTimeout = 700 * time.Millisecond
 
-// configurationProof is the proof of how recent the configuration in force is.
+// configurationProof is the proof of how recent the configuration in force is. mu guards revisions; it has rank
+// lockorder.ConfigurationProof.
 type configurationProof struct {
-	// readAt is when the last read of the operators' topic was sent whose records are all applied; zero if there is none.
-	readAt atomic.Int64
-	// shown is the highest revision that the store has shown in its present era.
-	shown atomic.Uint64
+	mu        *lockorder.Mutex
+	revisions storeera.Revisions
 	// stale is set while requests are refused because the proof is too old.
 	stale atomic.Bool
+	// asking is set while other nodes are asked for their revision.
+	asking atomic.Bool
+}
+
+func newConfigurationProof() *configurationProof {
+	return &configurationProof{mu: lockorder.New(lockorder.ConfigurationProof)}
 }
 
 // asOf returns the time at which the configuration in force was the newest. It must be read before the configuration, which
 // may then only be newer.
-func (p *configurationProof) asOf() keyrange.Instant { return keyrange.Instant(p.readAt.Load()) }
+func (p *configurationProof) asOf(now keyrange.Instant) keyrange.Instant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revisions.ProvedAt(now)
+}
 
-// extendProof records that a read that was sent at asOf has been applied. A store that shows an older configuration than the
-// one in force proves nothing about newer ones.
-func (g *Gateway) extendProof(asOf keyrange.Instant) {
-	if g.proof.shown.Load() < g.routes.revision() {
-		return
-	}
-	g.proof.readAt.Store(max(g.proof.readAt.Load(), int64(asOf)))
-	if g.deps.Now().Sub(asOf) <= tenantauth.RefusalProofAge && g.proof.stale.CompareAndSwap(true, false) {
-		g.events.Emit(eventlog.ConfigurationProved)
-	}
+// update changes the revisions.
+func (p *configurationProof) update(change func(r *storeera.Revisions)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.revisions)
 }
 
-// beginEra ends the extension of the proof when the store comes back from an older copy, until it shows the configuration in
-// force again. Earlier proofs stay valid: they state what the store had acknowledged by then.
-func (p *configurationProof) beginEra() { p.shown.Store(0) }
+// extendProof records that a read that was sent at asOf has been applied.
+func (g *Gateway) extendProof(asOf keyrange.Instant) {
+	inForce := g.routes.revision()
+	g.proof.update(func(r *storeera.Revisions) { r.Extend(asOf, inForce) })
+	g.noteProof()
+}
 
-// recordShown records that the store has shown a revision.
-func (p *configurationProof) recordShown(revision uint64) {
-	p.shown.Store(max(p.shown.Load(), revision))
+// noteProof logs that a proof that was too old is recent again.
+func (g *Gateway) noteProof() {
+	now := g.deps.Now()
+	if now.Sub(g.proof.asOf(now)) <= tenantauth.RefusalProofAge && g.proof.stale.CompareAndSwap(true, false) {
+		g.events.Emit(eventlog.ConfigurationProved)
+	}
 }
 
 // identify sets the tenant of a request and what follows from it, and takes the caller's key out of the request. It returns
--- a/internal/gateway/topic_reader.go
+++ b/internal/gateway/topic_reader.go
@@ -13,6 +13,7 @@
 	"heatherreel/internal/keyrange"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/registry"
+	"heatherreel/internal/storeera"
 	"heatherreel/internal/telemetry"
 )
 
@@ -339,6 +340,7 @@
 	if revision <= g.routes.revision() {
 		return
 	}
+	g.proof.update(func(p *storeera.Revisions) { p.Tell(revision) })
 	now := time.Now().UnixNano()
 	for _, tr := range g.topicReaders {
 		if tr.topic != g.deps.OperatorTopic || tr.outdatedSinceNS.CompareAndSwap(0, now) {
@@ -366,7 +368,7 @@
 			eventlog.Count("ended", boolCount(decoded.Ended)))
 		return
 	}
-	g.proof.recordShown(decoded.Table.Revision)
+	g.proof.update(func(p *storeera.Revisions) { p.Show(decoded.Table.Revision) })
 	if g.routes.put(decoded.Table) {
 		g.applyQuotas(decoded.Table)
 		g.deps.Metrics.SetServices(slices.Sorted(maps.Keys(decoded.Table.Services)))
--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -13,6 +13,8 @@
 	StoreEra Rank = 8
 	// Ledger guards the replayed state of the log: members, assignments and configurations.
 	Ledger Rank = 10
+	// ConfigurationProof guards the proof that the configuration of routes is the newest.
+	ConfigurationProof Rank = 11
 	// Routes guards the configuration of routes and the evacuations in force.
 	Routes Rank = 12
 	// Members guards what a node knows about the other instances.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -59,7 +59,7 @@
 // runs.
 func (e *routerEndpoint) Probe(_ context.Context, m *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
 	instance, load := e.service.Probe(m.RangesEnd)
-	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), Era: load.Store.Era, Revision: load.Store.Revision, NoRanges: load.Store.NoRanges}, nil
+	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), Era: load.Store.Era, Revision: load.Store.Revision, NoRanges: load.Store.NoRanges, Settled: load.Store.Settled}, nil
 }
 
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
@@ -131,6 +131,7 @@
 	}
 	response, err := nodepb.NewDRPCRouterClient(conn).Probe(ctx, &nodepb.ProbeRequest{RangesEnd: rangesEnd})
 	load = decodeLoad(response.GetLoad())
-	load.Store = storeera.Report{Era: response.GetEra(), Revision: response.GetRevision(), NoRanges: response.GetNoRanges()}
+	load.Store = storeera.Report{Era: response.GetEra(), Revision: response.GetRevision(), NoRanges: response.GetNoRanges(),
+		Settled: response.GetSettled()}
 	return response.GetInstance(), load, c.finishCall(address, conn, err)
 }
--- a/internal/node/store_era_test.go
+++ b/internal/node/store_era_test.go
@@ -57,7 +57,7 @@
 	server, err := node.NewRouterServer(router)
 	requireNoError(t, err)
 	f := newFixtureFor(t, server.Serve)
-	for _, report := range []storeera.Report{{}, {Era: 3, Revision: 7, NoRanges: true}} {
+	for _, report := range []storeera.Report{{}, {Era: 3, Revision: 7, NoRanges: true, Settled: true}} {
 		router.report = report
 		instance, load, err := f.client.Probe(t.Context(), f.relay.Address(), -1)
 		if err != nil || instance != "k1" || load.Store != report {
--- a/internal/storeera/report.go
+++ b/internal/storeera/report.go
@@ -12,6 +12,8 @@
 	// NoRanges is set if the node knows no table of its service in any era, and no key of its backend server can be granted
 	// by an earlier process of the node.
 	NoRanges bool
+	// Settled is set if the node has seen the era for RevisionDoubted.
+	Settled bool
 }
 
 // Witness is a member that may be asked for its Report.
