Return credit of the even share only as far as the bucket had room for it

Cause: a bucket dropped a returned token only if it had been full since the token was taken. While requests take each token at once it is never full, so that credit of requests that waited for seconds and were refused added to the window in which the next ones ran.

It takes a token back as far as it would never have held more than its capacity, and so admits in any window what it would without the requests that did not run. Credit of a limit that was removed and set again is not returned to the new account.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -314,3 +314,30 @@
 		f.checkWindows(t, 0)
 	}
 }
+
+// Guards against credit of requests that did not run and is returned while others run: for some seconds all admitted requests
+// wait and are refused, so that their credit comes back in the window in which the next ones run.
+func TestLateReturnsStayWithinLimit(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 20, Burst: 10}, {Rate: 200, Burst: 0}, {Rate: 2, Burst: 40}, {Rate: 262, Burst: 800}} {
+		for _, held := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4 * time.Second, 9 * time.Second} {
+			f := newFleet(5, 3, map[string]Limit{"t": limit}, 0.02)
+			for f.now < 30*time.Second {
+				f.advance()
+				for _, s := range f.nodes {
+					for {
+						credit, ok := s.node.Take("t", false, s.clock())
+						if !ok {
+							break
+						}
+						if f.now/(10*time.Second)%2 == 0 {
+							f.after(held, func() { s.node.GiveBack(&credit, s.clock()) })
+						} else {
+							f.runs["t"] = append(f.runs["t"], f.now)
+						}
+					}
+				}
+			}
+			t.Run(fmt.Sprintf("%+v/held %v", limit, held), func(t *testing.T) { f.checkWindows(t, 0) })
+		}
+	}
+}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -41,7 +41,7 @@
 	a := l.accounts[tenant]
 	if a == nil || a.fence != fence {
 		opensAt := now.Add(takeoverWait)
-		a = &lent{bucket: bucket{at: opensAt, fullAt: opensAt}, fence: fence, opensAt: opensAt, asked: map[string]lastAsk{}}
+		a = &lent{bucket: bucket{at: opensAt}, fence: fence, opensAt: opensAt, asked: map[string]lastAsk{}}
 		l.accounts[tenant] = a
 	}
 	return a
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -54,64 +54,6 @@
 // LenderKey returns the key whose owner lends the quota of a tenant.
 func LenderKey(tenant string) uint16 { return uint16(xxhash.Sum64String(tenant) % keyrange.KeyCount) }
 
-// bucket is a token bucket.
-type bucket struct {
-	rate, capacity, level float64
-	at                    keyrange.Instant
-	// fullAt is when the bucket was last full, so that it took in no more.
-	fullAt keyrange.Instant
-}
-
-func (b *bucket) refill(now keyrange.Instant) {
-	if now <= b.at {
-		return
-	}
-	b.level += b.rate * now.Sub(b.at).Seconds()
-	b.at = now
-	if b.level >= b.capacity {
-		b.level, b.fullAt = b.capacity, now
-	}
-}
-
-// set changes the rate and the capacity from now on.
-func (b *bucket) set(rate, capacity float64, now keyrange.Instant) {
-	b.refill(now)
-	b.rate, b.capacity = rate, capacity
-	if b.level >= capacity {
-		b.level, b.fullAt = capacity, now
-	}
-}
-
-func (b *bucket) take(now keyrange.Instant) bool {
-	b.refill(now)
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
-}
-
-// giveBack returns a token that was taken at the time. If the bucket has been full since, it would be as full without that
-// token having been taken, and gets nothing: otherwise tokens that are returned late would add to a window of their own.
-func (b *bucket) giveBack(taken, now keyrange.Instant) {
-	b.refill(now)
-	if taken >= b.fullAt {
-		b.level = min(b.level+1, b.capacity)
-	}
-}
-
-// wait returns the time until the bucket has a token.
-func (b *bucket) wait(now keyrange.Instant) time.Duration {
-	b.refill(now)
-	if b.level >= 1 {
-		return 0
-	}
-	if b.rate <= 0 {
-		return maxRetryAfter
-	}
-	return time.Duration(min((1-b.level)/b.rate, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // loan is a number of requests that may be admitted until a time.
 type loan struct {
 	number uint64
@@ -238,9 +180,10 @@
 // Credit is the credit that a request took. The zero value is that of a request without a limit.
 type Credit struct {
 	tenant string
-	taken  keyrange.Instant
-	// loan is the number of the loan; 0 for the even share.
-	loan uint64
+	// account is the account that the credit was taken from; a limit that was removed and set again has another one.
+	account *account
+	// token is the number of the token of the even share, or loan that of the loan; the other one is 0.
+	token, loan uint64
 }
 
 // Take takes the credit for a request. repeated is set if the request was counted before. It returns false if there is no
@@ -260,13 +203,13 @@
 		}
 	}
 	if a.even.take(now) {
-		return Credit{tenant: tenant, taken: now}, true
+		return Credit{tenant: tenant, account: a, token: a.even.taken}, true
 	}
 	a.dropExpired(now)
 	for i := range a.loans {
 		if l := &a.loans[i]; l.left > 0 {
 			l.left--
-			return Credit{tenant: tenant, taken: now, loan: l.number}, true
+			return Credit{tenant: tenant, account: a, loan: l.number}, true
 		}
 	}
 	if !repeated {
@@ -287,11 +230,11 @@
 	given := *c
 	*c = Credit{}
 	a := n.accounts[given.tenant]
-	if given.tenant == "" || a == nil {
+	if given.tenant == "" || a == nil || a != given.account {
 		return
 	}
 	if given.loan == 0 {
-		a.even.giveBack(given.taken, now)
+		a.even.giveBack(given.token, now)
 		return
 	}
 	a.dropExpired(now)
