Begin anew as a lender when another service lends

Cause: which service lends the quotas of tenants follows from the configuration, the first keyed one by name. A node that becomes a lender waits and begins with nothing if the fence of its range is new to it. If a configuration makes another service the lender and a later one takes that back, the fence is the same, and the node lends at once what it has saved up meanwhile.

Change: with another lending service, a node drops its accounts as a lender and lends nothing for 4.2 s: nodes read a configuration up to 3 s apart, and each new lender waits 1.2 s. The first configuration of a process changes nothing.

Ruled out: nodes that read the configuration at different moments as the cause (the case fails without that, too).

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -48,6 +48,8 @@
 	limits map[string]quota.Limit
 	// service is the service whose owners lend; empty if there is none.
 	service string
+	// configured is set once a configuration is in force.
+	configured bool
 	// askAt is when each lender may be asked again.
 	askAt map[string]keyrange.Instant
 	// waiting is the number of requests that wait for a loan.
@@ -96,7 +98,11 @@
 	q := g.quotas
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limits, q.service = limits, service
+	// The first configuration of a process is no change; the process has lent nothing.
+	if q.configured && service != q.service {
+		q.lender.ChangeService(g.deps.Now())
+	}
+	q.limits, q.service, q.configured = limits, service, true
 	q.node.SetLimits(limits, service != "", g.deps.Now())
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -10,6 +10,8 @@
 // return, message or clock of a borrower can add to it.
 type Lender struct {
 	accounts map[string]*lent
+	// opensAt is when the lenders before a change of the service have ended; zero if there was none.
+	opensAt keyrange.Instant
 }
 
 // lent is what a lender knows of a tenant.
@@ -30,6 +32,17 @@
 // NewLender returns a lender that has lent nothing.
 func NewLender() *Lender { return &Lender{accounts: map[string]*lent{}} }
 
+// configurationSpread is the time by which nodes read a configuration at different moments.
+const configurationSpread = 3 * time.Second
+
+// ChangeService records that the owners of another service lend by the configuration in force. Nodes that have not read it
+// yet still lend and borrow by the one before. What this node has saved up as an earlier lender does not count: the lenders
+// since have lent the same part of the limits.
+func (l *Lender) ChangeService(now keyrange.Instant) {
+	clear(l.accounts)
+	l.opensAt = now.Add(configurationSpread + takeoverWait)
+}
+
 // Observe records that the node is the lender of a tenant by a key range with the fence. It starts from nothing, as its
 // predecessor may have lent all that there was.
 func (l *Lender) Observe(tenant string, fence uint64, now keyrange.Instant) {
@@ -40,7 +53,7 @@
 func (l *Lender) observe(tenant string, fence uint64, now keyrange.Instant) *lent {
 	a := l.accounts[tenant]
 	if a == nil || a.fence != fence {
-		opensAt := now.Add(takeoverWait)
+		opensAt := max(now.Add(takeoverWait), l.opensAt)
 		a = &lent{bucket: bucket{at: opensAt}, fence: fence, opensAt: opensAt, asked: map[string]lastAsk{}}
 		l.accounts[tenant] = a
 	}
