Keep the half of the limits until loans are over when lending ends

Cause: a node that read a configuration without any keyed service split all of the limits evenly at once, while the lender and its borrowers went by the one before for up to 3 s. TestEndOfLendingAddsNothing, before the change:

--- FAIL: TestEndOfLendingAddsNothing/{Rate:262_Burst:0} 1462 requests of t with {Rate:262 Burst:0} ran at 10 nodes in the 5 s until 11.75s, 1461 allowed

Change: a node that had a lender keeps its share of the half for 3.6 s (3 s by which nodes read a configuration at different moments, 0.6 s of a loan).

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -48,7 +48,9 @@
 	lender      *Lender
 	incarnation int
 	cut         bool
-	askAt       keyrange.Instant
+	// withoutLender is set if the node has read a configuration without a lender.
+	withoutLender bool
+	askAt         keyrange.Instant
 }
 
 func (s *simulatedNode) clock() keyrange.Instant {
@@ -108,7 +110,7 @@
 		}
 	}
 	for _, s := range f.nodes {
-		if now := s.clock(); now >= s.askAt && !s.cut {
+		if now := s.clock(); now >= s.askAt && !s.cut && !s.withoutLender {
 			asks := s.node.Asks(func(string) bool { return true }, now)
 			if f.greedy {
 				asks = []Ask{{"large", 1e6}, {"small", 1e6}}
@@ -341,3 +343,33 @@
 		}
 	}
 }
+
+// Guards against even shares of all of a limit at nodes that have read that there is no lender any more, while others still
+// borrow from it.
+func TestEndOfLendingAddsNothing(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 262}, {Rate: 60, Burst: 400}, {Rate: 20, Burst: 20}} {
+		f := newFleet(7, 10, map[string]Limit{"t": limit}, 0.02)
+		for f.now < 25*time.Second {
+			f.advance()
+			for i, s := range f.nodes {
+				// Three nodes read the configuration 2.9 s later than the others.
+				if at := 10 * time.Second; f.now == at && i > 2 || f.now == at+2900*time.Millisecond && i <= 2 {
+					s.withoutLender = true
+					s.node.SetLimits(f.limits, false, s.clock())
+				}
+				for f.send(s, "t", 0, false) {
+				}
+			}
+		}
+		t.Run(fmt.Sprintf("%+v", limit), func(t *testing.T) { f.checkWindows(t, 0) })
+		last := 0
+		for _, at := range f.runs["t"] {
+			if at > 20*time.Second {
+				last++
+			}
+		}
+		if got := float64(last) / 5; got < 0.9*limit.Rate {
+			t.Errorf("%.1f requests a second ran without a lender with %+v", got, limit)
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -81,7 +81,12 @@
 	members []string
 	// evenPart is the part of the limits that is split evenly.
 	evenPart float64
-	accounts map[string]*account
+	// lendingEndsAt is when the last loans are over after a configuration without a lender replaced one with a lender. The
+	// even shares have all of the limits from then on. It is zero otherwise.
+	lendingEndsAt keyrange.Instant
+	// configured is set once the limits were set.
+	configured bool
+	accounts   map[string]*account
 	// loanNumber is the number of the last loan.
 	loanNumber uint64
 }
@@ -94,10 +99,7 @@
 // SetLimits sets the limits of all tenants that have one, and whether there is a lender. The credit of a new limit starts
 // from nothing, since the node may have admitted requests under an earlier process.
 func (n *Node) SetLimits(limits map[string]Limit, hasLender bool, now keyrange.Instant) {
-	n.evenPart = evenPart
-	if !hasLender {
-		n.evenPart = 1
-	}
+	n.setLender(hasLender, now)
 	for name := range n.accounts {
 		if _, kept := limits[name]; !kept {
 			delete(n.accounts, name)
@@ -114,6 +116,31 @@
 	}
 }
 
+// setLender sets the part of the limits that is split evenly. If there is no lender any more, the part grows only when all
+// nodes have read that and their loans are over. The first configuration of a process is no change.
+func (n *Node) setLender(hasLender bool, now keyrange.Instant) {
+	switch {
+	case hasLender:
+		n.evenPart, n.lendingEndsAt = evenPart, 0
+	case !n.configured:
+		n.evenPart = 1
+	case n.evenPart < 1 && n.lendingEndsAt == 0:
+		n.lendingEndsAt = now.Add(configurationSpread + useTime)
+	}
+	n.configured = true
+}
+
+// endLending splits all of the limits evenly once the last loans are over.
+func (n *Node) endLending(now keyrange.Instant) {
+	if n.lendingEndsAt == 0 || now < n.lendingEndsAt {
+		return
+	}
+	n.evenPart, n.lendingEndsAt = 1, 0
+	for name, a := range n.accounts {
+		n.setShare(name, a, now)
+	}
+}
+
 // SetMembers sets the names of all nodes. The node counts as one of them.
 func (n *Node) SetMembers(members []string, now keyrange.Instant) {
 	members = slices.Clone(members)
@@ -189,6 +216,7 @@
 // Take takes the credit for a request. repeated is set if the request was counted before. It returns false if there is no
 // credit now.
 func (n *Node) Take(tenant string, repeated bool, now keyrange.Instant) (Credit, bool) {
+	n.endLending(now)
 	a := n.accounts[tenant]
 	if a == nil {
 		return Credit{}, true
