--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	incarnation atomic.Int64
 	routes      *routeTable
 	members     *memberTable
-	proof       configurationProof
+	proof       *configurationProof
 	quotas      *quotaTable
 	// drainTime is Limits.DrainTime in nanoseconds.
 	drainTime atomic.Int64
@@ -242,6 +242,7 @@
 	g.deps.Store = eraStore{observedStore{d.Store, d.Events, d.Metrics}, g}
 	g.incarnation.Store(o.Self.Incarnation)
 	g.routes = newRouteTable()
+	g.proof = newConfigurationProof()
 	g.members = newMemberTable(o.Self, o.Limits.Retry)
 	g.drainTime.Store(int64(o.Limits.DrainTime))
 	g.ranges = newRangeTable()
@@ -443,7 +444,9 @@
 	if _, end := g.ranges.get(g.self.Service); rangesEnd > end {
 		g.needRecords(registry.RangesTopic, rangesEnd)
 	}
-	return g.self.Instance, g.loadReport()
+	load := g.loadReport()
+	load.Store = g.eraReport()
+	return g.self.Instance, load
 }
 
 // randomIndex returns a random number from 0 to n-1.
--- a/internal/gateway/reconcile.go
+++ b/internal/gateway/reconcile.go
@@ -50,6 +50,7 @@
 	g.members.dropMissing(time.Now())
 	g.announceMember()
 	g.removePredecessor()
+	g.confirmRevision()
 	if !g.serviceKeyed() || !g.members.isSynced() {
 		return
 	}
@@ -159,9 +160,13 @@
 	if table != nil {
 		next = table.Clone()
 	}
-	firstFence, mayChange := g.ranges.mayChange(g.self.Service, g.isPlanner(g.ownerCandidates(next)), g.deps.Now())
+	planner := g.isPlanner(g.ownerCandidates(next))
+	firstFence, mayChange := g.ranges.mayChange(g.self.Service, planner, g.deps.Now())
 	if !mayChange {
 		// Leases of an earlier era of the store may be in force.
+		if table == nil && planner {
+			g.confirmNoRanges(era)
+		}
 		return
 	}
 	begun := next.BeginEra(firstFence)
--- a/internal/gateway/simulation_servers_test.go
+++ b/internal/gateway/simulation_servers_test.go
@@ -165,10 +165,10 @@
 }
 
 // checkFence fails the test if a backend server takes a range under a fence that is not above all fences that the other
-// backend servers had for it. It checks each 1024th key.
+// backend servers of its service had for it. It checks each 1024th key.
 func (sim *simulation) checkFence(inst *simulatedInstance, s *fakeBackendServer, r keyhold.Span) {
 	for name, other := range sim.instances {
-		if other == inst || other.server == nil {
+		if other == inst || other.server == nil || other.self.Service != inst.self.Service {
 			continue
 		}
 		for i := int(r.From) / 1024; i <= int(r.To)/1024; i++ {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -177,19 +177,19 @@
 	}
 }
 
-// checkOwners fails the test if two running backend servers hold the same key. It checks each 1024th key.
+// checkOwners fails the test if two running backend servers of a service hold the same key. It checks each 1024th key.
 func (sim *simulation) checkOwners() {
 	now := time.Now()
 	for key := 0; key < keyrange.KeyCount; key += 1024 {
-		holder := ""
+		holders := map[string]string{}
 		for name, inst := range sim.instances {
 			if inst.server == nil || !inst.server.holds(uint16(key), now) {
 				continue
 			}
-			if holder != "" {
+			if holder := holders[inst.self.Service]; holder != "" {
 				sim.t.Errorf("key %d is held by %s and %s", key, holder, name)
 			}
-			holder = name
+			holders[inst.self.Service] = name
 		}
 	}
 }
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -13,6 +13,7 @@
 	"heatherreel/internal/node/nodepb"
 	"heatherreel/internal/problem"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/storeera"
 	"heatherreel/internal/wirefields"
 )
 
@@ -82,7 +83,7 @@
 // runs.
 func (e *routerEndpoint) Probe(_ context.Context, m *nodepb.ProbeRequest) (*nodepb.ProbeResponse, error) {
 	instance, load := e.service.Probe(m.RangesEnd)
-	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), AcceptsPacked: e.acceptsPacked}, nil
+	return &nodepb.ProbeResponse{Instance: instance, Load: encodeLoad(load), Era: load.Store.Era, Revision: load.Store.Revision, NoRanges: load.Store.NoRanges, Settled: load.Store.Settled, AcceptsPacked: e.acceptsPacked}, nil
 }
 
 // Dispatch sends a request to the node at address. Errors are problem.NotSent if the request was not sent, and
@@ -212,5 +213,8 @@
 	if err == nil {
 		c.packingPeers.record(address, response.AcceptsPacked)
 	}
-	return response.GetInstance(), decodeLoad(response.GetLoad()), c.finishCall(address, conn, err)
+	load = decodeLoad(response.GetLoad())
+	load.Store = storeera.Report{Era: response.GetEra(), Revision: response.GetRevision(), NoRanges: response.GetNoRanges(),
+		Settled: response.GetSettled()}
+	return response.GetInstance(), load, c.finishCall(address, conn, err)
 }
