--- a/internal/lockorder/lockorder.go
+++ b/internal/lockorder/lockorder.go
@@ -31,6 +31,8 @@
 	Backend Rank = 40
 	// Egress guards the pacing of large answers.
 	Egress Rank = 45
+	// Stream guards the number of large bodies that are streamed.
+	Stream Rank = 47
 	// Admission guards the concurrency limits and queues of requests.
 	Admission Rank = 50
 	// Outcomes guards the retained outcomes of requests.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -146,6 +146,10 @@
 	LinkFull Reason = "link_full"
 	// CallsRefused means that the calls that the backend server makes for such a request are being refused.
 	CallsRefused Reason = "calls_refused"
+	// LargeBodiesFull means that a node streams as many large bodies as it may already.
+	LargeBodiesFull Reason = "large_bodies_full"
+	// BodyIncomplete means that the caller, or the node before this one, did not send the whole body.
+	BodyIncomplete Reason = "body_incomplete"
 	// ServerShedding means that the backend server sheds all requests and is left alone.
 	ServerShedding Reason = "server_shedding"
 	// PathSlow means that the request was on its way between two nodes for so long that its sender has given it up.
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -24,6 +24,8 @@
 	Path   string
 	Header []Field
 	Body   []byte
+	// Stream is the body if it is too large to be held in memory as a whole; Body is empty then. It is nil otherwise.
+	Stream *BodyStream
 	// Authorization are the values of the header field with that name. They and Identity are not sent to other nodes.
 	Authorization []string
 	// Identity are the header fields with which callers state who they are: they are added to Header if the configuration
@@ -73,6 +75,20 @@
 	Traceparent string
 }
 
+// streamTransferBytes stands for the size of a stream of unknown length: the length from which on bodies are streamed.
+const streamTransferBytes = 8 << 20
+
+// TransferBytes returns the size of the body for an estimate of its transfer time.
+func (r *Request) TransferBytes() int {
+	switch {
+	case r.Stream == nil:
+		return len(r.Body)
+	case r.Stream.Length < 0:
+		return streamTransferBytes
+	}
+	return int(r.Stream.Length)
+}
+
 // Repetition is where a request is sent again if the outcome of a send is unknown.
 type Repetition int
 
--- a/internal/telemetry/labels.go
+++ b/internal/telemetry/labels.go
@@ -57,7 +57,8 @@
 	request.UnknownService, request.UnknownTenant, request.IDReused, request.AnswerTooLarge,
 	request.NoRoute, request.NoServer, request.BackendFull, request.BackendChanged, request.AnswerInvalid,
 	request.MachineSlow, request.LinkFull, request.PathSlow, request.Stopping, request.Unauthenticated,
-	request.ConfigurationStale, request.NoCommonRegion, request.CallsRefused, request.ServerShedding, request.QuotaExceeded}
+	request.ConfigurationStale, request.NoCommonRegion, request.CallsRefused, request.ServerShedding, request.QuotaExceeded,
+	request.LargeBodiesFull, request.BodyIncomplete}
 
 // reasonOrOther returns the reason, or otherValue if the reason is not in the fixed set.
 func reasonOrOther(r request.Reason) request.Reason {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,7 @@
 	"heatherreel/internal/intake"
 	"heatherreel/internal/keyhold"
 	"heatherreel/internal/request"
+	"heatherreel/internal/stream"
 )
 
 // meterName is the name of the instrumentation scope; namespace is the prefix of all metric names.
@@ -46,6 +47,8 @@
 	storeReceived, storeDiscarded metric.Int64Counter
 	topicReads, keyCalls, shed    metric.Int64Counter
 	refusals                      metric.Int64Counter
+	largeBodiesRefused            metric.Int64Counter
+	largeBodies                   metric.Int64UpDownCounter
 	measuredSlots                 metric.Int64Gauge
 
 	// services is replaced, never modified, by SetServices.
@@ -57,6 +60,7 @@
 	causeOptions  [refusalCauseCount][]metric.AddOption
 	readOptions   [readSourceCount][]metric.AddOption
 	keyOptions    [keyOperationCount][keyhold.ResultCount][]metric.AddOption
+	streamOptions [stream.RoleCount][]metric.AddOption
 	shedOptions   [intake.KindCount][]metric.AddOption
 }
 
@@ -98,6 +102,7 @@
 		{&m.topicReads, "topic_reads", "Completed reads of the topics of the platform store, by source: the store, or a node of the region that had read the records."},
 		{&m.keyCalls, "key_calls", "Calls to the backend server that grant or release keys, by result."},
 		{&m.refusals, "refusals", "Requests that did not get a slot of the backend server, by cause."},
+		{&m.largeBodiesRefused, "large_bodies_refused", "Request bodies over 8 MiB that were refused because as many were streamed as may be, by role of the node."},
 		{&m.shed, "shed_clients", "Connections and requests of clients that were refused or given up, by the kind of the limit."},
 		{&m.storeDiscarded, "store_discarded_bytes", "Bytes of answers of the platform store that arrived and were discarded, because the call failed before its answer was complete."},
 	}
@@ -114,6 +119,11 @@
 	if err != nil {
 		return err
 	}
+	m.largeBodies, err = m.meter.Int64UpDownCounter("large_bodies",
+		metric.WithDescription("Request bodies over 8 MiB that are being streamed, by role of the node."))
+	if err != nil {
+		return err
+	}
 	m.duration, err = m.meter.Float64Histogram("request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the decoded request to its answer."),
 		metric.WithExplicitBucketBoundaries(durationBounds...))
@@ -132,6 +142,9 @@
 	for d := range directionCount {
 		m.moveOptions[d] = addOptions(attribute.String(labelDirection, d.String()))
 	}
+	for r := range stream.RoleCount {
+		m.streamOptions[r] = addOptions(attribute.String(labelRole, r.String()))
+	}
 	for c := range refusalCauseCount {
 		m.causeOptions[c] = addOptions(attribute.String(labelCause, c.String()))
 	}
@@ -214,6 +227,16 @@
 	m.refusals.Add(context.Background(), 1, m.causeOptions[cause]...)
 }
 
+// CountLargeBodyRefused counts a large request body that was refused because of the limit of the role.
+func (m *Metrics) CountLargeBodyRefused(role stream.Role) {
+	m.largeBodiesRefused.Add(context.Background(), 1, m.streamOptions[role]...)
+}
+
+// AddLargeBody adds a change to the number of large request bodies that are being streamed.
+func (m *Metrics) AddLargeBody(role stream.Role, change int64) {
+	m.largeBodies.Add(context.Background(), change, m.streamOptions[role]...)
+}
+
 // SetMeasuredSlots sets the measured concurrency of the backend server.
 func (m *Metrics) SetMeasuredSlots(slots int) {
 	m.measuredSlots.Record(context.Background(), int64(slots))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -18,6 +18,7 @@
 	"heatherreel/internal/keyhold"
 	"heatherreel/internal/keyspace"
 	"heatherreel/internal/request"
+	"heatherreel/internal/stream"
 )
 
 // newTestMetrics returns metrics in which each metric has at least one series. Values that contain "secret" must not
@@ -46,6 +47,8 @@
 	m.CountRefusal(RefusedCall)
 	m.SetMeasuredSlots(9)
 	m.CountShed(intake.Memory)
+	m.CountLargeBodyRefused(stream.Ingress)
+	m.AddLargeBody(stream.Owner, 1)
 	err = m.RegisterGauges(func() Snapshot {
 		return Snapshot{Lease: LeaseOwning, LeaseLeft: 500 * time.Millisecond, LedgerOffset: 40, HighestOffset: 42,
 			Pools:       []PoolDepth{{"ingress", 7}},
