Send streamed bodies to the backend server

Call.Body is in memory as a whole. Call.Stream is read while it is sent, with a length or in chunks. Each such exchange has a connection of its own, as the stream cannot be sent again when an idle connection turns out to be closed. If the stream breaks off, net/http closes the connection before the end of the body. A failed write waits up to 300 ms for the end of the exchange, so that an answer that came before the whole body was read is not lost to the write error.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // errAborted is returned by writes on an aborted connection.
@@ -20,7 +21,29 @@
 // writeState records whether a write of one exchange has started, and rejects its writes after abort. Only if it was
 // aborted at nothingWritten is it certain that the request of the exchange was not sent. Each exchange has its own:
 // net/http may begin the next one on a connection before it returns the answer of the previous one.
-type writeState struct{ value atomic.Uint32 }
+type writeState struct {
+	value atomic.Uint32
+	// over is closed at the end of an exchange whose body is a stream; nil for others.
+	over <-chan struct{}
+}
+
+// awaitAnswer is called after a write of a stream has failed. A server that answers without reading the body may close the
+// connection with the answer, and net/http would drop an answer that it has not read when a write fails.
+func (s *writeState) awaitAnswer() {
+	if s.over == nil {
+		return
+	}
+	timer := time.NewTimer(earlyAnswerTime)
+	defer timer.Stop()
+	select {
+	case <-s.over:
+	case <-timer.C:
+	}
+}
+
+// earlyAnswerTime is how long an answer is awaited that a server has sent before the whole body: it is on its way already,
+// and the server is on the same instance.
+const earlyAnswerTime = 300 * time.Millisecond
 
 // abort makes all further writes of the exchange fail. It reports whether a write had started.
 func (s *writeState) abort() bool { return s.value.Swap(aborted) == writeStarted }
@@ -124,10 +147,15 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	if !c.writes.Load().startWrite() {
+	writes := c.writes.Load()
+	if !writes.startWrite() {
 		return 0, errAborted
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		writes.awaitAnswer()
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -39,14 +39,23 @@
 // Transport makes HTTP/1.1 exchanges over persistent connections, one at a time on each. It follows no redirects, uses
 // no proxy and no compression, and sends each request at most once.
 type Transport struct {
-	rt     *http.Transport
-	bodies *BodyReader
+	rt *http.Transport
+	// streams makes the exchanges with Call.Stream, each on a connection of its own: a stream cannot be sent again if an idle
+	// connection turns out to be closed, and often its connection cannot be used again.
+	streams *http.Transport
+	bodies  *BodyReader
 }
 
 // NewTransport returns a transport without open connections. Call Close when it is no longer used.
 func NewTransport(o Options) *Transport {
+	streams := newTransport(o)
+	streams.DisableKeepAlives = true
+	return &Transport{bodies: NewBodyReader(o.MaxBufferedBytes), rt: newTransport(o), streams: streams}
+}
+
+func newTransport(o Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
-	return &Transport{bodies: NewBodyReader(o.MaxBufferedBytes), rt: &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -61,7 +70,7 @@
 		// The default of net/http, 10 MiB, would let the headers of one response take a sixth of the 64 MB of
 		// memory that a node may use.
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}
 }
 
 // Close closes the idle connections. Connections in use close when their exchange ends or its deadline passes.
@@ -78,6 +87,12 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Stream is the body if it is passed on as it arrives; Body is empty then. Any error of it but io.EOF, and a length that
+	// differs from StreamLength, end the exchange and close the connection, so that the server never gets a complete body. It
+	// may still be read when Do has returned; its owner ends that.
+	Stream io.Reader
+	// StreamLength is the length of Stream in bytes, or -1 if it is sent in chunks.
+	StreamLength int64
 	// ID identifies the request; empty if nothing does. A request that is sent again uses another connection than before: a
 	// faulty server may write its first answer once more, and the ID in it would prove nothing.
 	ID string
@@ -128,9 +143,15 @@
 	}
 	e := exchange{ctx: ctx, id: c.ID}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
-	response, err := t.rt.RoundTrip(request)
+	rt := t.rt
+	if c.Stream != nil {
+		e.over = make(chan struct{})
+		defer close(e.over)
+		rt = t.streams
+	}
+	response, err := rt.RoundTrip(request)
 	if err != nil {
-		t.closeIdleAfterDeadline(ctx)
+		t.closeIdleAfterDeadline(ctx, c)
 		return Response{}, e.reused, e.classifyError(ctx, err)
 	}
 	// Close ends the connection unless the body was read to its end.
@@ -143,7 +164,7 @@
 	}
 	body, err := t.readBody(c, response.Body)
 	if err != nil {
-		t.closeIdleAfterDeadline(ctx)
+		t.closeIdleAfterDeadline(ctx, c)
 		if e.receivedMalformed() && problem.KindOf(err) == problem.Unavailable {
 			err = errNoAnswer(problem.New(problem.Malformed, "correct the server", "%w", err))
 		}
@@ -164,9 +185,10 @@
 // closeIdleAfterDeadline closes the idle connections if the deadline of ctx passed. A missed deadline is the only sign
 // of a connection that fails without a reset, for example because a device on the path lost its connection state. Often
 // all connections to the peer fail together, and each one left in the pool would fail another request. A slow server
-// cannot be told from such a failure; for it, the price is to reopen the idle connections.
-func (t *Transport) closeIdleAfterDeadline(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// cannot be told from such a failure; for it, the price is to reopen the idle connections. An exchange with a stream shows
+// nothing: the sender of the stream may be slow.
+func (t *Transport) closeIdleAfterDeadline(ctx context.Context, c Call) {
+	if c.Stream == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		t.rt.CloseIdleConnections()
 	}
 }
@@ -181,6 +203,11 @@
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
+	if c.Stream != nil {
+		r.Body = io.NopCloser(c.Stream)
+		r.ContentLength = c.StreamLength
+		return r, nil
+	}
 	if len(c.Body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(c.Body))
 		r.ContentLength = int64(len(c.Body))
@@ -204,6 +231,8 @@
 	sent atomic.Bool
 	// reused is true if the connection had been used before. It is written before the round trip ends.
 	reused bool
+	// over is closed at the end of an exchange with a stream; nil for others.
+	over chan struct{}
 }
 
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
@@ -222,7 +251,9 @@
 		return
 	}
 	e.connection.Store(conn)
-	e.writes.Store(conn.beginExchange(e.ctx))
+	writes := conn.beginExchange(e.ctx)
+	writes.over = e.over
+	e.writes.Store(writes)
 }
 
 // hasSent reports whether a write of the request has started.
