--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -391,6 +391,19 @@
 	return b.Take(a, bytes, now)
 }
 
+// Hold reserves bytes that belong to no connection of a client, such as those of a body that another node sends. Nothing is
+// given up for them. It returns false if there are not as many.
+func (b *Book) Hold(bytes int64) bool {
+	if b.used+bytes > b.limits.Bytes-b.limits.Reserve {
+		return false
+	}
+	b.used += bytes
+	return true
+}
+
+// Drop returns bytes that were reserved by Hold.
+func (b *Book) Drop(bytes int64) { b.used -= bytes }
+
 func (b *Book) take(a *Account, bytes int64) {
 	a.held += bytes
 	a.received += bytes
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	// exchange is the one of the request. accounted is set if its handler reserves the memory for what it reads.
 	exchange  *exchange
 	accounted bool
+	// aborted is set when the rest of the body is not needed any more.
+	aborted atomic.Bool
 	// expected is set if the caller awaits an interim answer before it sends the body.
 	expected bool
 
@@ -183,6 +186,20 @@
 	return nil
 }
 
+// errAborted is the error of reads of a body that is not needed any more.
+var errAborted = errors.New("the rest of the body is not needed")
+
+// abort ends a read that is in progress.
+func (b *body) abort() {
+	b.aborted.Store(true)
+	c := b.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inBody && c.input.body == b {
+		c.setDeadline(past)
+	}
+}
+
 // extend sets the deadline of reads according to the progress of the body. It returns an error if the body is late, or its
 // connection is given up.
 func (b *body) extend() error {
@@ -196,6 +213,8 @@
 	switch {
 	case c.givenUp:
 		return errNoMemory
+	case b.aborted.Load():
+		return errAborted
 	case !time.Now().Before(end):
 		return os.ErrDeadlineExceeded
 	}
--- a/internal/pipeline/governor.go
+++ b/internal/pipeline/governor.go
@@ -130,6 +130,20 @@
 	g.book.Settle(c.account)
 }
 
+// Hold reserves bytes that belong to no connection of a client. It returns false if there are not as many.
+func (g *Governor) Hold(bytes int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Hold(bytes)
+}
+
+// Drop returns bytes that were reserved by Hold.
+func (g *Governor) Drop(bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Drop(bytes)
+}
+
 // reserve reserves bytes for a body. It returns false if the request is to be refused.
 func (g *Governor) reserve(c *conn, bytes int64) bool {
 	if g == nil {
--- a/internal/pipeline/read_body.go
+++ b/internal/pipeline/read_body.go
@@ -29,13 +29,18 @@
 // the error of the connection.
 func (e *exchange) ReadBody(limit int64) ([]byte, error) {
 	body, err := e.readBody(limit)
+	e.countRefusal(err)
+	return body, err
+}
+
+// countRefusal counts a body that is refused because of err.
+func (e *exchange) countRefusal(err error) {
 	switch {
 	case problem.KindOf(err) == problem.TooLarge:
 		e.conn.server.Governor.refused(intake.LargeBody)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.conn.server.Governor.refused(intake.SlowBody)
 	}
-	return body, err
 }
 
 func (e *exchange) readBody(limit int64) ([]byte, error) {
@@ -73,24 +78,55 @@
 	return true
 }
 
+// release returns bytes before the answer is written.
+func (e *exchange) release(bytes int64) {
+	e.reserved -= bytes
+	e.conn.server.Governor.release(e.conn, bytes)
+}
+
 // readPieces reads a body of unknown or large size piece by piece and joins them.
 func (e *exchange) readPieces(limit int64) ([]byte, error) {
-	var parts [][]byte
-	var size, reserved int64
-	defer func() {
-		for _, part := range parts {
-			if cap(part) == pieceBytes {
-				pieces.Put((*[pieceBytes]byte)(part[:pieceBytes]))
-			}
+	parts, complete, err := e.collectPieces(limit)
+	defer e.releasePieces(parts)
+	switch {
+	case err != nil:
+		return nil, err
+	case !complete:
+		return nil, errBodyTooLarge(limit)
+	}
+	return e.joinPieces(parts)
+}
+
+// releasePieces returns the memory of pieces.
+func (e *exchange) releasePieces(parts [][]byte) {
+	for _, part := range parts {
+		e.release(int64(cap(part)))
+		if cap(part) == pieceBytes {
+			pieces.Put((*[pieceBytes]byte)(part[:pieceBytes]))
 		}
-		e.reserved -= reserved
-		e.conn.server.Governor.release(e.conn, reserved)
-	}()
+	}
+}
+
+// joinPieces returns a copy of the pieces in one slice.
+func (e *exchange) joinPieces(parts [][]byte) ([]byte, error) {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	if !e.reserve(int64(size)) {
+		return nil, errNoMemory
+	}
+	return bytes.Join(parts, nil), nil
+}
+
+// collectPieces reads pieces, whose memory is reserved, until the end of the body or until they have more than limit bytes.
+// complete is set at the end of the body. The caller releases the pieces, also after an error.
+func (e *exchange) collectPieces(limit int64) (parts [][]byte, complete bool, err error) {
+	var size int64
 	for next := int64(firstPieceBytes); ; next = min(2*next, pieceBytes) {
 		if !e.reserve(next) {
-			return nil, errNoMemory
+			return parts, false, errNoMemory
 		}
-		reserved += next
 		var part []byte
 		if next == pieceBytes {
 			part = pieces.Get().(*[pieceBytes]byte)[:]
@@ -102,14 +138,11 @@
 		size += int64(n)
 		switch {
 		case size > limit:
-			return nil, errBodyTooLarge(limit)
+			return parts, false, nil
 		case err == io.EOF || err == io.ErrUnexpectedEOF && e.atEnd():
-			if !e.reserve(size) {
-				return nil, errNoMemory
-			}
-			return bytes.Join(parts, nil), nil
+			return parts, true, nil
 		case err != nil:
-			return nil, err
+			return parts, false, err
 		}
 	}
 }
