Send streamed bodies between nodes

Dispatch carries the body in one message of at most 16 MiB. DispatchStream sends the request first; the other node asks for the body once it has a slot of its backend server, and gets it in parts of 32 KiB. It runs nothing before the first part, so that a failure before that counts as not sent. A sender whose caller is slow sends empty parts every 250 ms; a receiver that hears nothing on the connection for 700 ms gives up. An older node answers with an error, which does not count as a failure of it.

--- a/internal/node/peer_check.go
+++ b/internal/node/peer_check.go
@@ -47,7 +47,10 @@
 func PeerStateOf(err error) PeerState {
 	var silence *SilenceError
 	var opError *net.OpError
+	var refused *callRefusedError
 	switch {
+	case errors.As(err, &refused):
+		return PeerAnswers
 	case errors.As(err, &silence):
 		return silence.Peer
 	case errors.As(err, &opError) && opError.Op == "dial":
@@ -64,6 +67,15 @@
 	return PeerSilent
 }
 
+// callRefusedError is the error of a call that a peer ended with an error, while it answers on the same connection.
+type callRefusedError struct{ cause error }
+
+// Error returns the cause.
+func (e *callRefusedError) Error() string { return "the peer refused the call: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callRefusedError) Unwrap() error { return e.cause }
+
 // SilenceError is the error of a call that received no data for too long.
 type SilenceError struct {
 	// Peer is the state of the peer.
--- a/internal/node/read_budget.go
+++ b/internal/node/read_budget.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"heatherreel/internal/problem"
 )
@@ -48,6 +49,9 @@
 	// unanswered are the bytes received since the last write.
 	unanswered int64
 	closed     bool
+	// watched is set once a body is streamed on the connection, and received is when bytes arrived last since then.
+	watched  bool
+	received time.Time
 }
 
 // Read implements net.Conn.
@@ -66,10 +70,27 @@
 	if c.closed {
 		return true
 	}
+	if c.watched {
+		c.received = time.Now()
+	}
 	c.unanswered += n
 	return c.budget.total.Add(n) <= maxUnansweredBytes || c.unanswered <= freeBytes
 }
 
+// watch begins to record when bytes arrive.
+func (c *budgetConn) watch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watched = true
+}
+
+// lastReceived returns when bytes arrived last after watch was called.
+func (c *budgetConn) lastReceived() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // Write implements net.Conn.
 func (c *budgetConn) Write(p []byte) (int, error) {
 	c.release(false)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -66,8 +66,12 @@
 //
 // onSilent, unless it is nil, is called once when the node has been silent for so long that the request should be sent
 // to another node as well, if r.Repetition allows that. The answer is still awaited, until ctx ends or the node refuses a
-// new connection. onSilent must not block; it may be called when Dispatch has just returned.
+// new connection. onSilent must not block; it may be called when Dispatch has just returned. It is not called for a request
+// whose body is a stream, which cannot be sent twice.
 func (c *Client) Dispatch(ctx context.Context, address string, r routed.Request, onSilent func(PeerState)) (routed.Answer, error) {
+	if r.Stream != nil {
+		return c.dispatchStream(ctx, address, r)
+	}
 	conn, err := c.connPool.take(ctx, address, !r.Idempotent)
 	if err != nil {
 		return routed.Answer{}, err
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -48,8 +48,9 @@
 
 // Names of the calls that carry requests of callers.
 const (
-	dispatchCall = "/heatherreel.node.Router/Dispatch"
-	forwardCall  = "/heatherreel.node.Node/Forward"
+	dispatchCall       = "/heatherreel.node.Router/Dispatch"
+	dispatchStreamCall = "/heatherreel.node.Router/DispatchStream"
+	forwardCall        = "/heatherreel.node.Node/Forward"
 )
 
 // requestCounter counts the requests in progress, each until its answer is handed to the operating system: drpc writes
@@ -69,7 +70,7 @@
 
 // HandleRPC implements drpc.Handler.
 func (c *requestCounter) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc == dispatchCall || rpc == forwardCall {
+	if rpc == dispatchCall || rpc == dispatchStreamCall || rpc == forwardCall {
 		c.begin()
 		defer c.end()
 	}
