Stream request bodies over 8 MiB

max_body_bytes is 64 MiB in the reference configuration, but a body over 8 MiB got 413. It is now streamed from the caller through the nodes to the backend server. Its request is routed, admitted and gets a slot before the body is read, and is not sent again once that has begun.

--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -158,7 +158,14 @@
 func checkCrowd(t *testing.T, address func(*gatewayProcess) string, size int, script func(i int) clientScript) {
 	t.Helper()
 	p := startGateway(t)
-	calm, _, err := p.memory()
+	checkCrowdAt(t, p, p, address(p), size, script)
+}
+
+// checkCrowdAt lets a crowd loose on an address of one process, and checks the memory and descriptors of another or the same
+// one. The first must answer an ordinary caller.
+func checkCrowdAt(t *testing.T, p, checked *gatewayProcess, address string, size int, script func(i int) clientScript) {
+	t.Helper()
+	calm, _, err := checked.memory()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,7 +175,7 @@
 		defer close(sampled)
 		for {
 			// The count of a process that has ended is 0.
-			open, _ := p.descriptors()
+			open, _ := checked.descriptors()
 			maxOpen = max(maxOpen, open)
 			select {
 			case <-over:
@@ -177,7 +184,7 @@
 			}
 		}
 	}()
-	c := startCrowd(address(p), size, script)
+	c := startCrowd(address, size, script)
 	defer c.end()
 	c.awaitSent()
 	p.awaitSettled()
@@ -186,10 +193,10 @@
 	afterwards := p.awaitAnswer(answerLimit)
 	close(over)
 	<-sampled
-	_, peak, err := p.memory()
+	_, peak, err := checked.memory()
 	switch {
-	case !p.isAlive():
-		t.Fatalf("the process has ended: %v", p.command.ProcessState)
+	case !p.isAlive() || !checked.isAlive():
+		t.Fatalf("a process has ended: %v, %v", p.command.ProcessState, checked.command.ProcessState)
 	case err != nil:
 		t.Fatal(err)
 	}
--- a/internal/clienttest/gateway_test.go
+++ b/internal/clienttest/gateway_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"testing"
 	"time"
 
+	"heatherreel/internal/registry"
 	"heatherreel/platform/store"
 )
 
@@ -76,12 +78,12 @@
 
 // writeSettings writes the settings file of a gateway and returns its path. Limits for clients that the program gains are
 // added here and nowhere else.
-func writeSettings(t *testing.T, a addresses, backend, store string) string {
+func writeSettings(t *testing.T, a addresses, instance, service, backend, store string) string {
 	t.Helper()
-	text := fmt.Sprintf(`instance: i-1
+	text := fmt.Sprintf(`instance: %s
 data_centre: west-a
 region: emea-west
-service: orders
+service: %s
 backend_address: %s
 callers_address: %s
 nodes_address: %s
@@ -97,7 +99,7 @@
 retry_window_s: 10
 retry_floor: 62
 max_fds: %d
-`, backend, a.callers, a.nodes, a.heartbeats, a.ready, a.metrics, store, memoryMB, maxFDs)
+`, instance, service, backend, a.callers, a.nodes, a.heartbeats, a.ready, a.metrics, store, memoryMB, maxFDs)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -105,13 +107,16 @@
 	return path
 }
 
-// configuration is the record of the operators.
-var configuration = fmt.Sprintf(`{"version":"r1","routes":{"a":{"host":%q,"path_prefix":"/","route_type":"idempotent","timeout_ms":8000,
-"service":"orders","max_attempts":1}},"services":{"orders":{}},
+// configuration returns the record of the operators with a limit for bodies.
+func configuration(maxBody int) string {
+	return fmt.Sprintf(`{"version":"r1","routes":{"a":{"host":%q,"path_prefix":"/","route_type":"idempotent","timeout_ms":8000,
+"service":"orders","max_attempts":1}},"services":{"orders":{},"front":{}},
 "limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, routeHost, maxBody)
+}
 
-// startStore starts a store whose only record is the configuration, and returns its address.
-func startStore(t *testing.T) string {
+// startStore starts a store that holds the configuration and the records of members, and returns its address. What nodes
+// write is lost.
+func startStore(t *testing.T, configuration string, members ...registry.Member) string {
 	t.Helper()
 	over := make(chan struct{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -122,6 +127,12 @@
 			if query.Get("topic") == store.OperatorTopic {
 				items = append(items, map[string]any{"key": "config", "value": []byte(configuration), "offset": 0})
 			}
+			for _, m := range members {
+				if query.Get("topic") == registry.MembersTopic {
+					value, _ := json.Marshal(m)
+					items = append(items, map[string]any{"key": m.Instance, "value": value, "offset": 0})
+				}
+			}
 			_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": 1})
 		case "/v1/log-read":
 			wait, _ := strconv.Atoi(query.Get("wait_ms"))
@@ -142,11 +153,17 @@
 	return server.Listener.Addr().String()
 }
 
+// bodySum is the field of an answer of the backend server with the checksum of the body of its request, if that was complete.
+const bodySum = "X-Body-Sum"
+
 // startBackend starts a backend server, which sends heartbeats to the address, and returns its own address.
 func startBackend(t *testing.T, heartbeatsAddress string) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		_, _ = io.Copy(io.Discard, req.Body)
+		sum := crc32.NewIEEE()
+		if _, err := io.Copy(sum, req.Body); err == nil {
+			w.Header().Set(bodySum, strconv.Itoa(int(sum.Sum32())))
+		}
 		w.Header().Set("Heatherreel-Request-Id", req.Header.Get("Heatherreel-Request-Id"))
 		w.Header().Set("Heatherreel-Response-Signature", "s")
 		size := answerSizes[req.URL.Path]
@@ -202,14 +219,24 @@
 
 // startGateway starts a gateway with stand-ins and waits until it serves a request.
 func startGateway(t *testing.T) *gatewayProcess {
+	t.Helper()
+	a := freeAddresses(t)
+	p := startProcess(t, a, writeSettings(t, a, "i-1", "orders", startBackend(t, a.heartbeats), startStore(t, configuration(maxBody))))
+	if err := p.awaitAnswer(startLimit); err != nil {
+		t.Fatalf("the gateway does not serve before the clients come: %v", err)
+	}
+	return p
+}
+
+// startProcess starts a gateway with the settings in a file.
+func startProcess(t *testing.T, a addresses, settings string) *gatewayProcess {
 	t.Helper()
 	program, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &gatewayProcess{output: &bytes.Buffer{}, exited: make(chan struct{}),
-		addresses: freeAddresses(t)}
-	p.command = exec.Command(program, "gateway", "--settings", writeSettings(t, p.addresses, startBackend(t, p.heartbeats), startStore(t)))
+	p := &gatewayProcess{output: &bytes.Buffer{}, exited: make(chan struct{}), addresses: a}
+	p.command = exec.Command(program, "gateway", "--settings", settings)
 	p.command.Stdout, p.command.Stderr = p.output, p.output
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
@@ -225,9 +252,6 @@
 			t.Logf("end of the output of the process: %s", p.output.Bytes()[max(0, p.output.Len()-2000):])
 		}
 	})
-	if err := p.awaitAnswer(startLimit); err != nil {
-		t.Fatalf("the gateway does not serve before the clients come: %v", err)
-	}
 	return p
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -205,6 +205,7 @@
 	dependencies := gateway.Dependencies{
 		Store: d.store, OperatorTopic: store.OperatorTopic, DecodeOperator: store.DecodeOperatorRecord,
 		Peers: d.peers, Backend: d.backend, Events: d.events, Metrics: d.metrics, Tracing: d.tracing, Now: bootClock,
+		Memory: d.governor,
 	}
 	if s.GrantDelivery == settings.GrantsDirect {
 		d.keyCalls = backend.NewKeyCalls()
@@ -214,7 +215,7 @@
 		Self: gateway.Self{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Address: s.NodesAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Service: s.Service, BackendAddress: s.BackendAddress},
 		IngressWorkers: gatewayIngressWorkers, IngressQueue: gatewayIngressQueue, BackendWorkers: gatewayBackendWorkers,
-		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, Limits: gatewayLimits(s),
+		LinkMbps: s.LinkMbps, LearnCapacity: s.LearnCapacity, LargeBodies: s.LargeBodies, Limits: gatewayLimits(s),
 		Revocation: s.Revocation(),
 	}, dependencies)
 	return d, nil
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -12,6 +12,7 @@
 	"heatherreel/internal/node"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/stream"
 	"heatherreel/internal/telemetry"
 )
 
@@ -62,6 +63,9 @@
 // earlier has taken effect late and shortened the hold, the key is granted again and the request sent once more.
 func (g *Gateway) admit(ctx context.Context, r routed.Request, p *progressReporter) routed.Answer {
 	answer := g.admitOnce(ctx, r, p)
+	if r.Stream != nil && r.Stream.Begun() {
+		return answer
+	}
 	if answer.Reason != request.BackendChanged || !r.Keyed || !g.grantsByCalls() || !g.server.dropHold(r.Key, g.deps.Now()) {
 		return answer
 	}
@@ -94,6 +98,13 @@
 	if g.shouldDivert(r) {
 		return g.refuse(r, request.MachineSlow)
 	}
+	returnSlot, reason := g.streams.take(r, stream.Owner)
+	defer returnSlot()
+	if reason != "" {
+		answer := g.refuse(r, reason)
+		answer.RetryAfter = stream.RetryAfter
+		return answer
+	}
 	ticket, reason := g.acquireSlot(ctx, r, p)
 	if reason != "" {
 		return g.refuse(r, reason)
@@ -430,9 +441,17 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
 	defer cancel()
+	if reason := beginStream(ctx, e.Request); reason != "" {
+		g.releaseSlot(ticket, false)
+		return routed.NotRun(reason, 0)
+	}
 	ctx, span := g.deps.Tracing.StartHop(ctx, "", telemetry.HopBackend)
 	run := g.server.beginRun(e.Request.Route)
+	run.streamed = e.Request.Stream != nil
 	answer := g.deps.Backend.Exchange(ctx, e)
+	if run.streamed {
+		answer = endStream(ctx, e.Request, answer)
+	}
 	g.reportRunChange(e.Server, g.server.endRun(run, answer))
 	span.Result(answer.Outcome, answer.Reason)
 	span.End()
@@ -440,7 +459,7 @@
 		g.server.suspectRestart(e.Server)
 	}
 	g.server.observeWorkFigure(answer.WorkFigure)
-	g.releaseSlot(ticket, answer.Outcome == request.Done && !(g.options.LearnCapacity && isServerError(answer)))
+	g.releaseSlot(ticket, answer.Outcome == request.Done && !run.streamed && !(g.options.LearnCapacity && isServerError(answer)))
 	return answer
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,10 @@
 	LinkMbps float64
 	// LearnCapacity makes the node learn the concurrency limit of its backend server.
 	LearnCapacity bool
-	Limits        Limits
+	// LargeBodies is the number of large request bodies that are streamed at once, for callers and for the local backend
+	// server each; 0 if none are.
+	LargeBodies int
+	Limits      Limits
 	// Revocation is the time after the acknowledgement of a configuration from which an API key that it removed admits no
 	// request; zero if no such time is guaranteed.
 	Revocation time.Duration
@@ -105,6 +108,14 @@
 	Release(ctx context.Context, c keyhold.Call) keyhold.Reply
 }
 
+// StreamMemory accounts for memory.
+type StreamMemory interface {
+	// Hold reserves bytes. It returns false if there are not as many.
+	Hold(bytes int64) bool
+	// Drop returns them.
+	Drop(bytes int64)
+}
+
 // Peers calls the nodes of other instances.
 type Peers interface {
 	// Dispatch sends a request to a node. It calls onSilent, unless that is nil, once the request should be sent to another
@@ -134,9 +145,11 @@
 	Backend        Backend
 	// KeyCalls grants keys by calls. If it is nil, keys are granted in the replies to heartbeats.
 	KeyCalls KeyCalls
-	Events   *eventlog.Logger
-	Metrics  *telemetry.Metrics
-	Tracing  *telemetry.Tracing
+	// Memory accounts for the large bodies that are passed on to the local backend server; nil if nothing does.
+	Memory  StreamMemory
+	Events  *eventlog.Logger
+	Metrics *telemetry.Metrics
+	Tracing *telemetry.Tracing
 	// Now reads a clock that counts the time during which the machine is suspended.
 	Now func() keyrange.Instant
 }
@@ -160,6 +173,8 @@
 	server    *serverTracker
 	// egress is nil if large answers are not paced.
 	egress *egressTable
+	// streams counts the large bodies that are streamed.
+	streams *streamTable
 
 	// era is the era of the platform's store.
 	era *storeEra
@@ -245,6 +260,7 @@
 	g.ranges = newRangeTable()
 	g.quotas = newQuotaTable(o.Self.Instance)
 	g.server = newServerTracker()
+	g.streams = newStreamTable(o.LargeBodies, d.Metrics, d.Memory)
 	if o.LinkMbps > 0 {
 		g.egress = newEgressTable(o.LinkMbps)
 	}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -14,6 +14,7 @@
 	"heatherreel/internal/retry"
 	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/stream"
 	"heatherreel/internal/telemetry"
 )
 
@@ -96,7 +97,7 @@
 		// The configuration in force has changed since the route was looked for.
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.NotConfigured, notConfiguredRetryAfter))
 	}
-	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit {
+	if limit := table.Limits.MaxBodyBytes; limit > 0 && int64(len(r.Body)) > limit || limit > 0 && r.Stream != nil && r.Stream.Length > limit {
 		return g.finishRequest(&activeRequest{request: r, started: time.Now()}, routed.NotRun(request.TooLarge, 0))
 	}
 	r.Service, r.Route, r.Idempotent, r.Priority = service, matched.Name, matched.Idempotent, matched.Priority
@@ -119,6 +120,11 @@
 	if len(r.HomeRegions) == 0 {
 		a.scarceRegions = table.HomeRegions(service)
 	}
+	returnSlot, full := g.streams.take(r, stream.Ingress)
+	defer returnSlot()
+	if full != "" {
+		return g.finishRequest(a, routed.NotRun(full, stream.RetryAfter))
+	}
 	credit, refused := g.takeQuota(ctx, r.Tenant, r.Deadline)
 	if refused != nil {
 		return g.finishRequest(a, *refused)
@@ -196,7 +202,7 @@
 	}
 	eligible := g.members.candidates(candidateQuery{service: a.request.Service, homeRegions: a.request.HomeRegions,
 		scarceRegions: a.scarceRegions, evacuated: g.routes.evacuatedDataCentres(), tried: a.tried,
-		transferBytes: len(a.request.Body) + g.routes.expectedAnswerSize(a.route.Name)}, now)
+		transferBytes: a.request.TransferBytes() + g.routes.expectedAnswerSize(a.route.Name)}, now)
 	i := choice.Choose(eligible, randomIndex)
 	if i < 0 {
 		return "", false
@@ -263,6 +269,8 @@
 // counts as an attempt. At most two sends are awaited at the same time.
 func (a *activeRequest) repetition() routed.Repetition {
 	switch {
+	case a.request.Stream != nil:
+		return routed.NotRepeated
 	case !a.request.Idempotent || a.serverAttempts+1 >= a.route.MaxAttempts || a.awaited != "":
 		return routed.NotRepeated
 	case a.keyed:
@@ -286,6 +294,10 @@
 		g.members.requestAbandoned(instance)
 		return routed.OutcomeUnknown(request.Canceled)
 	}
+	if answer, failed := streamFailure(a.request, isNotSent(err)); failed {
+		g.members.requestAnswered(instance, routed.Load{}, true, time.Now())
+		return answer
+	}
 	peer := node.PeerStateOf(err)
 	// A call that ended by its deadline or because the caller disconnected does not count as a failure of the node,
 	// unless the node was found not to answer.
@@ -321,6 +333,9 @@
 	if ctx.Err() != nil || a.sends >= maxSends && !a.keyed {
 		return false
 	}
+	if s := a.request.Stream; s != nil && !stream.MayRepeat(a.lastAnswer.Outcome, s.Begun()) {
+		return false
+	}
 	if !retry.Allowed(now, a.request.Deadline, a.lastAnswer.Outcome, a.request.Idempotent) || a.serverAttempts >= a.route.MaxAttempts {
 		return false
 	}
@@ -389,7 +404,8 @@
 // its deadline.
 func (a *activeRequest) awaitsOwner(now time.Time) bool {
 	switch a.lastAnswer.Reason {
-	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull, request.ServerShedding:
+	case request.OwnerUnreachable, request.QueueFull, request.DeadlineTooClose, request.WrongRegion, request.BackendFull, request.ServerShedding,
+		request.LargeBodiesFull:
 		// No change is expected soon.
 		return false
 	}
--- a/internal/gateway/learned_limit.go
+++ b/internal/gateway/learned_limit.go
@@ -17,6 +17,8 @@
 	began time.Time
 	// running is the number of requests in progress when it began, itself included.
 	running int
+	// streamed is set if the body was streamed, so that the time is that of its sender.
+	streamed bool
 }
 
 // beginRun records that the backend server begins to execute a request of the route.
@@ -71,6 +73,8 @@
 func capacitySample(r run, a routed.Answer) (capacity.Sample, bool) {
 	s := capacity.Sample{Route: r.route, Began: r.began, RunningAtBegin: r.running}
 	switch {
+	case r.streamed:
+		return s, false
 	case a.Outcome == request.Done:
 		s.Failed = isServerError(a)
 	case isShed(a):
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -12,6 +12,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"heatherreel/internal/problem"
+	"heatherreel/internal/stream"
 )
 
 // Gateway holds the settings of a node that serves routes. They are read from a YAML file, because the platform writes
@@ -71,6 +72,9 @@
 	// send bodies and read answers; 0 means the defaults of package pipeline.
 	MaxHeaderFields   int `yaml:"max_header_fields"`
 	MinBytesPerSecond int `yaml:"min_bytes_per_second"`
+	// LargeBodies is the number of request bodies over 8 MiB that are streamed at once, for callers and for the backend server
+	// each; 0 means that they are refused. ParseGateway sets the default, stream.DefaultLimit.
+	LargeBodies int `yaml:"large_bodies"`
 	// LearnCapacity makes the node measure the concurrency up to which the backend server keeps its speed.
 	LearnCapacity bool `yaml:"learn_capacity"`
 	// TraceOutput is where spans are written: none, stderr or the path of a file; empty means none. TraceRatio is the
@@ -112,7 +116,7 @@
 
 // ParseGateway decodes and validates the settings in data.
 func ParseGateway(data []byte) (Gateway, error) {
-	var s Gateway
+	s := Gateway{LargeBodies: stream.DefaultLimit}
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	decoder.KnownFields(true)
 	if err := decoder.Decode(&s); err != nil {
@@ -167,7 +171,7 @@
 		{"max_fds", s.MaxFDs}, {"revocation_ms", s.RevocationMS}, {"pipeline_depth", s.PipelineDepth},
 		{"max_connections", s.MaxConnections}, {"max_connections_per_client", s.MaxConnectionsPerClient},
 		{"request_memory_mb", s.RequestMemoryMB}, {"max_header_fields", s.MaxHeaderFields},
-		{"min_bytes_per_second", s.MinBytesPerSecond},
+		{"min_bytes_per_second", s.MinBytesPerSecond}, {"large_bodies", s.LargeBodies},
 	} {
 		if f.value < 0 || f.value > maxSetting {
 			faults = append(faults, fmt.Errorf("%s must be from 0 to %d", f.name, int(maxSetting)))
