End streamed bodies that stall

A body may take the time for a head and that for what has arrived of it at the minimum rate. A client that stalled after 6 MiB held a slot of the backend server until the deadline of its request, as these count for 6,000 s at 1 KiB/s. For a streamed body the rate now counts in each interval of header_timeout_ms; only the time of reads counts, as the receiver may hold the caller up.

--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -36,6 +36,12 @@
 	began    time.Time
 	arrived  int64
 	deadline time.Time
+	// streamed is set once the body is passed on as it arrives. readBegan is when the present read began, waited the time of
+	// earlier reads in the present interval of progress, and counted what had arrived when that began.
+	streamed  bool
+	readBegan time.Time
+	waited    time.Duration
+	counted   int64
 	// err is the result of all further reads; io.EOF after the end of the body.
 	err error
 	// over is set when the reader of the connection has it back.
@@ -82,8 +88,11 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	if b.began.IsZero() {
-		b.began = time.Now()
+	if first := b.began.IsZero(); first || b.streamed {
+		b.readBegan = time.Now()
+		if first {
+			b.began = b.readBegan
+		}
 		if err := b.extend(); err != nil {
 			return 0, b.fail(err)
 		}
@@ -95,6 +104,9 @@
 		}
 	}
 	n, err := b.read(p)
+	if b.streamed {
+		b.waited += time.Since(b.readBegan)
+	}
 	if n > 0 {
 		b.arrived += int64(n)
 		b.conn.server.Governor.progress(b.conn, n)
@@ -186,6 +198,27 @@
 	return nil
 }
 
+// progressEnd returns when the present interval of progress of a streamed body ends; a time that is not after now if too
+// little has arrived in it. Such a body holds a slot of a backend server, so that its rate counts in each interval of
+// HeaderTimeout and not on average. Only the time of reads counts: the caller may be held up between them.
+func (b *body) progressEnd(limits Limits) time.Time {
+	now := time.Now()
+	if waited := b.waited + now.Sub(b.readBegan); waited >= limits.HeaderTimeout {
+		if !limits.progresses(b.arrived-b.counted, waited) {
+			return now
+		}
+		b.readBegan, b.waited, b.counted = now, 0, b.arrived
+	}
+	return b.readBegan.Add(limits.HeaderTimeout - b.waited)
+}
+
+// stream records that the body is passed on as it arrives from now on.
+func (b *body) stream() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streamed, b.counted = true, b.arrived
+}
+
 // errAborted is the error of reads of a body that is not needed any more.
 var errAborted = errors.New("the rest of the body is not needed")
 
@@ -205,6 +238,9 @@
 func (b *body) extend() error {
 	c, limits := b.conn, b.conn.server.limits()
 	end := b.began.Add(limits.HeaderTimeout + limits.timeFor(b.arrived))
+	if b.streamed {
+		end = b.progressEnd(limits)
+	}
 	if !b.deadline.IsZero() && b.deadline.Before(end) {
 		end = b.deadline
 	}
--- a/internal/pipeline/stream_body.go
+++ b/internal/pipeline/stream_body.go
@@ -62,6 +62,7 @@
 		e.releasePieces(begin)
 		return nil, nil, errNoMemory
 	}
+	e.body.stream()
 	return nil, &BodyStream{Length: e.request.ContentLength, exchange: e, limit: limit, begin: begin, held: streamBytes}, nil
 }
 
