--- a/internal/daemon/pipelining_test.go
+++ b/internal/daemon/pipelining_test.go
@@ -14,16 +14,36 @@
 	"heatherreel/internal/heartbeat"
 )
 
-// startConfiguredGateway starts a gateway with the configuration and a backend server, and waits until it is ready. It
-// returns the address for callers.
+// startConfiguredGateway starts a gateway with the configuration and a backend server that sends heartbeats, and waits until
+// it is ready. It returns the address for callers.
 func startConfiguredGateway(t *testing.T, configuration, backend string) string {
 	t.Helper()
 	callers := freeAddress(t)
 	d, stopServing := startDaemonAt(t, callers, backend, newConfiguredStore(t, configuration))
 	t.Cleanup(func() { d.close(stopServing) })
-	if _, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend, Slots: 8, StartedUnixMS: 1, Sequence: 1}); err != nil {
+	beat := func(sequence int64) error {
+		_, err := d.gateway.Heartbeat(heartbeat.Message{Server: "s", Service: "orders", Address: backend, Slots: 8, StartedUnixMS: 1, Sequence: sequence})
+		return err
+	}
+	if err := beat(1); err != nil {
 		t.Fatal(err)
 	}
+	over, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for sequence := int64(2); ; sequence++ {
+			select {
+			case <-time.After(800 * time.Millisecond):
+				_ = beat(sequence)
+			case <-over:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(over)
+		<-ended
+	})
 	await(t, "the gateway to be ready", d.gateway.Ready)
 	return callers
 }
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -17,6 +17,7 @@
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 	"heatherreel/internal/settings"
+	"heatherreel/internal/stream"
 )
 
 // acceptTime is how long a stopping node still accepts requests; see gateway.PrepareStop.
@@ -35,7 +36,7 @@
 	const anyPort = "127.0.0.1:0"
 	d, err := newGatewayDaemon(settings.Gateway{Instance: "i-1", DataCentre: "west-a", Region: "emea-west", Service: "orders", BackendAddress: backendAddress,
 		CallersAddress: callersAddress, NodesAddress: address, HeartbeatsAddress: anyPort, ReadyAddress: anyPort, MetricsAddress: anyPort,
-		StoreAddress: storeAddress, MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62}, &logBuffer{})
+		StoreAddress: storeAddress, MemoryMB: 284, CPUShare: 1, DrainMS: 2000, ShutdownS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetryFloor: 62, LargeBodies: stream.DefaultLimit}, &logBuffer{})
 	if err != nil {
 		t.Fatal(err)
 	}
