--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -23,6 +23,7 @@
 	"heatherreel/internal/request"
 	"heatherreel/internal/route"
 	"heatherreel/internal/routed"
+	"heatherreel/internal/stream"
 	"heatherreel/internal/telemetry"
 )
 
@@ -247,7 +248,7 @@
 	if events == nil {
 		events = eventlog.Discard()
 	}
-	g := New(Options{Self: self, Revocation: sim.revocation, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32,
+	g := New(Options{Self: self, Revocation: sim.revocation, IngressWorkers: 64, IngressQueue: 64, BackendWorkers: 32, LargeBodies: stream.DefaultLimit,
 		Limits: Limits{Retry: RetryLimits{Ratio: 0.2, Floor: 120, Window: 10 * time.Second}, DrainTime: 1500 * time.Millisecond}},
 		Dependencies{Store: sim.store.ClientFor(name), OperatorTopic: "operators", DecodeOperator: sim.decode, Peers: &peers{sim, name},
 			Backend: inst, KeyCalls: keyCalls, Events: events, Metrics: metrics, Tracing: tracing, Now: func() keyrange.Instant {
