End the stream of a sender that ignores a refusal

After a refusal, a sender that went on left its connection with an unread part: drpc then neither serves another call nor notices that the connection is closed. The state that this uses is safe against a request that is answered while its body begins.

--- a/internal/node/stream_server.go
+++ b/internal/node/stream_server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcctx"
@@ -43,6 +44,9 @@
 	if err := sendNow(s, encodeDispatchAnswer(answer)); err != nil {
 		return err
 	}
+	if err := s.CloseSend(); err != nil {
+		return err
+	}
 	return parts.drain()
 }
 
@@ -71,9 +75,9 @@
 	ctx   context.Context
 	abort context.CancelFunc
 	ended chan struct{}
-	// started is set once the body was asked for. The body must arrive by the deadline.
-	started  bool
-	deadline time.Time
+	// receiving is set once receive was started. The body must arrive by the deadline.
+	receiving atomic.Bool
+	deadline  time.Time
 
 	// The reader alone uses the fields below. length is the length of the body or -1, and read what has been read of it.
 	length, read int64
@@ -95,15 +99,24 @@
 
 // start asks for the body, which must arrive by the deadline and within stream.MaxTime.
 func (p *partReader) start(deadline time.Time) error {
+	if p.ctx.Err() != nil {
+		// The request was answered meanwhile.
+		return p.ctx.Err()
+	}
 	p.deadline = time.Now().Add(stream.MaxTime)
 	if deadline.Before(p.deadline) {
 		p.deadline = deadline
 	}
-	p.started = true
-	go p.receive()
+	p.startReceiving()
 	return sendNow(p.stream, &nodepb.DispatchResponse{ReadyForBody: true})
 }
 
+func (p *partReader) startReceiving() {
+	if p.receiving.CompareAndSwap(false, true) {
+		go p.receive()
+	}
+}
+
 // receive receives parts until the last one or an error. What comes when nobody reads any more is dropped.
 func (p *partReader) receive() {
 	defer close(p.ended)
@@ -190,11 +203,10 @@
 	}
 }
 
-// drain waits until the sender has noticed the answer. It returns an error, which ends the stream, if that takes too long.
+// drain waits until the sender has noticed the answer. It returns an error, which ends the stream, if that takes too long:
+// drpc does not notice the end of a connection while a message is not received, nor serve another call on it.
 func (p *partReader) drain() error {
-	if !p.started {
-		return nil
-	}
+	p.startReceiving()
 	timer := time.NewTimer(drainTime)
 	defer timer.Stop()
 	select {
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -242,6 +243,38 @@
 	}
 }
 
+// Guards against a connection that is kept, and not noticed to be closed, because its sender goes on after a refusal.
+func TestSenderThatIgnoresRefusalIsEnded(t *testing.T) {
+	f := newStreamFixture(t, func(context.Context, *routed.BodyStream, node.DispatchProgress) routed.Answer {
+		return routed.NotRun(request.QueueFull, 0)
+	})
+	transport, err := net.Dial("tcp", f.address)
+	requireNoError(t, err)
+	conn := drpcconn.New(transport)
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	stream, err := nodepb.NewDRPCRouterClient(conn).DispatchStream(ctx)
+	requireNoError(t, err)
+	part := &nodepb.DispatchPart{Request: &nodepb.DispatchRequest{DeadlineUs: 20_000_000}, Body: make([]byte, 1000)}
+	requireNoError(t, stream.Send(part))
+	_, err = stream.Recv()
+	requireNoError(t, err)
+	began := time.Now()
+	for err == nil && time.Since(began) < 5*time.Second {
+		if err = stream.Send(part); err == nil {
+			err = stream.(interface{ GetStream() drpc.Stream }).GetStream().(interface{ RawFlush() error }).RawFlush()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("the stream was ended after %v", took)
+	}
+	if _, err := nodepb.NewDRPCNodeClient(conn).Ping(ctx, &nodepb.PingRequest{}); err != nil {
+		t.Errorf("the connection serves no other call: %v", err)
+	}
+}
+
 // Guards against a request that is lost, or a node that counts as failing, because it does not know the call.
 func TestNodeWithoutStreams(t *testing.T) {
 	mux := drpcmux.New()
