Check the answers of clients with large bodies

The test of 200 clients also passed if none of them was served. It now counts the answers, and reads those that come before the end of a connection that can no longer be written to.

--- a/internal/clienttest/crowd_test.go
+++ b/internal/clienttest/crowd_test.go
@@ -54,11 +54,15 @@
 	all     sync.WaitGroup
 	// connected and written count connections and bytes.
 	connected, written atomic.Int64
+
+	// mu guards statuses, which counts the answers by the status of the first one of each client.
+	mu       sync.Mutex
+	statuses map[string]int
 }
 
 // startCrowd connects size clients to the address; script returns what each of them does.
 func startCrowd(address string, size int, script func(i int) clientScript) *crowd {
-	c := &crowd{}
+	c := &crowd{statuses: map[string]int{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for i := range size {
 		c.sending.Add(1)
@@ -82,13 +86,21 @@
 	defer conn.Close()
 	c.connected.Add(1)
 	defer context.AfterFunc(c.ctx, func() { conn.Close() })()
-	if !s.ignoresAnswers {
-		c.all.Go(func() { _, _ = io.Copy(io.Discard, conn) })
+	read := make(chan struct{})
+	if s.ignoresAnswers {
+		close(read)
+	} else {
+		c.all.Go(func() {
+			defer close(read)
+			c.readAnswers(conn)
+		})
 	}
 	for _, text := range s.sends {
 		n, err := io.WriteString(conn, text)
 		c.written.Add(int64(n))
 		if err != nil {
+			// The answer may have arrived before the end of the connection.
+			<-read
 			return
 		}
 	}
@@ -111,6 +123,17 @@
 	<-c.ctx.Done()
 }
 
+// readAnswers counts the first answer on a connection and drops all others.
+func (c *crowd) readAnswers(conn net.Conn) {
+	begin := make([]byte, len("HTTP/1.1 200"))
+	if _, err := io.ReadFull(conn, begin); err == nil {
+		c.mu.Lock()
+		c.statuses[string(begin[len(begin)-3:])]++
+		c.mu.Unlock()
+	}
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // setSmallBuffers makes the kernels of both ends take in few bytes that the client does not read. The segments of loopback
 // are 64 KB, for which the sending kernel has a buffer of over a megabyte; over a network they are as small as here.
 func setSmallBuffers(_, _ string, conn syscall.RawConn) error {
@@ -162,8 +185,8 @@
 }
 
 // checkCrowdAt lets a crowd loose on an address of one process, and checks the memory and descriptors of another or the same
-// one. The first must answer an ordinary caller.
-func checkCrowdAt(t *testing.T, p, checked *gatewayProcess, address string, size int, script func(i int) clientScript) {
+// one. The first must answer an ordinary caller. It returns the number of clients by the status of their first answer.
+func checkCrowdAt(t *testing.T, p, checked *gatewayProcess, address string, size int, script func(i int) clientScript) map[string]int {
 	t.Helper()
 	calm, _, err := checked.memory()
 	if err != nil {
@@ -211,4 +234,5 @@
 	if during != nil || afterwards != nil {
 		t.Errorf("an ordinary request is not answered within %v: while the clients are connected: %v; afterwards: %v", answerLimit, during, afterwards)
 	}
+	return c.statuses
 }
--- a/internal/clienttest/large_bodies_test.go
+++ b/internal/clienttest/large_bodies_test.go
@@ -84,12 +84,13 @@
 	owner.checkPeak(t, "owner")
 }
 
-// Guards against processes that exceed their memory because many clients send the largest bodies at the same time.
+// Guards against processes that exceed their memory because many clients send the largest bodies at the same time, and against
+// serving none of them then.
 func TestManyLargestBodies(t *testing.T) {
 	ingress, owner := startPair(t)
 	g := target{method: "POST", host: routeHost, path: "/a"}
 	piece := strings.Repeat("x", 64<<10)
-	checkCrowdAt(t, ingress, ingress, ingress.callers, largeBodies, func(i int) clientScript {
+	statuses := checkCrowdAt(t, ingress, ingress, ingress.callers, largeBodies, func(i int) clientScript {
 		if i%2 == 0 {
 			return clientScript{sends: append([]string{g.head(i, contentLength(largeBody))}, slices.Repeat([]string{piece}, largeBody/len(piece))...)}
 		}
@@ -97,6 +98,10 @@
 		return clientScript{sends: append(append([]string{g.head(i, chunked)}, pieces...), "0\r\n\r\n")}
 	})
 	owner.checkPeak(t, "owner")
+	t.Logf("clients by the status of their answer: %v", statuses)
+	if statuses["200"] == 0 {
+		t.Errorf("none of %d bodies was served: %v", largeBodies, statuses)
+	}
 	if !owner.isAlive() {
 		t.Errorf("the owner has ended: %v", owner.command.ProcessState)
 	}
