--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,6 +29,18 @@
 	return a
 }
 
+// Guards against bytes of other nodes that exceed the memory, or that push out a client.
+func TestHeldBytesCount(t *testing.T) {
+	b := New(Limits{Bytes: 1000, Reserve: 200, ShortBytes: 10})
+	if first, second := b.Hold(500), b.Hold(301); !first || second {
+		t.Errorf("500 bytes of 800: %v; 301 more: %v", first, second)
+	}
+	b.Drop(500)
+	if used, _ := b.Used(); used != 0 || !b.Hold(800) {
+		t.Errorf("%d bytes stay in use", used)
+	}
+}
+
 // Guards against clients that keep others out by connections on which they send nothing, or that are idle, and against new
 // connections that close those in use.
 func TestNewConnectionReplacesExpendableOne(t *testing.T) {
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -102,3 +102,15 @@
 		}
 	}
 }
+
+// Guards against large bodies that are refused because the setting is left out, or streamed although it is 0.
+func TestLargeBodiesDefault(t *testing.T) {
+	for line, want := range map[string]int{"": 2, "large_bodies: 0\n": 0, "large_bodies: 5\n": 5} {
+		if s, err := ParseGateway([]byte(gatewaySettings + line)); err != nil || s.LargeBodies != want {
+			t.Errorf("%q: %d, %v", line, s.LargeBodies, err)
+		}
+	}
+	if _, err := ParseGateway([]byte(gatewaySettings + "large_bodies: -1\n")); !errors.Is(err, problem.Invalid) {
+		t.Errorf("a negative number: %v", err)
+	}
+}
