--- a/internal/daemon/large_body_test.go
+++ b/internal/daemon/large_body_test.go
@@ -193,3 +193,24 @@
 		}
 	}
 }
+
+// Guards against a client that waits for the interim answer in vain, or that is asked for a body which is then refused.
+func TestLargeBodyIsAskedFor(t *testing.T) {
+	t.Parallel()
+	server := &bodyServer{received: map[string]receivedBody{}}
+	address := startConfiguredGateway(t, largeBodyConfiguration, serveTCP(t, server.serve))
+	for size, want := range map[int64]int{9 * mebibyte: 200, 21 * mebibyte: 413} {
+		conn := dialCallers(t, address)
+		_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h.example\r\nHeatherreel-Request-Id: r-%d\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", size, size)
+		answers := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(answers, nil)
+		asked := err == nil && resp.StatusCode == http.StatusContinue
+		if asked {
+			_, _ = io.WriteString(conn, strings.Repeat("x", int(size)))
+			resp, err = http.ReadResponse(answers, nil)
+		}
+		if err != nil || resp.StatusCode != want || asked != (want == 200) {
+			t.Errorf("%d bytes: %+v, %v, asked for the body: %v, want status %d", size, resp, err, asked, want)
+		}
+	}
+}
