--- a/internal/daemon/large_body_test.go
+++ b/internal/daemon/large_body_test.go
@@ -148,7 +148,7 @@
 		}
 	}
 	// A body that a client has left may still be on its way.
-	time.Sleep(500 * time.Millisecond)
+	<-time.After(500 * time.Millisecond)
 	for _, c := range cases {
 		got, reached := server.get(strings.ReplaceAll(c.id, " ", "-"))
 		if reached != c.reaches || got.complete != c.complete {
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -260,12 +260,14 @@
 	requireNoError(t, stream.Send(part))
 	_, err = stream.Recv()
 	requireNoError(t, err)
+	pause := time.NewTicker(10 * time.Millisecond)
+	defer pause.Stop()
 	began := time.Now()
 	for err == nil && time.Since(began) < 5*time.Second {
 		if err = stream.Send(part); err == nil {
 			err = stream.(interface{ GetStream() drpc.Stream }).GetStream().(interface{ RawFlush() error }).RawFlush()
 		}
-		time.Sleep(10 * time.Millisecond)
+		<-pause.C
 	}
 	if took := time.Since(began); took > 3*time.Second {
 		t.Errorf("the stream was ended after %v", took)
