gateway: check a streamed request again once its body has arrived

A request with a streamed body could be sent to a backend server that had lost the key, or was drained or replaced, while the first bytes of the body were awaited. The checks of the key and of the backend server were made when the request got its slot, and a slow caller sends its first bytes seconds later.

The request is now refused before anything is sent to the backend server.

Test: TestStreamIsRefusedIfItsKeyMovesBeforeItsBodyArrives.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -472,7 +472,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, e.Request.Deadline)
 	defer cancel()
-	if reason := beginStream(ctx, e.Request); reason != "" {
+	if reason := g.beginStream(ctx, e); reason != "" {
 		g.releaseSlot(ticket, false)
 		return routed.NotRun(reason, 0)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,18 +67,37 @@
 
 // beginStream asks for the body of a request that is streamed and waits for its first bytes. It returns why the request does
 // not run; empty if it may.
-func beginStream(ctx context.Context, r routed.Request) request.Reason {
+func (g *Gateway) beginStream(ctx context.Context, e routed.Exchange) request.Reason {
+	r := e.Request
 	if r.Stream == nil {
 		return ""
 	}
 	defer context.AfterFunc(ctx, r.Stream.Abort)()
-	switch err := r.Stream.Begin(); {
-	case err == nil:
-		return ""
+	err := r.Stream.Begin()
+	switch {
 	case ctx.Err() != nil:
 		return request.DeadlineTooClose
+	case err != nil:
+		return request.BodyIncomplete
+	}
+	return g.changedRefusal(e)
+}
+
+// changedRefusal returns why the backend server must not get a request any more whose body was awaited; empty if it may. A
+// slow caller can send its first bytes seconds after the request was admitted.
+func (g *Gateway) changedRefusal(e routed.Exchange) request.Reason {
+	if reason := g.refusalReason(e.Request); reason != "" {
+		return reason
+	}
+	if g.needsKey(e.Request) && !g.server.holdsKey(e.Request.Key, g.deps.Now()) {
+		return request.NotOwner
+	}
+	g.server.mu.Lock()
+	defer g.server.mu.Unlock()
+	if g.server.lastHeartbeat.Server != e.Server {
+		return request.BackendChanged
 	}
-	return request.BodyIncomplete
+	return ""
 }
 
 // endStream ends the reading of a body after the exchange with the backend server, and returns the answer with the reason for
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -76,3 +76,36 @@
 		}
 	})
 }
+
+// lateReader is a body whose first byte arrives after a delay.
+type lateReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (r *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(r.delay)
+	r.delay = 0
+	return r.Reader.Read(p)
+}
+
+// Guards against a request that is sent to a backend server which has lost its key, or was replaced, while the first bytes of
+// the body were awaited.
+func TestStreamIsRefusedIfItsKeyMovesBeforeItsBodyArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startDirectFleet(t)
+		defer sim.close()
+		key := sim.ownedKey("k1", "f0")
+		sim.mu.Lock()
+		g := sim.instances["k1"].gateway
+		sim.instances["k1"].server.draining = true
+		sim.mu.Unlock()
+		a := g.Route(context.Background(), routed.Request{ID: "late", Host: "h", Path: "/keyed/", Method: "POST", Keyed: true, Key: uint16(key),
+			Deadline: time.Now().Add(10 * time.Second), Stream: routed.NewBodyStream(-1, &lateReader{strings.NewReader("body"), 5 * time.Second}, nil, func() {})})
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		if a.Outcome != request.NotRun || sim.misdirected != 0 || sim.runs["late"] != 0 {
+			t.Errorf("got %v %q, sent to a backend server without the key %d times, ran %d times", a.Outcome, a.Reason, sim.misdirected, sim.runs["late"])
+		}
+	})
+}
