httpwire: end the read of a streamed body when its connection is closed

When a backend server closed the connection, or the time of an exchange was over, while the caller paused in its body, the exchange went on until the caller sent more: the answer (502) was late, and the slot of the backend server stayed taken, up to 30 s.

net/http waits for its write loop before it returns an error, and the write loop waited for the next bytes of the body. Call.AbortStream now ends that read when the connection is closed. An error that only follows from Abort isn't recorded as that of the body, so that the answer still states connection_lost and not body_incomplete.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -25,6 +25,15 @@
 	value atomic.Uint32
 	// over is closed at the end of an exchange whose body is a stream; nil for others.
 	over <-chan struct{}
+	// abortStream is Call.AbortStream.
+	abortStream func()
+}
+
+// closed ends the reading of a stream whose connection is closed.
+func (s *writeState) closed() {
+	if s.abortStream != nil {
+		s.abortStream()
+	}
 }
 
 // awaitAnswer is called after a write of a stream has failed. A server that answers without reading the body may close the
@@ -78,20 +87,21 @@
 	return c
 }
 
-// beginExchange begins the next exchange on the connection and returns the state of its writes. It waits until net/http
-// waits for data on the connection or has closed it. If instead bytes came with the previous answer, net/http closes the
+// beginExchange begins the next exchange on the connection, whose writes have the given state. It waits until net/http waits
+// for data on the connection or has closed it. If instead bytes came with the previous answer, net/http closes the
 // connection, but if an exchange began before that, it would take them for the answer to the new request.
-func (c *writeTrackingConn) beginExchange(ctx context.Context) *writeState {
-	writes := &writeState{}
+func (c *writeTrackingConn) beginExchange(ctx context.Context, writes *writeState) {
 	c.writes.Store(writes)
 	for !c.reading.Load() && !c.closed.Load() {
 		select {
 		case <-c.changed:
 		case <-ctx.Done():
-			return writes
+			return
 		}
 	}
-	return writes
+	if c.closed.Load() {
+		writes.closed()
+	}
 }
 
 // maxExchanges is the number of requests with an ID that a connection carries, so that it can hold their IDs.
@@ -162,5 +172,7 @@
 func (c *writeTrackingConn) Close() error {
 	c.closed.Store(true)
 	c.signalChange()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.writes.Load().closed()
+	return err
 }
--- a/internal/httpwire/silence.go
+++ b/internal/httpwire/silence.go
@@ -79,7 +79,7 @@
 	a.conn = conn
 	a.mu.Unlock()
 	// Bytes that came after the previous answer must not be taken for this one.
-	conn.beginExchange(a.ctx)
+	conn.beginExchange(a.ctx, &writeState{})
 	conn.expect(a)
 }
 
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -91,6 +91,9 @@
 	// differs from StreamLength, end the exchange and close the connection, so that the server never gets a complete body. It
 	// may still be read when Do has returned; its owner ends that.
 	Stream io.Reader
+	// AbortStream ends a read of Stream that is in progress. It is called once the connection is closed, as net/http waits for
+	// that read before it ends the exchange. It may be nil if reads do not block.
+	AbortStream func()
 	// StreamLength is the length of Stream in bytes, or -1 if it is sent in chunks.
 	StreamLength int64
 	// ID identifies the request; empty if nothing does. A request that is sent again uses another connection than before: a
@@ -141,7 +144,7 @@
 	if err != nil {
 		return Response{}, false, problem.New(problem.NotSent, "correct the address or the path", "bad request URL: %w", err)
 	}
-	e := exchange{ctx: ctx, id: c.ID}
+	e := exchange{ctx: ctx, id: c.ID, abortStream: c.AbortStream}
 	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: e.gotConn}))
 	rt := t.rt
 	if c.Stream != nil {
@@ -233,6 +236,8 @@
 	reused bool
 	// over is closed at the end of an exchange with a stream; nil for others.
 	over chan struct{}
+	// abortStream is Call.AbortStream.
+	abortStream func()
 }
 
 // gotConn is called each time net/http has chosen a connection, before the request is written to it.
@@ -251,8 +256,8 @@
 		return
 	}
 	e.connection.Store(conn)
-	writes := conn.beginExchange(e.ctx)
-	writes.over = e.over
+	writes := &writeState{over: e.over, abortStream: e.abortStream}
+	conn.beginExchange(e.ctx, writes)
 	e.writes.Store(writes)
 }
 
--- a/internal/routed/body_stream.go
+++ b/internal/routed/body_stream.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	begun    bool
 	complete bool
+	aborted  bool
 	err      error
 }
 
@@ -86,14 +87,19 @@
 	defer b.mu.Unlock()
 	if err == io.EOF {
 		b.complete = true
-	} else if b.err == nil {
+	} else if b.err == nil && !b.aborted {
 		b.err = err
 	}
 	return err
 }
 
 // Abort ends a read that is in progress, and lets further ones fail.
-func (b *BodyStream) Abort() { b.abort() }
+func (b *BodyStream) Abort() {
+	b.mu.Lock()
+	b.aborted = true
+	b.mu.Unlock()
+	b.abort()
+}
 
 // Begun reports whether Begin was called, so that the body cannot be sent again.
 func (b *BodyStream) Begun() bool {
@@ -102,7 +108,7 @@
 	return b.begun
 }
 
-// Err returns why the body could not be read further; nil if that has not happened.
+// Err returns why the body could not be read further; nil if that has not happened, or only because of Abort.
 func (b *BodyStream) Err() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
