gateway: do not divert the last send of a request

A request is sent to at most six nodes. The sixth could still be diverted, that is, refused with server_busy or machine_slow so that another node gets the request, and the caller got that refusal although a backend server would have run the request after a short wait.

With five nodes whose queues are full, all six sends allowed a diversion; now the last one does not.

Test: TestLastSendIsNotDiverted.

--- /dev/null
+++ b/internal/gateway/divert_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"heatherreel/internal/request"
+	"heatherreel/internal/routed"
+)
+
+// Guards against a request that is refused because another backend server may have a free slot, although it is sent to no
+// further one.
+func TestLastSendIsNotDiverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		for i := 2; i < 2+maxSends; i++ {
+			sim.addInstance(fmt.Sprintf("f%d", i), "free", "r1")
+		}
+		time.Sleep(fleetSettleTime)
+		var mayDivert []bool
+		sim.mu.Lock()
+		sim.refusals = map[string]request.Reason{}
+		for i := range 2 + maxSends {
+			sim.refusals[fmt.Sprintf("f%d", i)] = request.QueueFull
+		}
+		sim.onDispatch = func(_ string, r routed.Request) { mayDivert = append(mayDivert, r.MayDivert) }
+		sim.mu.Unlock()
+		a := sim.sendRequest("k0", "r", "/free/", -1, 10*time.Second)
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		if a.Outcome != request.NotRun || len(mayDivert) != maxSends {
+			t.Fatalf("got %v %q after %d sends", a.Outcome, a.Reason, len(mayDivert))
+		}
+		if !mayDivert[0] || mayDivert[maxSends-1] {
+			t.Errorf("sends that may be diverted: %v", mayDivert)
+		}
+	})
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -224,7 +224,7 @@
 	a.sends++
 	a.tried = append(a.tried, instance)
 	g.members.requestSent(instance)
-	a.request.MayDivert = !a.keyed && a.diversions < maxDiversions && g.members.isSameRegion(instance)
+	a.request.MayDivert = !a.keyed && a.diversions < maxDiversions && a.sends < maxSends && g.members.isSameRegion(instance)
 	a.request.Repetition = a.repetition()
 	member, known := g.members.get(instance)
 	if instance == g.self.Instance {
