gateway: do not divert a request from the only backend server

A request was sent to the only node that can run it with may_divert set. If its backend server was busy, it was refused twice and sent again before it could wait for a slot, behind requests that had arrived later.

TestRequestForOnlyServerIsNotDiverted shows may_divert set for a route whose home region has one backend server. A request may now be diverted only if there was another instance to choose.

--- a/internal/gateway/divert_test.go
+++ b/internal/gateway/divert_test.go
@@ -39,3 +39,21 @@
 		}
 	})
 }
+
+// Guards against a request that is diverted although no other backend server can run it.
+func TestRequestForOnlyServerIsNotDiverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		var mayDivert []bool
+		sim.mu.Lock()
+		sim.onDispatch = func(_ string, r routed.Request) { mayDivert = append(mayDivert, r.MayDivert) }
+		sim.mu.Unlock()
+		a := sim.sendRequest("k0", "r", "/home/", -1, time.Second)
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		if a.Outcome != request.Done || len(mayDivert) != 1 || mayDivert[0] {
+			t.Errorf("got %v %q; sends that may be diverted: %v", a.Outcome, a.Reason, mayDivert)
+		}
+	})
+}
--- a/internal/gateway/ingress.go
+++ b/internal/gateway/ingress.go
@@ -80,6 +80,8 @@
 	// chosen is the instance that was asked last, and chosenReportAge the age of the load report that it was chosen by.
 	chosen          string
 	chosenReportAge time.Duration
+	// hasAlternative is set if another instance could have been chosen instead.
+	hasAlternative bool
 }
 
 // route finds the route of a request and serves it.
@@ -215,7 +217,7 @@
 	if i < 0 {
 		return "", false
 	}
-	a.chosen, a.chosenReportAge = eligible[i].Instance, eligible[i].Age
+	a.chosen, a.chosenReportAge, a.hasAlternative = eligible[i].Instance, eligible[i].Age, len(eligible) > 1
 	return eligible[i].Instance, true
 }
 
@@ -224,7 +226,7 @@
 	a.sends++
 	a.tried = append(a.tried, instance)
 	g.members.requestSent(instance)
-	a.request.MayDivert = !a.keyed && a.diversions < maxDiversions && a.sends < maxSends && g.members.isSameRegion(instance)
+	a.request.MayDivert = !a.keyed && a.hasAlternative && a.diversions < maxDiversions && a.sends < maxSends && g.members.isSameRegion(instance)
 	a.request.Repetition = a.repetition()
 	member, known := g.members.get(instance)
 	if instance == g.self.Instance {
