gateway: do not divert a request from the holder of its key

A request for a key whose ingress node had a configuration in which the service had no keys yet was refused with server_busy by the only node that could run it, if its backend server was busy. The ingress node then asked nodes that don't hold the key.

The check of the load already excluded such requests; the limit of the expected wait did not. may_divert is now ignored at the node that executes a request for a key of its service.

Test: TestRequestForHeldKeyIsNotDiverted, which got not-run server_busy.

--- a/internal/gateway/divert_test.go
+++ b/internal/gateway/divert_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"heatherreel/internal/admission"
+	"heatherreel/internal/node"
 	"heatherreel/internal/request"
 	"heatherreel/internal/routed"
 )
@@ -57,3 +60,27 @@
 		}
 	})
 }
+
+// Guards against a request that is diverted from the only backend server with its key, by an ingress node whose configuration
+// does not know yet that the service has keys.
+func TestRequestForHeldKeyIsNotDiverted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := startFleet(t)
+		defer sim.close()
+		key := sim.ownedKey("k1", "k0")
+		g := sim.instances["k1"].gateway
+		g.server.mu.Lock()
+		now := time.Now()
+		measured := g.server.queue.Offer(now, admission.Job{Deadline: now.Add(time.Minute)})
+		g.server.queue.Release(now.Add(400*time.Millisecond), measured.Ticket, true)
+		for range 16 {
+			g.server.queue.Offer(now, admission.Job{Deadline: now.Add(900 * time.Millisecond)})
+		}
+		g.server.mu.Unlock()
+		a := g.execute(context.Background(), routed.Request{ID: "r", Host: "h", Path: "/keyed/", Method: "GET", Service: "keyed", Route: "keyed",
+			Keyed: true, Key: uint16(key), Revision: 1, MayDivert: true, Deadline: time.Now().Add(time.Second)}, node.DispatchProgress{})
+		if a.Reason == request.ServerBusy {
+			t.Errorf("got %v %q", a.Outcome, a.Reason)
+		}
+	})
+}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -40,6 +40,8 @@
 	g.noteRevision(r.Revision)
 	// Other nodes may recognize calls.
 	r.Call = r.Call && !g.options.IgnoreCalls
+	// An ingress node with an older configuration may not know that only the holder of the key can run the request.
+	r.MayDivert = r.MayDivert && !g.needsKey(r)
 	ctx, span := g.deps.Tracing.StartHop(ctx, r.Traceparent, telemetry.HopOwner)
 	defer span.End()
 	progress := newProgressReporter(p)
--- a/internal/gateway/slowdown.go
+++ b/internal/gateway/slowdown.go
@@ -104,7 +104,7 @@
 // shouldDivert reports whether a request that another backend server may serve should go there, because work that
 // starts here now takes much longer than usual.
 func (g *Gateway) shouldDivert(r routed.Request) bool {
-	if !r.MayDivert || g.needsKey(r) {
+	if !r.MayDivert {
 		return false
 	}
 	g.server.mu.Lock()
