--- a/internal/gateway/rollback_revocation_test.go
+++ b/internal/gateway/rollback_revocation_test.go
@@ -84,7 +84,7 @@
 					t.Errorf("before the bound: %v %s", a.Outcome, a.Reason)
 				}
 				// The node sees the era at the latest when a silent read ends.
-				time.Sleep(storeera.RevisionDoubted - 5*time.Second + 2*time.Second)
+				time.Sleep(storeera.RevisionDoubtPeriod - 5*time.Second + 2*time.Second)
 				for n := range sim.instances {
 					if a := sim.sendWithKey(n, "kept-"+n, "/closed/", "key-kept"); a.Outcome != request.Done {
 						t.Errorf("a kept key at %s: %v %s", n, a.Outcome, a.Reason)
--- a/internal/storeera/report.go
+++ b/internal/storeera/report.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// Report is what a node tells another one that asks about earlier eras. The zero value is that of a node that has seen no
-// rollback, or runs an earlier version; it tells nothing.
+// Report is the answer of a node that is asked about earlier eras. The zero value is that of a node that has seen no
+// rollback, or runs an earlier version; it states nothing.
 type Report struct {
 	// Era is the highest era that the node has seen.
 	Era uint64
@@ -12,7 +12,7 @@
 	// NoRanges is set if the node knows no table of its service in any era, and no key of its backend server can be granted
 	// by an earlier process of the node.
 	NoRanges bool
-	// Settled is set if the node has seen the era for RevisionDoubted.
+	// Settled is set if the node has seen the era for RevisionDoubtPeriod.
 	Settled bool
 }
 
--- a/internal/storeera/revision.go
+++ b/internal/storeera/revision.go
@@ -7,10 +7,10 @@
 	"heatherreel/internal/keyrange"
 )
 
-// RevisionDoubted is how long after the beginning of an era a configuration does not count as proved of which another node
+// RevisionDoubtPeriod is how long after the beginning of an era a configuration does not count as proved of which another node
 // knows a newer revision, or of which too few nodes were asked. Operators write a lost configuration again within a few
 // seconds.
-const RevisionDoubted = 10 * time.Second
+const RevisionDoubtPeriod = 10 * time.Second
 
 // Revisions decides since when the configuration in force is proved to be the newest. A read of the store proves that,
 // unless the store was restored from a copy that lacks a newer configuration. The zero value has seen no rollback.
@@ -20,9 +20,9 @@
 	provedBefore, provedInEra keyrange.Instant
 	// shown is the highest revision that the store has shown in the current era.
 	shown uint64
-	// told is the highest revision that other nodes have told of, in any era.
-	told uint64
-	// doubtedUntil is when RevisionDoubted ends, and began when this process has seen the current era. Other nodes were last
+	// reported is the highest revision that other nodes have reported, in any era.
+	reported uint64
+	// doubtedUntil is when RevisionDoubtPeriod ends, and began when this process has seen the current era. Other nodes were last
 	// asked at askedAt; confirmed is set once enough of them have answered.
 	era          uint64
 	doubtedUntil keyrange.Instant
@@ -34,14 +34,14 @@
 // BeginEra records that an era above 0 begins at the time now, or that the process has started in it. Earlier proofs stay
 // valid: they state what the store had acknowledged by then.
 func (r *Revisions) BeginEra(era uint64, now keyrange.Instant) {
-	*r = Revisions{provedBefore: r.ProvedAt(now), told: r.told, era: era, began: now, doubtedUntil: now.Add(RevisionDoubted)}
+	*r = Revisions{provedBefore: r.ProvedAt(now), reported: r.reported, era: era, began: now, doubtedUntil: now.Add(RevisionDoubtPeriod)}
 }
 
-// Show records that the store has shown a revision.
-func (r *Revisions) Show(revision uint64) { r.shown = max(r.shown, revision) }
+// RecordShown records that the store has shown a revision.
+func (r *Revisions) RecordShown(revision uint64) { r.shown = max(r.shown, revision) }
 
-// Tell records that another node has told of a revision.
-func (r *Revisions) Tell(revision uint64) { r.told = max(r.told, revision) }
+// RecordReported records that another node has told of a revision.
+func (r *Revisions) RecordReported(revision uint64) { r.reported = max(r.reported, revision) }
 
 // askInterval is the least time between two rounds in which other nodes are asked, and confirmedAskInterval that after a
 // round that was enough.
@@ -50,7 +50,7 @@
 	confirmedAskInterval = time.Second
 )
 
-// AskDue reports whether other nodes are to be asked now. It goes on until RevisionDoubted has passed, since the store may
+// AskDue reports whether other nodes are to be asked now. It goes on until RevisionDoubtPeriod has passed, since the store may
 // have lost the records of members that are not known until they have written them again.
 func (r *Revisions) AskDue(now keyrange.Instant) bool {
 	interval := askInterval
@@ -68,7 +68,7 @@
 // records are lost, it confirms nothing for MembersKept.
 func (r *Revisions) Confirm(era uint64, asked []Witness, answers map[string]Report, now keyrange.Instant) {
 	for _, report := range answers {
-		r.Tell(report.Revision)
+		r.RecordReported(report.Revision)
 		if report.Settled && report.Era == r.era {
 			// This process started long after the rollback.
 			r.doubtedUntil = min(r.doubtedUntil, now)
@@ -81,13 +81,13 @@
 }
 
 // Highest returns the highest revision known of, with inForce in force.
-func (r *Revisions) Highest(inForce uint64) uint64 { return max(inForce, r.shown, r.told) }
+func (r *Revisions) Highest(inForce uint64) uint64 { return max(inForce, r.shown, r.reported) }
 
-// Settled reports whether an era above 0 began more than RevisionDoubted ago.
+// Settled reports whether an era above 0 began more than RevisionDoubtPeriod ago.
 func (r *Revisions) Settled(now keyrange.Instant) bool { return r.era > 0 && now >= r.doubtedUntil }
 
 // Extend records that all records of a read that was sent at asOf are applied, with the revision inForce in force. A store
-// that shows an older configuration proves nothing about newer ones, until RevisionDoubted has passed.
+// that shows an older configuration proves nothing about newer ones, until RevisionDoubtPeriod has passed.
 func (r *Revisions) Extend(asOf keyrange.Instant, inForce uint64) {
 	if r.shown >= inForce || r.era > 0 && asOf >= r.doubtedUntil {
 		r.provedInEra = max(r.provedInEra, asOf)
@@ -96,7 +96,7 @@
 
 // ProvedAt returns when the configuration in force was the newest.
 func (r *Revisions) ProvedAt(now keyrange.Instant) keyrange.Instant {
-	if now < r.doubtedUntil && (!r.confirmed || r.shown < r.told) {
+	if now < r.doubtedUntil && (!r.confirmed || r.shown < r.reported) {
 		return r.provedBefore
 	}
 	return max(r.provedBefore, r.provedInEra)
--- a/internal/storeera/revision_test.go
+++ b/internal/storeera/revision_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a configuration that counts as proved by reads of an era while another node is known to have a newer one,
-// against one that stays unproved for longer than RevisionDoubted, and against any doubt where the store has no eras.
+// against one that stays unproved for longer than RevisionDoubtPeriod, and against any doubt where the store has no eras.
 func TestOlderRevisionIsNoProofInNewEra(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var r Revisions
@@ -25,19 +25,19 @@
 				r.BeginEra(era, now)
 			case 1:
 				shown := uint64(rapid.IntRange(1, 4).Draw(t, "shown"))
-				r.Show(shown)
+				r.RecordShown(shown)
 				inForce = max(inForce, shown)
 				r.Extend(now, inForce)
 			case 2:
 				revision := uint64(rapid.IntRange(1, 4).Draw(t, "told"))
-				r.Tell(revision)
+				r.RecordReported(revision)
 				told = max(told, revision)
 			case 3:
 				r.Confirm(era, []Witness{{"a", "r1"}}, map[string]Report{"a": {Era: era, Revision: 1}}, now)
 				told = max(told, 1)
 			}
 			proved := r.ProvedAt(now)
-			doubted := era > 0 && now.Sub(began) < RevisionDoubted
+			doubted := era > 0 && now.Sub(began) < RevisionDoubtPeriod
 			if doubted && told > inForce && proved > before {
 				t.Fatalf("revision %d is proved in the era while another node knows %d", inForce, told)
 			}
@@ -78,7 +78,7 @@
 	} {
 		var r Revisions
 		r.BeginEra(1, start)
-		r.Show(2)
+		r.RecordShown(2)
 		now := start.Add(c.after)
 		r.Extend(now, 2)
 		r.Confirm(1, c.asked, c.answers, now)
