--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -48,9 +48,6 @@
 // at the address for heartbeats, and ordinary heads with a few long fields are over it.
 const minUsefulHeaderBytes = 4 << 10
 
-// maxPriority is the least urgent priority. Nodes limit that of a route to it when a request is queued.
-const maxPriority = 255
-
 // Check returns a warning for each entry that can never match a request, for each pair of limits that contradict each other,
 // for each tenant whose requests are refused, and for each value that is out of range. replaced are those in place of which
 // nodes use another one.
@@ -75,12 +72,6 @@
 		if r.Timeout > 0 && r.Objective > r.Timeout {
 			f.add(entry, "its target response time of %v is after its timeout of %v", r.Objective, r.Timeout)
 		}
-		switch {
-		case r.Priority > maxPriority:
-			f.add(entry, "its priority of %d is above %d, which nodes use instead", r.Priority, maxPriority)
-		case r.Priority < 0:
-			f.add(entry, "its priority of %d is negative; which one nodes use instead is not defined", r.Priority)
-		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.Services)) {
 		if !used[name] {
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -23,7 +23,7 @@
 	if waitLimit := now.Add(r.Deadline.Sub(now) * queueWaitPercent / 100); waitLimit.Before(giveUpAt) && !r.Call {
 		giveUpAt = waitLimit
 	}
-	decision := g.server.queue.Offer(now, admission.Job{Kind: r.Route, Tenant: r.Tenant, Class: request.Class(min(r.Priority, 255)),
+	decision := g.server.queue.Offer(now, admission.Job{Kind: r.Route, Tenant: r.Tenant, Class: request.Class(min(r.Priority, int(request.MaxClass))),
 		Call: r.Call, Deadline: r.Deadline, Objective: r.Objective, WaitLimit: waitLimit(r, now)})
 	var waiter chan request.Reason
 	if decision.Verdict == admission.Queued {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -1,7 +1,10 @@
 // Package request defines the types of a request of a caller and of its answer, independent of their encodings.
 package request
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Class is the priority class of a request. Under load, more urgent classes are served first.
 type Class uint8
@@ -16,6 +19,9 @@
 	Background
 )
 
+// MaxClass is the least urgent class.
+const MaxClass Class = math.MaxUint8
+
 // classNames are the names of the classes in headers and configuration.
 var classNames = [...]string{"interactive", "lookup", "background"}
 
--- a/internal/tenantauth/tenantauth.go
+++ b/internal/tenantauth/tenantauth.go
@@ -21,8 +21,6 @@
 	// maxRate bounds the rate and the burst of a tenant. It is above the 4.7 million requests a second of all tenants
 	// together, and low enough that sums of limits keep their precision.
 	maxRate = 10_000_000
-	// maxPriority is the highest number of a priority, which is the least urgent one.
-	maxPriority = 255
 	// RefusalProofAge is the age of the proof up to which an unknown key is refused as such. With an older proof the key
 	// may be one that was added since.
 	RefusalProofAge = 2 * time.Second
@@ -76,7 +74,7 @@
 			return nil, err
 		}
 		tenant := e.Tenant
-		tenant.Priority = min(max(tenant.Priority, 0), maxPriority)
+		tenant.Priority = min(max(tenant.Priority, 0), int(request.MaxClass))
 		t.tenants[e.Name] = &tenant
 		for _, key := range e.Keys {
 			d := t.digest(key)
