Clean up after reading the whole change

What stood twice: the time by which an answer is on time (egress, slots) is routed.Request.FinishBy; the memory of a streamed body (pipeline, gateway) is stream.BodyMemory; the store of one configuration that clienttest and daemon tests each had is platform/store/storetest; the fleet in one region of two diversion tests is startOneRegion.

What was in the wrong place: the limit of the wait of a diverted request is a decision, and is in package admission now. callroom.Room.HasCalls had no caller. TestMain of the gateway would have left out fuzz targets and examples under the race detector without a word; the package has none so far.

--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -43,6 +43,15 @@
 	WaitLimit time.Duration
 }
 
+// waitLimitDivisor bounds the expected wait of a job that another backend server may run to a fraction of its time. The report
+// by which its ingress node chose this one is often older than the jobs that fill the slots now.
+const waitLimitDivisor = 8
+
+// WaitLimit returns Job.WaitLimit for a job that is to finish by a time and that another backend server may run.
+func WaitLimit(now, finishBy time.Time) time.Duration {
+	return max(time.Millisecond, finishBy.Sub(now)/waitLimitDivisor)
+}
+
 // Ticket identifies one offered job. The tickets of a queue increase.
 type Ticket uint64
 
--- a/internal/callroom/callroom.go
+++ b/internal/callroom/callroom.go
@@ -138,16 +138,6 @@
 	return a != nil && a.call
 }
 
-// HasCalls reports whether any route counts as a route of calls.
-func (r *Room) HasCalls() bool {
-	for _, a := range r.routes {
-		if a.call {
-			return true
-		}
-	}
-	return false
-}
-
 // advance integrates the requests in progress up to now and ends the window if it is long enough.
 func (r *Room) advance(now time.Time) {
 	w := &r.window
--- a/internal/clienttest/gateway_test.go
+++ b/internal/clienttest/gateway_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -20,7 +19,7 @@
 	"time"
 
 	"heatherreel/internal/registry"
-	"heatherreel/platform/store"
+	"heatherreel/platform/store/storetest"
 )
 
 // Limits of the process under test, which it must keep to whatever clients do. They and the size of the crowd were fixed
@@ -114,43 +113,10 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, routeHost, maxBody)
 }
 
-// startStore starts a store that holds the configuration and the records of members, and returns its address. What nodes
-// write is lost.
+// startStore starts a store that holds the configuration and the records of members, and returns its address.
 func startStore(t *testing.T, configuration string, members ...registry.Member) string {
 	t.Helper()
-	over := make(chan struct{})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		query := req.URL.Query()
-		switch req.URL.Path {
-		case "/v1/log-newest":
-			items := []any{}
-			if query.Get("topic") == store.OperatorTopic {
-				items = append(items, map[string]any{"key": "config", "value": []byte(configuration), "offset": 0})
-			}
-			for _, m := range members {
-				if query.Get("topic") == registry.MembersTopic {
-					value, _ := json.Marshal(m)
-					items = append(items, map[string]any{"key": m.Instance, "value": value, "offset": 0})
-				}
-			}
-			_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": 1})
-		case "/v1/log-read":
-			wait, _ := strconv.Atoi(query.Get("wait_ms"))
-			select {
-			case <-time.After(time.Duration(wait) * time.Millisecond):
-			case <-req.Context().Done():
-			case <-over:
-			}
-			_, _ = w.Write(make([]byte, 16))
-		default:
-			_ = json.NewEncoder(w).Encode(map[string]any{"offset": 0, "end": 1})
-		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		server.Close()
-	})
-	return server.Listener.Addr().String()
+	return storetest.Start(t, configuration, members...)
 }
 
 // bodySum is the field of an answer of the backend server with the checksum of the body of its request, if that was complete.
--- a/internal/daemon/endless_test.go
+++ b/internal/daemon/endless_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,39 +12,13 @@
 	"time"
 
 	"heatherreel/internal/heartbeat"
-	"heatherreel/platform/store"
+	"heatherreel/platform/store/storetest"
 )
 
 // newConfiguredStore starts a store whose only record is the configuration, and returns its address.
 func newConfiguredStore(t *testing.T, configuration string) string {
 	t.Helper()
-	over := make(chan struct{})
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		query := req.URL.Query()
-		switch req.URL.Path {
-		case "/v1/log-newest":
-			items := []any{}
-			if query.Get("topic") == store.OperatorTopic {
-				items = append(items, map[string]any{"key": "config", "value": []byte(configuration), "offset": 0})
-			}
-			_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "end": 1})
-		case "/v1/log-read":
-			wait, _ := strconv.Atoi(query.Get("wait_ms"))
-			select {
-			case <-time.After(time.Duration(wait) * time.Millisecond):
-			case <-req.Context().Done():
-			case <-over:
-			}
-			_, _ = w.Write(make([]byte, 16))
-		default:
-			_ = json.NewEncoder(w).Encode(map[string]any{"offset": 0, "end": 1})
-		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		server.Close()
-	})
-	return server.Listener.Addr().String()
+	return storetest.Start(t, configuration)
 }
 
 // newEndlessBackend starts a backend server that answers each request with begin and then repeat again and again, with a
--- a/internal/gateway/busy_test.go
+++ b/internal/gateway/busy_test.go
@@ -14,16 +14,8 @@
 // slots. The nodes that send them have no report of either.
 func TestBusyServerDivertsRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t)
+		sim := startOneRegion(t, 2, 8)
 		defer sim.close()
-		sim.publish(1, true)
-		for i := range 2 {
-			sim.addInstance(fmt.Sprintf("f%d", i), "free", "r1")
-		}
-		for i := range 8 {
-			sim.addInstance(fmt.Sprintf("k%d", i), "keyed", "r1")
-		}
-		time.Sleep(fleetSettleTime)
 		sim.setServiceTime("f0", 400*time.Millisecond)
 		busy := sim.instances["f0"].gateway
 		busy.server.mu.Lock()
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -43,11 +43,7 @@
 // not send by its objective is refused before it runs.
 func (g *Gateway) executePaced(ctx context.Context, r routed.Request, p node.DispatchProgress) routed.Answer {
 	expected := g.routes.expectedAnswerSize(r.Route)
-	finishBy := r.Objective
-	if finishBy.IsZero() || finishBy.After(r.Deadline) {
-		finishBy = r.Deadline
-	}
-	if admitted, retryAfter := g.egress.admit(time.Now(), finishBy, expected); !admitted {
+	if admitted, retryAfter := g.egress.admit(time.Now(), r.FinishBy(), expected); !admitted {
 		answer := g.refuse(r, request.LinkFull)
 		answer.RetryAfter = retryAfter
 		return g.withNodeState(answer)
--- a/internal/gateway/era_reports.go
+++ b/internal/gateway/era_reports.go
@@ -10,7 +10,7 @@
 	"heatherreel/internal/storeera"
 )
 
-// eraReport returns what this node tells others of earlier eras; the zero value unless the store was rolled back.
+// eraReport returns the answer to other nodes that ask about earlier eras; the zero value unless the store was rolled back.
 func (g *Gateway) eraReport() storeera.Report {
 	era := g.era.current.Load()
 	if era == 0 {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -27,6 +27,20 @@
 	return sim
 }
 
+// startOneRegion starts instances of the service without keys and of the keyed service in one region.
+func startOneRegion(t *testing.T, free, keyed int) *simulation {
+	sim := newSimulation(t)
+	sim.publish(1, true)
+	for i := range free {
+		sim.addInstance(fmt.Sprintf("f%d", i), "free", "r1")
+	}
+	for i := range keyed {
+		sim.addInstance(fmt.Sprintf("k%d", i), "keyed", "r1")
+	}
+	time.Sleep(fleetSettleTime)
+	return sim
+}
+
 // startFleet starts instances of the keyed service, and two of the service without keys, in two regions.
 func (sim *simulation) startFleet(keyed int) {
 	sim.publish(1, true)
--- a/internal/gateway/main_test.go
+++ b/internal/gateway/main_test.go
@@ -29,7 +29,7 @@
 	if !raceDetector || os.Getenv(processVariable) != "" || !runsAllTests() {
 		os.Exit(m.Run())
 	}
-	list, err := testProcess(context.Background(), oneTest, "-test.list=^Test")
+	list, err := testProcess(context.Background(), oneTest, "-test.list=^(Test|Fuzz|Example)")
 	names := strings.Fields(string(list))
 	if err != nil || len(names) == 0 {
 		fmt.Printf("list of tests: %v\n%s", err, list)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -23,8 +23,12 @@
 	if waitLimit := now.Add(r.Deadline.Sub(now) * queueWaitPercent / 100); waitLimit.Before(giveUpAt) && !r.Call {
 		giveUpAt = waitLimit
 	}
-	decision := g.server.queue.Offer(now, admission.Job{Kind: r.Route, Tenant: r.Tenant, Class: request.Class(min(r.Priority, int(request.MaxClass))),
-		Call: r.Call, Deadline: r.Deadline, Objective: r.Objective, WaitLimit: waitLimit(r, now)})
+	job := admission.Job{Kind: r.Route, Tenant: r.Tenant, Class: request.Class(min(r.Priority, int(request.MaxClass))), Call: r.Call,
+		Deadline: r.Deadline, Objective: r.Objective}
+	if r.MayDivert {
+		job.WaitLimit = admission.WaitLimit(now, r.FinishBy())
+	}
+	decision := g.server.queue.Offer(now, job)
 	var waiter chan request.Reason
 	if decision.Verdict == admission.Queued {
 		waiter = make(chan request.Reason, 1)
@@ -47,22 +51,6 @@
 	return decision.Ticket, g.awaitSlot(ctx, decision.Ticket, waiter, p)
 }
 
-// waitLimitDivisor bounds the expected wait of a request that may be diverted to a fraction of its time to the objective. The
-// report by which its ingress node chose this instance is often older than the requests that fill the slots now.
-const waitLimitDivisor = 8
-
-// waitLimit returns admission.Job.WaitLimit for a request.
-func waitLimit(r routed.Request, now time.Time) time.Duration {
-	if !r.MayDivert {
-		return 0
-	}
-	end := r.Deadline
-	if !r.Objective.IsZero() && r.Objective.Before(end) {
-		end = r.Objective
-	}
-	return max(time.Millisecond, end.Sub(now)/waitLimitDivisor)
-}
-
 // allowCold takes one request from the rate limit of a cold backend server and reports whether the limit allows it. The
 // caller holds mu.
 func (t *serverTracker) allowCold(now time.Time) bool {
--- a/internal/gateway/slowdown_test.go
+++ b/internal/gateway/slowdown_test.go
@@ -13,16 +13,8 @@
 // nodes that send them do not know that it is slow.
 func TestSlowMachineDivertsRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t)
+		sim := startOneRegion(t, 3, 8)
 		defer sim.close()
-		sim.publish(1, true)
-		for i := range 3 {
-			sim.addInstance(fmt.Sprintf("f%d", i), "free", "r1")
-		}
-		for i := range 8 {
-			sim.addInstance(fmt.Sprintf("k%d", i), "keyed", "r1")
-		}
-		time.Sleep(fleetSettleTime)
 		for i := range 3 {
 			sim.setWorkFigure(fmt.Sprintf("f%d", i), 1)
 			sim.instances[fmt.Sprintf("f%d", i)].gateway.server.observeWorkFigure(1)
--- a/internal/gateway/store_era.go
+++ b/internal/gateway/store_era.go
@@ -15,7 +15,7 @@
 )
 
 // storeEra holds the era of the store that this node has seen. mu has rank lockorder.StoreEra; it is held while the tables
-// are told of a new era, so that records of an era are applied only after that.
+// begin a new era, so that records of an era are applied only after that.
 type storeEra struct {
 	mu   *lockorder.Mutex
 	seen storeera.Seen
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,10 +10,6 @@
 	"heatherreel/internal/telemetry"
 )
 
-// ownerStreamBytes is the memory of a body that is passed on to the backend server: a buffer of 64 KiB for what another node
-// sends, and one on the way to the backend server.
-const ownerStreamBytes = 128 << 10
-
 // streamTable counts the large bodies that this node streams. mu guards slots; it has rank lockorder.Stream.
 type streamTable struct {
 	mu      *lockorder.Mutex
@@ -47,7 +43,7 @@
 	t.metrics.AddLargeBody(role, 1)
 	return func() {
 		if role == stream.Owner && t.memory != nil {
-			t.memory.Drop(ownerStreamBytes)
+			t.memory.Drop(stream.BodyMemory)
 		}
 		t.giveBack(role)
 		t.metrics.AddLargeBody(role, -1)
@@ -62,7 +58,7 @@
 
 // hold reserves the memory of a body. That of a body from a caller belongs to its connection.
 func (t *streamTable) hold(role stream.Role) bool {
-	return role != stream.Owner || t.memory == nil || t.memory.Hold(ownerStreamBytes)
+	return role != stream.Owner || t.memory == nil || t.memory.Hold(stream.BodyMemory)
 }
 
 // beginStream asks for the body of a request that is streamed and waits for its first bytes. It returns why the request does
--- a/internal/pipeline/stream_body.go
+++ b/internal/pipeline/stream_body.go
@@ -5,11 +5,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-)
 
-// streamBytes is the memory of a body that is streamed, without what was read before: a buffer of 64 KiB for the reads from
-// the connection, and one on the way to the next node or the backend server.
-const streamBytes = 2 * pieceBytes
+	"heatherreel/internal/stream"
+)
 
 // BodyStream is a body that is read while it is passed on. Abort is safe for concurrent use, and Close waits for a Read in
 // progress.
@@ -58,12 +56,12 @@
 
 // newStream returns a stream of the body that begins with the parts.
 func (e *exchange) newStream(begin [][]byte, limit int64) ([]byte, *BodyStream, error) {
-	if !e.reserve(streamBytes) {
+	if !e.reserve(stream.BodyMemory) {
 		e.releasePieces(begin)
 		return nil, nil, errNoMemory
 	}
 	e.body.stream()
-	return nil, &BodyStream{Length: e.request.ContentLength, exchange: e, limit: limit, begin: begin, held: streamBytes}, nil
+	return nil, &BodyStream{Length: e.request.ContentLength, exchange: e, limit: limit, begin: begin, held: stream.BodyMemory}, nil
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of a complete body.
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -43,13 +43,13 @@
 	l.opensAt = now.Add(configurationSpread + takeoverWait)
 }
 
-// Observe records that the node is the lender of a tenant by a key range with the fence. It starts from nothing, as its
-// predecessor may have lent all that there was.
+// Observe records that the node is the lender of a tenant by a key range with the fence.
 func (l *Lender) Observe(tenant string, fence uint64, now keyrange.Instant) {
 	l.observe(tenant, fence, now)
 }
 
-// observe does the same as Observe and returns the account.
+// observe returns the account of a tenant whose lender the node is. A new one starts from nothing, as the predecessor may
+// have lent all that there was.
 func (l *Lender) observe(tenant string, fence uint64, now keyrange.Instant) *lent {
 	a := l.accounts[tenant]
 	if a == nil || a.fence != fence {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -90,6 +90,14 @@
 	return int(r.Stream.Length)
 }
 
+// FinishBy returns the time by which an answer is on time: the objective, or the deadline if that is earlier or the only one.
+func (r Request) FinishBy() time.Time {
+	if r.Objective.IsZero() || r.Objective.After(r.Deadline) {
+		return r.Deadline
+	}
+	return r.Objective
+}
+
 // Repetition is where a request is sent again if the outcome of a send is unknown.
 type Repetition int
 
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -29,6 +29,9 @@
 	DefaultLimit = 2
 	// RetryAfter is when a caller may retry that found no room: 60 MiB take 2.5 s on a link of 200 Mbit/s.
 	RetryAfter = 2500 * time.Millisecond
+	// BodyMemory is the memory in bytes of a body at one node and in one role: a buffer of 64 KiB for what arrives, and one on
+	// the way to the next node or the backend server.
+	BodyMemory = 128 << 10
 	// MaxTime bounds the time in which a body must arrive, also if the deadline of the request is later.
 	MaxTime = 30 * time.Second
 )
