Count the bytes of given-up connections until they are returned

TestManyLargestBodies failed twice beside other tests: the gateway took 103 MB, limit 92. The heap in use was 71 MB with a budget of 24 MB. Bytes of a connection that is given up counted as free at once, while its handler still held them, so that others took them again and again. Garbage was ruled out by gctrace; a list of buffers that is not dropped at collections changed nothing.

Bytes of further connections are taken only while those being given up hold less than a quarter of the budget, half of it for short requests.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,6 +68,11 @@
 	// batchDivisor is the part of the budget that is freed at once from stalled connections, so that not each
 	// reservation searches for one.
 	batchDivisor = 16
+	// writeOffDivisor is the part of the budget that connections may still hold while they are being given up, and
+	// shortWriteOffDivisor that up to which short requests get bytes of others. It is the memory beyond the budget that a
+	// process may use: handlers of given-up connections return their bytes only when they run again.
+	writeOffDivisor      = 4
+	shortWriteOffDivisor = 2
 	// answerDivisor is the part of the budget that one expected answer takes at most.
 	answerDivisor = 2
 )
@@ -97,11 +102,13 @@
 
 // Book accounts for the connections and bytes of clients.
 type Book struct {
-	limits   Limits
-	used     int64
-	accounts []*Account
-	totals   [GroupCount]counts
-	clients  [GroupCount]map[string]counts
+	limits Limits
+	used   int64
+	// writtenOff are the bytes of all accounts that are held but do not count any more.
+	writtenOff int64
+	accounts   []*Account
+	totals     [GroupCount]counts
+	clients    [GroupCount]map[string]counts
 }
 
 // counts are the numbers of connections and of those that are unused or send a head.
@@ -227,6 +234,7 @@
 func (b *Book) giveUp(a *Account) {
 	a.shed = true
 	a.writtenOff = a.freeable()
+	b.writtenOff += a.writtenOff
 	b.used -= a.writtenOff
 	b.count(a, -1)
 }
@@ -248,6 +256,7 @@
 		b.count(a, -1)
 	}
 	b.used -= a.held - a.writtenOff
+	b.writtenOff -= a.writtenOff
 	a.held, a.writtenOff, a.shed = 0, 0, true
 	last := len(b.accounts) - 1
 	b.accounts[a.index] = b.accounts[last]
@@ -324,12 +333,12 @@
 	}
 	var victims []*Account
 	if need := b.used + bytes - limit; need > 0 {
-		bound := int64(0)
+		bound, divisor := int64(0), int64(shortWriteOffDivisor)
 		if !short {
-			bound = a.received + bytes
+			bound, divisor = a.received+bytes, writeOffDivisor
 		}
 		var enough bool
-		if victims, enough = b.victims(a, need, bound, now); !enough {
+		if victims, enough = b.victims(a, need, bound, now); !enough || !b.mayWriteOff(victims, divisor) {
 			return false, nil
 		}
 		for _, v := range victims {
@@ -370,7 +379,7 @@
 	var victims []*Account
 	if need := b.used + more - limit; need > 0 {
 		var enough bool
-		if victims, enough = b.victims(a, need, math.MaxInt64, now); !enough {
+		if victims, enough = b.victims(a, need, math.MaxInt64, now); !enough || !b.mayWriteOff(victims, writeOffDivisor) {
 			return held, nil, false
 		}
 		for _, v := range victims {
@@ -416,6 +425,7 @@
 	a.received = max(0, a.received-bytes)
 	off := min(bytes, a.writtenOff)
 	a.writtenOff -= off
+	b.writtenOff -= off
 	b.used -= bytes - off
 }
 
@@ -449,6 +459,19 @@
 	return chosen, freed >= bytes
 }
 
+// mayWriteOff reports whether the accounts may be given up although what earlier ones hold is not returned yet. The first of
+// them may hold any number of bytes.
+func (b *Book) mayWriteOff(victims []*Account, divisor int64) bool {
+	if b.writtenOff == 0 {
+		return true
+	}
+	total := b.writtenOff
+	for _, a := range victims {
+		total += a.freeable()
+	}
+	return total <= b.limits.Bytes/divisor
+}
+
 // compare returns whether a is to be given up before (positive) or after (negative) o.
 func (a *Account) compare(o *Account, now time.Time) int {
 	switch x, y := a.isStalled(now), o.isStalled(now); {
