review: nodes ignore a new address of the store

After a change of the store's address in the settings files and SIGHUP, the nodes go on calling the old one.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,7 +23,7 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(dir, program, recordPath string, trouble bool) (bool, error){
-		"bodies": runBodies, "readers": runReaders, "paths": runPaths,
+		"bodies": runBodies, "readers": runReaders, "paths": runPaths, "moved": runMoved,
 	}
 	// The processes of the case end with this one.
 	signals := make(chan os.Signal, 1)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -20,6 +20,7 @@
 // log-append with a condition on the end, log-read with a wait, and log-newest.
 type store struct {
 	address string
+	server  *http.Server
 
 	mu     sync.Mutex
 	topics map[string]*topic
@@ -37,17 +38,32 @@
 
 // startStore starts a store on an IP address.
 func startStore(ip string) (*store, error) {
+	s := &store{topics: map[string]*topic{}}
+	return s, s.listen(ip)
+}
+
+// listen serves the store at a new address.
+func (s *store) listen(ip string) error {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &store{address: l.Addr().String(), topics: map[string]*topic{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", s.serveAppend)
 	mux.HandleFunc("GET /v1/log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
-	go func() { _ = http.Serve(l, mux) }()
-	return s, nil
+	s.address, s.server = l.Addr().String(), &http.Server{Handler: mux}
+	go func(server *http.Server) { _ = server.Serve(l) }(s.server)
+	return nil
+}
+
+// move serves the store at another address, with all that it holds, and closes the one before.
+func (s *store) move(ip string) error {
+	before := s.server
+	if err := s.listen(ip); err != nil {
+		return err
+	}
+	return before.Close()
 }
 
 // get returns a topic, which is created on first use. The caller holds mu.
