httpwire: do not take a reset for the end of an answer

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with 200 and a Content-Length of the part.

Cause: the body of an answer without a length ends with the connection. The kernel reports a reset to one call on the socket only. If the blocked write is told of it, the read that follows returns 0, which is io.EOF, the end of the body. For streams that was likely, as Write then waits up to 300 ms so that the answer can be read; for bodies from memory it was up to the scheduler. The class is a read whose end of file stands for a failure that another call was told of. Ruled out: a close by the node itself (reads return net.ErrClosed), and answers with a length or in chunks (io.ErrUnexpectedEOF).

Fix: the connection records a failed write, and a read returns io.EOF only if no write has failed. A write in progress at that moment may be the one that was told of the reset; it is ended by a deadline first, and a write that only met this deadline did not fail. So an answer that the server really ends while the upload goes on is still delivered: TestEndDuringUploadEndsAnswer, which passed before as well. The calls to the store and to the log use the same connections.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -79,6 +84,11 @@
 	ids     map[string]struct{}
 	// readFailed is true after a read has failed, also at the end of the connection.
 	readFailed atomic.Bool
+
+	// writing is locked during a write and guards writeFailed, which is true after a write has failed for another reason than
+	// its deadline.
+	writing     sync.Mutex
+	writeFailed bool
 }
 
 func newWriteTrackingConn(conn net.Conn) *writeTrackingConn {
@@ -145,6 +155,9 @@
 	c.reading.Store(true)
 	c.signalChange()
 	n, err := c.Conn.Read(p)
+	if err == io.EOF && c.hasFailedWrite() {
+		err = errReset
+	}
 	if err != nil {
 		c.readFailed.Store(true)
 	}
@@ -152,6 +165,20 @@
 	return n, err
 }
 
+// errReset is returned by reads instead of io.EOF after a write has failed. The kernel reports a reset to one call only, and
+// if that is a write, later reads see the end of the connection.
+var errReset = fmt.Errorf("the connection ended after a write on it had failed: %w", syscall.ECONNRESET)
+
+// hasFailedWrite reports whether a write has failed. It is called at the end of the data and cancels a write in progress,
+// whose result is needed: no answer can follow, so that net/http would close the connection in any case.
+func (c *writeTrackingConn) hasFailedWrite() bool {
+	// If it fails, the connection is closed, which ends the write as well.
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
 // Write implements net.Conn.
 func (c *writeTrackingConn) Write(p []byte) (int, error) {
 	if c.closed.Load() {
@@ -161,13 +188,24 @@
 	if !writes.startWrite() {
 		return 0, errAborted
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.write(p)
 	if err != nil {
 		writes.awaitAnswer()
 	}
 	return n, err
 }
 
+// write writes p and records a failure.
+func (c *writeTrackingConn) write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writeFailed = true
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *writeTrackingConn) Close() error {
 	c.closed.Store(true)
