Rename package oddstatus to oddhead, with its tests

Moves and renames only: the stand-in is about to send heads that are malformed in other ways than their status. The checks are unchanged, and all of TestOddHead* pass.

--- a/internal/daemon/odd_status_test.go
+++ b/internal/daemon/odd_head_test.go
@@ -5,18 +5,18 @@
 	"net/http"
 	"testing"
 
-	"heatherreel/internal/fake/oddstatus"
+	"heatherreel/internal/fake/oddhead"
 )
 
-// Guards against a response with a status of no answer that reaches the caller as an answer, from the node beside the
+// Guards against a response with the head of no answer that reaches the caller as an answer, from the node beside the
 // backend server or through another one, on a new and on a persistent connection, and against a later caller that gets its
 // rest.
-func TestOddStatusReachesNoCaller(t *testing.T) {
-	for _, odd := range oddstatus.Responses {
+func TestOddHeadReachesNoCaller(t *testing.T) {
+	for _, odd := range oddhead.Responses {
 		for before := range int64(2) {
 			for _, relayed := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %d requests before, through a node %v", odd.Name, before, relayed), func(t *testing.T) {
-					s := &oddstatus.Server{Odd: odd, OddAt: before, Body: "ok", Fields: func(req *http.Request) string {
+					s := &oddhead.Server{Odd: odd, OddAt: before, Body: "ok", Fields: func(req *http.Request) string {
 						return "Heatherreel-Request-Id: " + req.Header.Get("Heatherreel-Request-Id") + "\r\nHeatherreel-Response-Signature: s\r\n"
 					}}
 					address := startHops(t, serveTCP(t, s.Serve), relayed)
--- a/internal/fake/oddstatus/oddstatus.go
+++ b/internal/fake/oddhead/oddhead.go
@@ -1,6 +1,6 @@
-// Package oddstatus is a server in trouble: it sends a response with a status that no answer has, or interim responses
-// without end. It imports no other package of the project, so that the tests of all of them can use it.
-package oddstatus
+// Package oddhead is a server in trouble: it sends a response with a head that no answer has, or interim responses without
+// end. It imports no other package of the project, so that the tests of all of them can use it.
+package oddhead
 
 import (
 	"bufio"
--- a/internal/httpwire/odd_status_test.go
+++ b/internal/httpwire/odd_head_test.go
@@ -8,18 +8,18 @@
 	"testing"
 	"time"
 
-	"heatherreel/internal/fake/oddstatus"
+	"heatherreel/internal/fake/oddhead"
 	"heatherreel/internal/problem"
 )
 
-// Guards against a response with a status of no answer that is passed on as one, that makes the request run again, or
+// Guards against a response with the head of no answer that is passed on as one, that makes the request run again, or
 // that leaves the connection in a state in which a later request gets its rest, on a new and on a persistent connection.
-func TestOddStatusIsNoAnswer(t *testing.T) {
-	for _, odd := range oddstatus.Responses {
+func TestOddHeadIsNoAnswer(t *testing.T) {
+	for _, odd := range oddhead.Responses {
 		for _, method := range []string{"GET", "POST"} {
 			for before := range int64(2) {
 				t.Run(fmt.Sprintf("%s, %s, %d requests before", odd.Name, method, before), func(t *testing.T) {
-					s := &oddstatus.Server{Odd: odd, OddAt: before, Body: "ok"}
+					s := &oddhead.Server{Odd: odd, OddAt: before, Body: "ok"}
 					listener, err := net.Listen("tcp", "127.0.0.1:0")
 					if err != nil {
 						t.Fatal(err)
