Reject answers with a malformed name of a field

What callers saw: a backend server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer: with that line passed on, or, where it was "Content-Length : 1" or "Transfer-Encoding : chunked", with a body that was not the server's, such as "2\r\nok\r\n0\r\n\r\n".

Cause: net/http accepts a space in the name of a field and keeps the name as it is, so that a length or a coding with a space before its colon is an unknown field, and the body is taken to end with the connection. RFC 9110, section 5.1, allows only tokens. Nothing between net/http and the caller checked the names. Ruled out: control bytes, tabs, bytes over 127 and empty names, which net/http rejects; their cases passed before and stay in the tests.

Evidence: with these cases, the tests TestOddHead* of the transport, of requests through one node and two, of health checks, of calls for keys, of the store, of the log and of the command line failed on the code before, 109 failures in one run. All passed three times with the race detector after the change.

Fix: httpwire.CheckHead checks the status and all names before the body is read, and every place that reads a response calls it. The outcome of such a request is unknown, as for other bytes that are no answer. Package pipeline, which checks the heads of requests, uses the same set of bytes.

--- a/internal/fake/oddhead/oddhead.go
+++ b/internal/fake/oddhead/oddhead.go
@@ -19,6 +19,9 @@
 	line string
 	// then is set if a valid answer follows at once.
 	then bool
+	// field is a malformed line among the fields of an otherwise valid head with status 200; empty for none. Its answer has no
+	// length if body is set, which the server sends before it closes the connection.
+	field, body string
 	// begin is followed by repeat again and again.
 	begin, repeat string
 }
@@ -45,6 +48,20 @@
 	{Name: "endless field of an interim head", begin: "HTTP/1.1 103 x\r\nX-A: ", repeat: "x"},
 	{Name: "endless fields of an interim head", begin: "HTTP/1.1 103 x\r\n", repeat: "X-A: x\r\n"},
 	{Name: "endless interim heads", repeat: "HTTP/1.1 103 x\r\n\r\n"},
+	{Name: "blank in a field name", field: "X Odd: 1"},
+	{Name: "blank before a colon", field: "X-Odd : 1"},
+	{Name: "blank before a second length", field: "Content-Length : 1"},
+	{Name: "blank before the colon of the length", field: "Content-Length : 1", body: "ok"},
+	{Name: "blank before the colon of the coding", field: "Transfer-Encoding : chunked", body: "2\r\nok\r\n0\r\n\r\n"},
+	{Name: "tab in a field name", field: "X\tOdd: 1"},
+	{Name: "tab before a colon", field: "X-Odd\t: 1"},
+	{Name: "NUL in a field name", field: "X-Odd\x00: 1"},
+	{Name: "control byte in a field name", field: "X-\x01Odd: 1"},
+	{Name: "CR in a field name", field: "X-\rOdd: 1"},
+	{Name: "DEL in a field name", field: "X-Odd\x7f: 1"},
+	{Name: "byte over 127 in a field name", field: "X-\x80Odd: 1"},
+	{Name: "empty field name", field: ": 1"},
+	{Name: "line without a colon", field: "X-Odd"},
 }
 
 // Server answers each request with status 200 and Body, except the request number OddAt, counted from 0, which gets Odd.
@@ -105,8 +122,11 @@
 	}
 }
 
-// writeOdd writes the odd response in place of the answer whole.
+// writeOdd writes the odd response in place of the answer whole. It returns an error if the connection is to be closed.
 func (s *Server) writeOdd(w io.Writer, fields, whole string) error {
+	if s.Odd.field != "" {
+		return s.writeOddField(w, fields)
+	}
 	if s.Odd.EndsItself() {
 		text := s.Odd.line + "\r\n" + fields + "Content-Length: 0\r\n\r\n"
 		if s.Odd.then {
@@ -122,3 +142,16 @@
 	}
 	return err
 }
+
+// writeOddField writes an answer with the odd field after the other ones.
+func (s *Server) writeOddField(w io.Writer, fields string) error {
+	head := "HTTP/1.1 200 OK\r\n" + fields + s.Odd.field + "\r\n"
+	if s.Odd.body == "" {
+		_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head, len(s.Body), s.Body)
+		return err
+	}
+	if _, err := io.WriteString(w, head+"\r\n"+s.Odd.body); err != nil {
+		return err
+	}
+	return io.EOF
+}
--- a/internal/httpwire/header.go
+++ b/internal/httpwire/header.go
@@ -33,6 +33,43 @@
 	RefusedOverload = "overload"
 )
 
+// CheckHead returns a problem.Malformed error if a response with the status and the fields is no final answer. net/http accepts
+// any status of three digits, and a field name with a space in it (RFC 9110, section 5.1): a length or a coding before whose
+// colon there is a space would be ignored, and the body end elsewhere than its sender meant.
+func CheckHead(status int, h http.Header) error {
+	const remedy = "correct the server"
+	if !IsFinalStatus(status) {
+		return problem.New(problem.Malformed, remedy, "status %d is not that of a final answer", status)
+	}
+	for name := range h {
+		if !IsFieldName(name) {
+			return problem.New(problem.Malformed, remedy, "the name of a field has bytes that are not allowed in it")
+		}
+	}
+	return nil
+}
+
+// IsFieldName reports whether name is valid as that of a field.
+func IsFieldName(name string) bool {
+	for i := range len(name) {
+		if !IsTokenByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// IsTokenByte reports whether b may be part of a token, such as the name of a field (RFC 9110, section 5.6.2).
+func IsTokenByte(b byte) bool { return tokenBytes[b] }
+
+// tokenBytes is the set of the bytes of tokens.
+var tokenBytes = func() (set [256]bool) {
+	for _, b := range []byte("0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~") {
+		set[b] = true
+	}
+	return set
+}()
+
 // SingleHeader returns the value of a header that may occur at most once, or an empty string if it is absent. It
 // returns a problem.Malformed error if the header is repeated.
 func SingleHeader(h http.Header, name string) (string, error) {
--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -299,8 +299,8 @@
 // checkHead checks what can be known about response before its body is read. A body without end would otherwise hold
 // the exchange until its deadline, or until the size limit has been read.
 func checkHead(c Call, response *http.Response) error {
-	if !IsFinalStatus(response.StatusCode) {
-		return errNoAnswer(problem.New(problem.Malformed, "correct the server", "status %d is not that of a final answer", response.StatusCode))
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
+		return errNoAnswer(err)
 	}
 	if c.CheckHead != nil {
 		if err := c.CheckHead(response.StatusCode, response.Header); err != nil {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -60,9 +60,10 @@
 		return out, c.unavailableError(err)
 	}
 	defer response.Body.Close()
-	if !httpwire.IsFinalStatus(response.StatusCode) {
+	if err := httpwire.CheckHead(response.StatusCode, response.Header); err != nil {
 		// After 101 net/http hands the connection over, and a read of the body would not end with the context.
-		return out, decodeProblem(response, nil)
+		return out, problem.New(problem.Malformed, "check that the address is the operator address of a node",
+			"the response of %s is not valid: %w", c.baseURL, err)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 
+	"heatherreel/internal/httpwire"
 	"heatherreel/internal/intake"
 )
 
@@ -113,7 +114,7 @@
 	name, value := line[:colon], line[colon+1:]
 	for _, b := range name {
 		// A folded line begins with a space, which no name contains.
-		if !tokenBytes[b] {
+		if !httpwire.IsTokenByte(b) {
 			return badRequest
 		}
 	}
@@ -162,11 +163,8 @@
 	return true
 }
 
-// tokenBytes and hostBytes are the bytes of field names (RFC 9110, section 5.6.2) and of hosts with a port.
-var (
-	tokenBytes = byteSet("!#$%&'*+-.^_`|~")
-	hostBytes  = byteSet("!$%&()*+,-.:;=[]'_~")
-)
+// hostBytes is the set of the bytes of hosts with a port.
+var hostBytes = byteSet("!$%&()*+,-.:;=[]'_~")
 
 // byteSet returns the set of letters, digits and the bytes of more.
 func byteSet(more string) *[256]bool {
--- a/internal/platformlog/client.go
+++ b/internal/platformlog/client.go
@@ -203,9 +203,9 @@
 		return reply{}, transportError(ctx, l.operation, err)
 	}
 	defer resp.Body.Close()
-	if !httpwire.IsFinalStatus(resp.StatusCode) {
+	if err := httpwire.CheckHead(resp.StatusCode, resp.Header); err != nil {
 		// After 101 net/http hands the connection over, and a read of the body would not end with the context.
-		return reply{}, statusError(l.operation, resp.StatusCode)
+		return reply{}, problem.New(problem.Unavailable, remedyRead, "%s: %w", l.operation, err)
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusGone {
 		discardBody(resp)
