review: show that a late deregistration ends the next life of a target

The two targets of a service restart in place under their ids, and the node process beside each stands still for 3.5 s meanwhile (node_freeze). When it wakes, it takes the first heartbeat of the new life before the deregistration of the old one, and counts the new one as ended for good.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -14,7 +14,7 @@
 	record := flag.String("record", "record.txt", "where the record is written")
 	trouble := flag.Bool("trouble", os.Getenv("TROUBLE") != "0", "play the disruption")
 	flag.Parse()
-	cases := map[string]func(*fleet, bool) (bool, error){"held": playHeld, "ranges": playRanges}
+	cases := map[string]func(*fleet, bool) (bool, error){"again": playAgain, "held": playHeld, "ranges": playRanges}
 	play := cases[flag.Arg(0)]
 	if play == nil {
 		fmt.Println("no such case")
